--- /dev/null
+++ b/core/src/main/java/io/sesamehead/state/OrderRecord.java
@@ -0,0 +1,36 @@
+package io.sesamehead.state;
+
+import java.util.Optional;
+
+/**
+ * Content of one {@code orders} object: the claim of an idempotency key and, once known, its result.
+ *
+ * @param service the service called
+ * @param account the client account
+ * @param key the idempotency key
+ * @param bodyFingerprint hash of method, path and body, by which a reused key is recognised
+ * @param claimedBy daemon that holds the claim
+ * @param claimant incarnation of that daemon
+ * @param token token of the last write
+ * @param result the recorded result, or empty while it is not known
+ */
+public record OrderRecord(
+        ServiceName service,
+        ClientAccount account,
+        String key,
+        String bodyFingerprint,
+        DaemonId claimedBy,
+        Incarnation claimant,
+        WriteToken token,
+        Optional<Result> result) {
+    /**
+     * Recorded result of a keyed call.
+     *
+     * @param runState what is known of the execution
+     * @param status HTTP status of the upstream's answer, 0 when there is none
+     * @param contentType content type of the answer, empty when there is none
+     * @param body the answer's body
+     * @param recordedEpochMillis wall-clock time of the record, in milliseconds since 1970; only for retention
+     */
+    public record Result(RunState runState, int status, String contentType, String body, long recordedEpochMillis) {}
+}
