--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/CommandLine.java
@@ -0,0 +1,148 @@
+package io.sesamehead.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import com.google.common.collect.ImmutableMap;
+import java.util.Map;
+
+/** Reads the command line and runs the subcommand that it names. */
+public final class CommandLine {
+    private static final String PROGRAM = "sesamehead";
+    /** Column at which help texts wrap, so that they fit a usual terminal. */
+    private static final int HELP_COLUMNS = 100;
+
+    private final ImmutableMap<String, Command> commands;
+    private final Console console;
+
+    /**
+     * Creates the reader.
+     *
+     * @param commands the subcommands by name; {@code "stand-in platform"} is a subcommand of {@code stand-in}
+     * @param console where commands write
+     */
+    public CommandLine(ImmutableMap<String, Command> commands, Console console) {
+        this.commands = commands;
+        this.console = console;
+    }
+
+    /**
+     * Parses and runs.
+     *
+     * @param args the command line
+     * @return exit code of the process
+     */
+    public ExitCode run(String... args) {
+        Parsed parsed = new Parsed(commands);
+        try {
+            parsed.root.parse(args);
+        } catch (ParameterException e) {
+            console.error(message(e));
+            console.error("see `" + parsed.helpCommand() + "`");
+            return ExitCode.WRONG_USAGE;
+        }
+        if (parsed.helpWanted() || parsed.chosen() == null) {
+            return printHelp(parsed);
+        }
+        return runCommand(parsed.chosen());
+    }
+
+    private static String message(ParameterException e) {
+        String text = String.valueOf(e.getMessage());
+        return text.startsWith("Expected a command, got ")
+                ? "unknown command " + text.substring("Expected a command, got ".length())
+                : text;
+    }
+
+    private ExitCode printHelp(Parsed parsed) {
+        StringBuilder help = new StringBuilder();
+        parsed.innermost().setColumnSize(HELP_COLUMNS);
+        parsed.innermost().getUsageFormatter().usage(help);
+        console.print(help.toString().stripTrailing());
+        if (parsed.helpWanted()) {
+            return ExitCode.DONE;
+        }
+        console.error("a command is missing");
+        return ExitCode.WRONG_USAGE;
+    }
+
+    private ExitCode runCommand(Command command) {
+        try {
+            return command.run(console);
+        } catch (CommandFailure e) {
+            e.errors().forEach(console::error);
+            return e.exitCode();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            console.error("interrupted");
+            return ExitCode.FAILED;
+        }
+    }
+
+    /** The JCommander tree of one command line. */
+    private static final class Parsed {
+        private final JCommander root;
+        private final CommonOptions rootOptions = new CommonOptions();
+        private final ImmutableMap<String, Command> commands;
+        private final ImmutableMap<String, CommonOptions> options;
+
+        Parsed(ImmutableMap<String, Command> commands) {
+            this.commands = commands;
+            this.root = JCommander.newBuilder()
+                    .programName(PROGRAM)
+                    .addObject(rootOptions)
+                    .build();
+            ImmutableMap.Builder<String, CommonOptions> builder = ImmutableMap.builder();
+            commands.forEach((name, command) -> builder.put(name, add(name, command)));
+            this.options = builder.buildOrThrow();
+        }
+
+        private CommonOptions add(String name, Command command) {
+            JCommander parent = root;
+            String last = name;
+            int space = name.indexOf(' ');
+            if (space > 0) {
+                parent = root.getCommands().get(name.substring(0, space));
+                last = name.substring(space + 1);
+            }
+            CommonOptions common = new CommonOptions();
+            parent.addCommand(last, new Object[] {common, command});
+            parent.getCommands().get(last).setProgramName(PROGRAM + " " + name);
+            return common;
+        }
+
+        private String chosenName() {
+            String name = root.getParsedCommand();
+            if (name == null) {
+                return "";
+            }
+            String inner = root.getCommands().get(name).getParsedCommand();
+            return inner == null ? name : name + " " + inner;
+        }
+
+        Command chosen() {
+            return commands.get(chosenName());
+        }
+
+        boolean helpWanted() {
+            String name = chosenName();
+            return rootOptions.help
+                    || options.entrySet().stream()
+                            .filter(entry -> name.startsWith(entry.getKey()))
+                            .map(Map.Entry::getValue)
+                            .anyMatch(common -> common.help);
+        }
+
+        JCommander innermost() {
+            JCommander at = root;
+            while (at.getParsedCommand() != null) {
+                at = at.getCommands().get(at.getParsedCommand());
+            }
+            return at;
+        }
+
+        String helpCommand() {
+            String name = chosenName();
+            return name.isEmpty() ? PROGRAM + " --help" : PROGRAM + " " + name + " --help";
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/HttpJsonSource.java
@@ -0,0 +1,48 @@
+package io.sesamehead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+
+/** Reads JSON documents over HTTP. */
+public final class HttpJsonSource implements JsonSource, AutoCloseable {
+    /** A daemon that does not answer within this time is reported as not answering. */
+    private static final long TIMEOUT_MILLIS = 2000;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final CloseableHttpClient http = HttpClients.custom()
+            .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                    .setDefaultConnectionConfig(ConnectionConfig.custom()
+                            .setConnectTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                            .build())
+                    .build())
+            .setDefaultRequestConfig(RequestConfig.custom()
+                    .setResponseTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                    .build())
+            .disableAutomaticRetries()
+            .build();
+
+    @Override
+    public JsonNode read(String url) throws IOException {
+        return http.execute(new HttpGet(url), response -> {
+            if (response.getCode() != 200) {
+                throw new IOException(url + " answered with status " + response.getCode());
+            }
+            return JSON.readTree(EntityUtils.toByteArray(response.getEntity()));
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        http.close();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/LoadCommand.java
@@ -0,0 +1,236 @@
+package io.sesamehead.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.sesamehead.cli.load.AnswerCheck;
+import io.sesamehead.cli.load.CallClass;
+import io.sesamehead.cli.load.LoadRun;
+import io.sesamehead.cli.load.LoadSettings;
+import io.sesamehead.cli.load.LoadTally;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** {@code load}: sends a bounded load and checks every answer. */
+@Parameters(commandDescription = "Send a bounded load, check every answer and classify every call")
+public final class LoadCommand implements Command {
+    private static final int MAX_SECONDS = 3600;
+    private static final int MAX_CALLS_PER_SECOND = 5000;
+    private static final int MAX_CALLS = 1_000_000;
+    private static final int MAX_CONCURRENT = 4000;
+
+    @Parameter(names = "--daemons", required = true, description = "Caller addresses, ip:port, separated by commas")
+    private List<String> daemons = new ArrayList<>();
+
+    @Parameter(names = "--accounts", description = "Client accounts that take turns")
+    private List<String> accounts = List.of("shop-1", "shop-2", "press-1");
+
+    @Parameter(names = "--model-service", description = "Model service to call; empty for none")
+    private String modelService = "assistant";
+
+    @Parameter(names = "--order-service", description = "Plain service that takes the orders; empty for none")
+    private String orderService = "orders";
+
+    @Parameter(names = "--seconds", description = "Length of the run, at most " + MAX_SECONDS)
+    private int seconds = 20;
+
+    @Parameter(names = "--rate", description = "Mean arrivals per second, at most " + MAX_CALLS_PER_SECOND)
+    private double rate = 40;
+
+    @Parameter(names = "--max-calls", description = "Most calls of the run, at most " + MAX_CALLS)
+    private int maxCalls = 10_000;
+
+    @Parameter(names = "--concurrent", description = "Most calls open at one time, at most " + MAX_CONCURRENT)
+    private int concurrent = 500;
+
+    @Parameter(names = "--order-share", description = "Share of orders among the calls, 0 to 1")
+    private double orderShare = 0.4;
+
+    @Parameter(names = "--repeat-share", description = "Share of orders that repeat an earlier key, 0 to 1")
+    private double repeatShare = 0.25;
+
+    @Parameter(names = "--stream-share", description = "Share of completions that are streamed, 0 to 1")
+    private double streamShare = 0.8;
+
+    @Parameter(names = "--tokens", description = "Most tokens of a completion")
+    private int tokens = 40;
+
+    @Parameter(names = "--deadline-millis", description = "Time allowed for a call with all its attempts")
+    private long deadlineMillis = 20_000;
+
+    @Parameter(names = "--stall-millis", description = "Silence after which a caller gives up on a daemon")
+    private long stallMillis = 6000;
+
+    @Parameter(names = "--attempts", description = "Most attempts of a call, each at another daemon")
+    private int attempts = 6;
+
+    @Parameter(names = "--seed", description = "Seed of arrival times and mix")
+    private long seed = 1;
+
+    @Parameter(names = "--executions", description = "URL that counts executions by key, checked after the run")
+    private String executions = "";
+
+    @Parameter(names = "--result", description = "File for the result as JSON")
+    private String result = "";
+
+    @Parameter(names = "--json", description = "Print the result as JSON")
+    private boolean json;
+
+    private final AnswerCheck check;
+    private final JsonSource source;
+
+    /**
+     * Creates the command.
+     *
+     * @param check the expected answers of completions
+     * @param source reads the count of executions
+     */
+    public LoadCommand(AnswerCheck check, JsonSource source) {
+        this.check = check;
+        this.source = source;
+    }
+
+    @Override
+    public ExitCode run(Console console) throws CommandFailure, InterruptedException {
+        LoadSettings settings = settings();
+        LoadRun run = new LoadRun(settings, check);
+        try {
+            run.run("load-" + Long.toHexString(System.currentTimeMillis()));
+            return report(run, console);
+        } catch (IOException e) {
+            throw new CommandFailure(ExitCode.FAILED, "load: " + e.getMessage());
+        }
+    }
+
+    private LoadSettings settings() throws CommandFailure {
+        List<String> errors = new ArrayList<>();
+        require(errors, seconds >= 1 && seconds <= MAX_SECONDS, "--seconds must be 1 to " + MAX_SECONDS);
+        require(errors, rate > 0 && rate <= MAX_CALLS_PER_SECOND, "--rate must be above 0 and at most 5000");
+        require(errors, maxCalls >= 1 && maxCalls <= MAX_CALLS, "--max-calls must be 1 to " + MAX_CALLS);
+        require(errors, concurrent >= 1 && concurrent <= MAX_CONCURRENT, "--concurrent must be 1 to 4000");
+        require(errors, share(orderShare) && share(repeatShare) && share(streamShare), "shares must be 0 to 1");
+        require(errors, tokens >= 1, "--tokens must be at least 1");
+        require(errors, deadlineMillis >= 1 && deadlineMillis <= 600_000, "--deadline-millis must be 1 to 600000");
+        require(errors, stallMillis >= 1, "--stall-millis must be at least 1");
+        require(errors, attempts >= 1, "--attempts must be at least 1");
+        require(errors, !(modelService.isEmpty() && orderService.isEmpty()), "no service is named");
+        if (!errors.isEmpty()) {
+            throw new CommandFailure(ExitCode.WRONG_USAGE, ImmutableList.copyOf(errors));
+        }
+        return new LoadSettings(
+                ImmutableList.copyOf(daemons),
+                ImmutableList.copyOf(accounts),
+                modelService,
+                orderService,
+                seconds,
+                rate,
+                maxCalls,
+                concurrent,
+                orderShare,
+                repeatShare,
+                streamShare,
+                tokens,
+                deadlineMillis,
+                stallMillis,
+                attempts,
+                seed);
+    }
+
+    private static boolean share(double value) {
+        return value >= 0 && value <= 1;
+    }
+
+    private static void require(List<String> errors, boolean holds, String error) {
+        if (!holds) {
+            errors.add(error);
+        }
+    }
+
+    private ExitCode report(LoadRun run, Console console) throws IOException, CommandFailure, InterruptedException {
+        LoadTally tally = run.tally();
+        LoadTally.ExecutionCheck executed = checkExecutions(tally);
+        ObjectNode node = tally.toJson();
+        node.set("latency", run.timings().toJson());
+        ObjectNode keys = node.putObject("keys");
+        keys.put("used", executed.keys());
+        keys.put("doubled", executed.doubled());
+        keys.put("wholeButNotExecuted", executed.missing());
+        keys.put("executedThoughNotRun", executed.ranThoughNotRun());
+        if (!result.isEmpty()) {
+            Files.writeString(Path.of(result), node.toPrettyString() + "\n");
+        }
+        if (json) {
+            console.print(node.toPrettyString());
+        } else {
+            printTables(node, console);
+            console.print(summary(tally, executed));
+        }
+        boolean passed = executed.passed() && tally.unaccounted() == 0 && tally.count(CallClass.TORN) == 0;
+        return passed ? ExitCode.DONE : ExitCode.FAILED;
+    }
+
+    private LoadTally.ExecutionCheck checkExecutions(LoadTally tally)
+            throws IOException, CommandFailure, InterruptedException {
+        if (executions.isEmpty()) {
+            return new LoadTally.ExecutionCheck(0, 0, 0, 0);
+        }
+        ImmutableMap.Builder<String, Long> counts = ImmutableMap.builder();
+        source.read(executions)
+                .fields()
+                .forEachRemaining(
+                        field -> counts.put(field.getKey(), field.getValue().asLong()));
+        return tally.compare(counts.buildOrThrow());
+    }
+
+    private static void printTables(ObjectNode node, Console console) {
+        Table accountsTable = new Table("ACCOUNT", "WHOLE", "NOT RUN", "UNKNOWN", "TORN", "FAILED", "WRONG");
+        node.path("accounts").fields().forEachRemaining(entry -> {
+            List<Object> cells = new ArrayList<>();
+            cells.add(entry.getKey());
+            for (CallClass callClass : CallClass.values()) {
+                cells.add(entry.getValue().path(callClass.fieldName()).asLong());
+            }
+            accountsTable.row(cells.toArray());
+        });
+        accountsTable.print(console);
+        console.print("");
+        Table latency = new Table("LATENCY", "COUNT", "P50 MS", "P95 MS", "P99 MS", "MAX MS");
+        node.path("latency")
+                .fields()
+                .forEachRemaining(entry -> latency.row(
+                        entry.getKey().replace("Millis", ""),
+                        entry.getValue().path("count").asLong(),
+                        millis(entry.getValue().path("p50").asDouble()),
+                        millis(entry.getValue().path("p95").asDouble()),
+                        millis(entry.getValue().path("p99").asDouble()),
+                        millis(entry.getValue().path("max").asDouble())));
+        latency.print(console);
+        console.print("");
+        node.path("reasons")
+                .fields()
+                .forEachRemaining(entry ->
+                        console.print(entry.getValue().asLong() + " calls not whole, last attempt: " + entry.getKey()));
+    }
+
+    private static String millis(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+
+    private static String summary(LoadTally tally, LoadTally.ExecutionCheck executed) {
+        return String.format(
+                Locale.ROOT,
+                "%d sent, %d whole, %d not run, %d unknown, %d torn, %d doubled",
+                tally.sent(),
+                tally.count(CallClass.WHOLE),
+                tally.count(CallClass.NOT_RUN),
+                tally.count(CallClass.UNKNOWN),
+                tally.count(CallClass.TORN),
+                executed.doubled());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/load/CallerClient.java
@@ -0,0 +1,211 @@
+package io.sesamehead.cli.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.sesamehead.state.RunState;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.ParseException;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+
+/** Sends one attempt of a call to one daemon and checks the answer. */
+public final class CallerClient implements AutoCloseable {
+    private static final long CONNECT_MILLIS = 1000;
+    private static final String PROBLEM_PREFIX = "urn:sesamehead:error:";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final CloseableHttpClient http;
+    private final Timings timings;
+    private final AnswerCheck check;
+
+    /**
+     * Opens the client.
+     *
+     * @param settings bounds of the run
+     * @param timings where latencies are recorded
+     * @param check the expected answers
+     */
+    public CallerClient(LoadSettings settings, Timings timings, AnswerCheck check) {
+        this.timings = timings;
+        this.check = check;
+        this.http = HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setMaxConnTotal(settings.concurrentCalls())
+                        .setMaxConnPerRoute(settings.concurrentCalls())
+                        .setDefaultConnectionConfig(ConnectionConfig.custom()
+                                .setConnectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
+                                .setSocketTimeout((int) settings.stallMillis(), TimeUnit.MILLISECONDS)
+                                .build())
+                        .setDefaultSocketConfig(
+                                SocketConfig.custom().setTcpNoDelay(true).build())
+                        .build())
+                .setDefaultRequestConfig(RequestConfig.custom()
+                        .setResponseTimeout(settings.stallMillis(), TimeUnit.MILLISECONDS)
+                        .build())
+                // The tool itself decides about each attempt, so the client must not repeat requests.
+                .disableAutomaticRetries()
+                .disableRedirectHandling()
+                .disableCookieManagement()
+                .build();
+    }
+
+    @Override
+    public void close() throws IOException {
+        http.close();
+    }
+
+    /**
+     * Sends an attempt and waits for its end.
+     *
+     * @param daemon address of the daemon
+     * @param call the call
+     * @param dueNanos monotonic time at which the call was due, from which the first token is timed
+     * @param deadlineMillis time left for the call
+     * @return what came back
+     */
+    public AttemptResult send(String daemon, CallSpec call, long dueNanos, long deadlineMillis) {
+        HttpPost post = new HttpPost(uri(daemon, call));
+        post.setHeader("X-Client-Account", call.account());
+        post.setHeader("X-Deadline-Millis", Long.toString(deadlineMillis));
+        post.setEntity(new StringEntity(body(call), ContentType.APPLICATION_JSON));
+        if (call instanceof CallSpec.Order order) {
+            post.setHeader("Idempotency-Key", order.key());
+        }
+        try {
+            return http.execute(post, response -> read(response, call, dueNanos));
+        } catch (ConnectException | NoRouteToHostException | ConnectTimeoutException e) {
+            return new AttemptResult.Unreachable(describe(e));
+        } catch (IOException e) {
+            return new AttemptResult.Broken(describe(e));
+        }
+    }
+
+    private static String uri(String daemon, CallSpec call) {
+        String path = switch (call) {
+            case CallSpec.Completion completion -> "/completions";
+            case CallSpec.Order order -> "/calls/orders";
+        };
+        return "http://" + daemon + "/v1/services/" + call.service() + path;
+    }
+
+    private static String body(CallSpec call) {
+        return switch (call) {
+            case CallSpec.Completion completion ->
+                JSON.createObjectNode()
+                        .put("prompt", completion.prompt())
+                        .put("max_tokens", completion.tokens())
+                        .put("stream", completion.streaming())
+                        .toString();
+            case CallSpec.Order order -> order.body();
+        };
+    }
+
+    private AttemptResult read(ClassicHttpResponse response, CallSpec call, long dueNanos)
+            throws IOException, ParseException {
+        if (response.getCode() >= 300) {
+            return refusal(response);
+        }
+        return switch (call) {
+            case CallSpec.Completion completion
+            when completion.streaming() -> readStream(response, completion, dueNanos);
+            case CallSpec.Completion completion -> readCompletion(response, completion);
+            case CallSpec.Order order -> readOrder(response, order);
+        };
+    }
+
+    private static AttemptResult refusal(ClassicHttpResponse response) throws IOException, ParseException {
+        String body = response.getEntity() == null ? "" : EntityUtils.toString(response.getEntity());
+        Header retryAfter = response.getFirstHeader("Retry-After");
+        long retryMillis = retryAfter == null ? 0 : 1000 * Long.parseLong(retryAfter.getValue());
+        return problem(body, retryMillis)
+                .orElse(new AttemptResult.Broken("status " + response.getCode() + " without a problem document"));
+    }
+
+    private static Optional<AttemptResult> problem(String body, long retryAfterMillis) {
+        try {
+            JsonNode problem = JSON.readTree(body);
+            String run = problem.path("run").asText();
+            for (RunState state : RunState.values()) {
+                if (state.wireName().equals(run)) {
+                    String kind = problem.path("type").asText().replace(PROBLEM_PREFIX, "");
+                    return Optional.of(new AttemptResult.Refused(state, kind, retryAfterMillis));
+                }
+            }
+            return Optional.empty();
+        } catch (JsonProcessingException e) {
+            return Optional.empty();
+        }
+    }
+
+    private AttemptResult readStream(ClassicHttpResponse response, CallSpec.Completion call, long dueNanos)
+            throws IOException {
+        EventReader events = new EventReader(
+                new BufferedReader(new InputStreamReader(response.getEntity().getContent(), StandardCharsets.UTF_8)));
+        StreamCheck stream = new StreamCheck(call, check, timings, dueNanos);
+        try {
+            for (Optional<EventReader.Event> event = events.next(); event.isPresent(); event = events.next()) {
+                Optional<AttemptResult> end = stream.accept(event.get(), System.nanoTime());
+                if (end.isPresent()) {
+                    return end.get();
+                }
+            }
+            return new AttemptResult.Torn("stream ended after " + stream.tokens() + " tokens without a final event");
+        } catch (java.net.SocketTimeoutException e) {
+            // The caller gave up on a silent daemon; the daemon did not end the stream.
+            return new AttemptResult.Broken("silent after " + stream.tokens() + " tokens");
+        } catch (IOException e) {
+            return new AttemptResult.Torn("after " + stream.tokens() + " tokens: " + describe(e));
+        }
+    }
+
+    static AttemptResult errorEvent(String data) {
+        return problem(data, 0).orElse(new AttemptResult.Wrong("error event without a problem document"));
+    }
+
+    private AttemptResult readCompletion(ClassicHttpResponse response, CallSpec.Completion call)
+            throws IOException, ParseException {
+        JsonNode answer = JSON.readTree(EntityUtils.toString(response.getEntity()));
+        StringBuilder expected = new StringBuilder();
+        int count = answer.path("count").asInt(-1);
+        for (int index = 0; index < count && index < call.tokens(); index++) {
+            expected.append(check.token(call.prompt(), index));
+        }
+        if (count != call.tokens()
+                || !expected.toString().equals(answer.path("text").asText())) {
+            return new AttemptResult.Wrong("completion has " + count + " tokens: " + answer);
+        }
+        return new AttemptResult.Whole(expected.toString());
+    }
+
+    private static AttemptResult readOrder(ClassicHttpResponse response, CallSpec.Order order)
+            throws IOException, ParseException {
+        String answer = EntityUtils.toString(response.getEntity());
+        if (!answer.contains(order.key())) {
+            return new AttemptResult.Wrong("answer to order " + order.key() + " does not name it: " + answer);
+        }
+        return new AttemptResult.Whole(answer);
+    }
+
+    private static String describe(IOException e) {
+        return e.getClass().getSimpleName() + ": " + e.getMessage();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/load/Timings.java
@@ -0,0 +1,62 @@
+package io.sesamehead.cli.load;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Latency histograms of a run, in microseconds. Safe for use by several threads. */
+public final class Timings {
+    private static final long HIGHEST_MICROS = 3_600_000_000L;
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1000.0;
+
+    private final Histogram firstToken = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+    private final Histogram betweenTokens = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+    private final Histogram completions = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+    private final Histogram orders = new ConcurrentHistogram(HIGHEST_MICROS, DIGITS);
+
+    void firstToken(long nanos) {
+        record(firstToken, nanos);
+    }
+
+    void betweenTokens(long nanos) {
+        record(betweenTokens, nanos);
+    }
+
+    void completion(long nanos) {
+        record(completions, nanos);
+    }
+
+    void order(long nanos) {
+        record(orders, nanos);
+    }
+
+    /**
+     * Returns the percentiles.
+     *
+     * @return a JSON object, in milliseconds
+     */
+    public ObjectNode toJson() {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        node.set("firstTokenMillis", percentiles(firstToken));
+        node.set("betweenTokensMillis", percentiles(betweenTokens));
+        node.set("completionMillis", percentiles(completions));
+        node.set("orderMillis", percentiles(orders));
+        return node;
+    }
+
+    private static void record(Histogram histogram, long nanos) {
+        histogram.recordValue(Math.min(HIGHEST_MICROS, Math.max(0, nanos / 1000)));
+    }
+
+    private static ObjectNode percentiles(Histogram histogram) {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        node.put("count", histogram.getTotalCount());
+        node.put("p50", histogram.getValueAtPercentile(50) / MICROS_PER_MILLI);
+        node.put("p95", histogram.getValueAtPercentile(95) / MICROS_PER_MILLI);
+        node.put("p99", histogram.getValueAtPercentile(99) / MICROS_PER_MILLI);
+        node.put("max", histogram.getMaxValue() / MICROS_PER_MILLI);
+        return node;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one subcommand per class, read by JCommander. */
+package io.sesamehead.cli;
