Add the platform stand-in

Cause: daemons and tests need the platform's object API without a platform.

Conclusion: usable for a first connection; tests follow.

--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/Call.java
@@ -0,0 +1,165 @@
+package io.sesamehead.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** One HTTP call to a stand-in. */
+public final class Call {
+    /** Largest accepted body in bytes. */
+    public static final int MAX_BODY_BYTES = 1 << 20;
+
+    private final HttpExchange exchange;
+    private byte[] body;
+
+    Call(HttpExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    /**
+     * Returns the HTTP method.
+     *
+     * @return upper-case method
+     */
+    public String method() {
+        return exchange.getRequestMethod();
+    }
+
+    /**
+     * Returns the path.
+     *
+     * @return decoded path
+     */
+    public String path() {
+        return exchange.getRequestURI().getPath();
+    }
+
+    /**
+     * Returns the parts of the path between slashes.
+     *
+     * @return decoded parts, without the leading empty one
+     */
+    public List<String> segments() {
+        return Arrays.stream(exchange.getRequestURI().getRawPath().substring(1).split("/"))
+                .map(Call::decode)
+                .toList();
+    }
+
+    /**
+     * Tells whether this is the given method and path.
+     *
+     * @param method upper-case method
+     * @param path decoded path
+     * @return true if both match
+     */
+    public boolean is(String method, String path) {
+        return method().equals(method) && path().equals(path);
+    }
+
+    /**
+     * Returns a query parameter.
+     *
+     * @param name parameter name
+     * @return its decoded value
+     */
+    public Optional<String> query(String name) {
+        String query = exchange.getRequestURI().getRawQuery();
+        if (query == null) {
+            return Optional.empty();
+        }
+        return Arrays.stream(query.split("&"))
+                .filter(part -> part.startsWith(name + "="))
+                .map(part -> decode(part.substring(name.length() + 1)))
+                .findFirst();
+    }
+
+    /**
+     * Returns a request header.
+     *
+     * @param name header name
+     * @return its first value
+     */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(exchange.getRequestHeaders().getFirst(name));
+    }
+
+    /**
+     * Reads the body, at most one byte more than {@link #MAX_BODY_BYTES}.
+     *
+     * @return the body
+     * @throws IOException if the connection breaks
+     */
+    public byte[] body() throws IOException {
+        if (body == null) {
+            body = exchange.getRequestBody().readNBytes(MAX_BODY_BYTES + 1);
+        }
+        return body;
+    }
+
+    /**
+     * Reads the body as a JSON object.
+     *
+     * @return the object, empty for an empty body
+     * @throws IOException if the connection breaks or the body is not a JSON object
+     */
+    public ObjectNode json() throws IOException {
+        return Json.parse(body());
+    }
+
+    /**
+     * Answers with JSON. A body with a {@code run} member is sent as a problem document.
+     *
+     * @param status HTTP status
+     * @param answer the answer
+     * @throws IOException if the connection breaks
+     */
+    public void answer(int status, JsonNode answer) throws IOException {
+        body();
+        boolean problem = status >= 400 && answer.has("run");
+        byte[] bytes = Json.bytes(answer);
+        exchange.getResponseHeaders().set("Content-Type", problem ? "application/problem+json" : "application/json");
+        exchange.sendResponseHeaders(status, bytes.length);
+        try (OutputStream out = exchange.getResponseBody()) {
+            out.write(bytes);
+        }
+    }
+
+    /**
+     * Answers 429 or another refusal with {@code Retry-After}.
+     *
+     * @param status HTTP status
+     * @param retrySeconds value of the header in seconds
+     * @param answer the answer
+     * @throws IOException if the connection breaks
+     */
+    public void refuse(int status, int retrySeconds, JsonNode answer) throws IOException {
+        exchange.getResponseHeaders().set("Retry-After", Integer.toString(retrySeconds));
+        answer(status, answer);
+    }
+
+    /**
+     * Starts a streamed answer with status 200. Closing the stream ends the answer properly; leaving it open and
+     * throwing an exception closes the connection without an end.
+     *
+     * @param contentType media type
+     * @return the stream; each flush sends what was written
+     * @throws IOException if the connection breaks
+     */
+    public OutputStream stream(String contentType) throws IOException {
+        body();
+        exchange.getResponseHeaders().set("Content-Type", contentType);
+        exchange.sendResponseHeaders(200, 0);
+        return exchange.getResponseBody();
+    }
+
+    private static String decode(String text) {
+        return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/platform/NodeList.java
@@ -0,0 +1,79 @@
+package io.sesamehead.standin.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sesamehead.standin.Json;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** VM list of the platform. Each change becomes visible after the lag. */
+final class NodeList {
+    private static final String PREFIX = "sesamehead.io/";
+
+    private final long lagMillis;
+    private final Map<String, ObjectNode> nodes = new TreeMap<>();
+
+    NodeList(long lagMillis) {
+        this.lagMillis = lagMillis;
+    }
+
+    /** Adds or replaces a VM described by the short field names of the admin call. */
+    void put(String name, ObjectNode description) {
+        ObjectNode node = Json.object();
+        ObjectNode metadata = node.putObject("metadata").put("name", name);
+        metadata.putObject("labels")
+                .put(
+                        PREFIX + "failure-domain",
+                        description.path("failureDomain").asText())
+                .put(PREFIX + "fabric-domain", description.path("fabricDomain").asText())
+                .put(PREFIX + "accelerators", description.path("accelerators").asText("1"))
+                .put(
+                        PREFIX + "accelerator-memory-gb",
+                        description.path("acceleratorMemoryGb").asText("80"));
+        metadata.putObject("annotations")
+                .put(
+                        PREFIX + "engine-address",
+                        description.path("engineAddress").asText());
+        node.putObject("spec").put("unschedulable", description.path("leaving").asBoolean(false));
+        change(visible -> visible.put(name, node));
+    }
+
+    void markLeaving(String name) {
+        change(visible -> visible.computeIfPresent(name, (key, node) -> {
+            ObjectNode leaving = node.deepCopy();
+            leaving.withObject("/spec").put("unschedulable", true);
+            return leaving;
+        }));
+    }
+
+    void remove(String name) {
+        change(visible -> visible.remove(name));
+    }
+
+    synchronized ObjectNode toJson() {
+        ObjectNode list = Json.object().put("apiVersion", "v1").put("kind", "NodeList");
+        ArrayNode items = list.putArray("items");
+        nodes.values().forEach(items::add);
+        return list;
+    }
+
+    private void change(Consumer<Map<String, ObjectNode>> step) {
+        if (lagMillis == 0) {
+            apply(step);
+            return;
+        }
+        Thread.startVirtualThread(() -> {
+            try {
+                Thread.sleep(lagMillis);
+                apply(step);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private synchronized void apply(Consumer<Map<String, ObjectNode>> step) {
+        step.accept(nodes);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/platform/PlatformStandIn.java
@@ -0,0 +1,240 @@
+package io.sesamehead.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sesamehead.standin.Call;
+import io.sesamehead.standin.Json;
+import io.sesamehead.standin.StandInServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stand-in for the platform's object API and VM list, with a rate limit and faults. */
+public final class PlatformStandIn implements AutoCloseable {
+    private static final String OBJECTS = "/apis/sesamehead.io/v1/namespaces/default/";
+    private static final int KIND_SEGMENT = 5;
+    private static final String NAME_SELECTOR = "metadata.name=";
+    private static final int DEFAULT_WATCH_SECONDS = 60;
+
+    private final StandInServer server;
+    private final ObjectStore store;
+    private final CallMeter meter;
+    private final NodeList nodes;
+    private final AtomicInteger answersToLose = new AtomicInteger();
+    private volatile boolean down;
+    private volatile long slowMillis;
+
+    /**
+     * Creates a platform that is not yet started.
+     *
+     * @param settings its settings
+     */
+    public PlatformStandIn(PlatformSettings settings) {
+        server = new StandInServer(settings.host(), settings.port(), this::serve);
+        store = new ObjectStore(settings.watchHistory());
+        meter = new CallMeter(settings.callsPerSecond(), System.nanoTime());
+        nodes = new NodeList(settings.nodeLagMillis());
+    }
+
+    /**
+     * Binds the port and serves.
+     *
+     * @throws IOException if the port cannot be bound
+     */
+    public void start() throws IOException {
+        server.start();
+    }
+
+    /**
+     * Returns where the platform listens.
+     *
+     * @return host and bound port
+     */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void serve(Call call) throws IOException, InterruptedException {
+        if (call.path().startsWith("/admin/")) {
+            serveAdmin(call);
+            return;
+        }
+        boolean nodeList = call.is("GET", "/api/v1/nodes");
+        if (!nodeList && !call.path().startsWith(OBJECTS)) {
+            call.answer(404, ObjectStore.status(404, "NotFound", "no such path"));
+            return;
+        }
+        List<String> segments = call.segments();
+        String kind = nodeList ? "nodes" : segments.get(KIND_SEGMENT);
+        Optional<String> name =
+                segments.size() > KIND_SEGMENT + 1 ? Optional.of(segments.get(KIND_SEGMENT + 1)) : Optional.empty();
+        String verb = verb(call, name.isPresent());
+        if (!meter.admit(verb, kind, System.nanoTime())) {
+            call.refuse(429, 1, ObjectStore.status(429, "TooManyRequests", "rate limit"));
+            return;
+        }
+        if (slowMillis > 0) {
+            Thread.sleep(slowMillis);
+        }
+        if (down) {
+            call.answer(503, ObjectStore.status(503, "ServiceUnavailable", "outage"));
+        } else if (nodeList) {
+            call.answer(200, nodes.toJson());
+        } else if (verb.equals("watch")) {
+            watch(call, kind);
+        } else {
+            answerObjectCall(call, verb, kind, name);
+        }
+    }
+
+    private static String verb(Call call, boolean named) {
+        return switch (call.method()) {
+            case "GET" -> named ? "get" : call.query("watch").equals(Optional.of("true")) ? "watch" : "list";
+            case "POST" -> "create";
+            case "PUT" -> "update";
+            case "DELETE" -> "delete";
+            default -> "other";
+        };
+    }
+
+    private void answerObjectCall(Call call, String verb, String kind, Optional<String> name) throws IOException {
+        if (call.body().length > Call.MAX_BODY_BYTES) {
+            call.answer(413, ObjectStore.status(413, "RequestEntityTooLarge", "an object holds at most 1 MiB"));
+            return;
+        }
+        ObjectNode object = call.json();
+        String bodyName = object.path("metadata").path("name").asText("");
+        ObjectStore.Key key = new ObjectStore.Key(kind, name.orElse(bodyName));
+        boolean needsName = verb.equals("create") || verb.equals("update") || verb.equals("delete");
+        if (needsName && (key.name().isEmpty() || (name.isPresent() == verb.equals("create")))) {
+            call.answer(400, ObjectStore.status(400, "BadRequest", "name missing or at the wrong place"));
+            return;
+        }
+        ObjectStore.Answer answer = switch (verb) {
+            case "get" -> store.read(key);
+            case "list" -> store.list(kind, selectedName(call));
+            case "create" -> store.create(key, object);
+            case "update" -> store.update(key, object);
+            case "delete" ->
+                store.delete(
+                        key,
+                        object.path("preconditions").path("resourceVersion").asText(""));
+            default -> new ObjectStore.Answer(405, ObjectStore.status(405, "MethodNotAllowed", verb), false);
+        };
+        if (answer.written() && answersToLose.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            throw new IOException("fault: the answer to a write is lost");
+        }
+        call.answer(answer.status(), answer.body());
+    }
+
+    private static Optional<String> selectedName(Call call) {
+        return call.query("fieldSelector")
+                .filter(selector -> selector.startsWith(NAME_SELECTOR))
+                .map(selector -> selector.substring(NAME_SELECTOR.length()));
+    }
+
+    private void watch(Call call, String kind) throws IOException, InterruptedException {
+        Optional<String> name = selectedName(call);
+        long from = Long.parseLong(call.query("resourceVersion").orElse("0"));
+        long seconds = Long.parseLong(call.query("timeoutSeconds").orElse(Integer.toString(DEFAULT_WATCH_SECONDS)));
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        List<ObjectStore.Change> changes = new ArrayList<>();
+        Optional<ObjectStore.Position> position =
+                from == 0 ? Optional.of(store.watchFromNow(kind, name, changes)) : store.watchFrom(from);
+        if (position.isEmpty()) {
+            call.answer(410, ObjectStore.status(410, "Expired", "version " + from + " is not in the history"));
+            return;
+        }
+        meter.watchStarted();
+        try {
+            OutputStream out = call.stream("application/json");
+            out.flush();
+            while (position.isPresent()) {
+                send(changes, out);
+                changes.clear();
+                if (System.nanoTime() >= deadlineNanos) {
+                    out.close();
+                    return;
+                }
+                position = store.awaitChanges(kind, name, position.get(), deadlineNanos, changes);
+            }
+        } finally {
+            meter.watchEnded();
+        }
+        throw new IOException("the watch was cut");
+    }
+
+    private static void send(List<ObjectStore.Change> changes, OutputStream out) throws IOException {
+        for (ObjectStore.Change change : changes) {
+            ObjectNode event = Json.object().put("type", change.type());
+            event.set("object", change.object());
+            out.write(Json.line(event));
+        }
+        out.flush();
+    }
+
+    private void serveAdmin(Call call) throws IOException {
+        List<String> segments = call.segments();
+        if (call.is("POST", "/admin/faults")) {
+            applyFaults(call.json());
+            call.answer(200, faults());
+        } else if (call.is("GET", "/admin/faults")) {
+            call.answer(200, faults());
+        } else if (call.is("GET", "/admin/counts")) {
+            call.answer(200, meter.toJson());
+        } else if (call.is("POST", "/admin/snapshot")) {
+            call.answer(200, store.snapshot());
+        } else if (call.is("POST", "/admin/restore")) {
+            ObjectNode body = call.json();
+            Optional<ObjectNode> restored = store.restore(
+                    body.path("snapshot").asInt(-1), body.path("rewindVersions").asBoolean());
+            call.answer(
+                    restored.isPresent() ? 200 : 404,
+                    restored.orElse(ObjectStore.status(404, "NotFound", "no such snapshot")));
+        } else if (segments.get(1).equals("nodes") && segments.size() > 2) {
+            changeNode(call, segments);
+        } else {
+            call.answer(404, ObjectStore.status(404, "NotFound", "no such admin call"));
+        }
+    }
+
+    private void changeNode(Call call, List<String> segments) throws IOException {
+        String name = segments.get(2);
+        if (call.method().equals("PUT") && segments.size() == 3) {
+            nodes.put(name, call.json());
+        } else if (call.method().equals("DELETE") && segments.size() == 3) {
+            nodes.remove(name);
+        } else if (call.method().equals("POST")
+                && segments.size() == 4
+                && segments.get(3).equals("leaving")) {
+            nodes.markLeaving(name);
+        } else {
+            call.answer(404, ObjectStore.status(404, "NotFound", "no such admin call"));
+            return;
+        }
+        call.answer(200, Json.object().put("node", name));
+    }
+
+    private void applyFaults(JsonNode body) {
+        slowMillis = body.path("slowMillis").asLong(slowMillis);
+        answersToLose.set(body.path("loseAnswers").asInt(answersToLose.get()));
+        down = body.path("down").asBoolean(down);
+        if (down) {
+            store.cutWatches();
+        }
+    }
+
+    private ObjectNode faults() {
+        return Json.object().put("down", down).put("slowMillis", slowMillis).put("loseAnswers", answersToLose.get());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service that counts every execution. */
+package io.sesamehead.standin.service;
