--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages on the wire and their mapping to the core types. */
+package io.sesamehead.daemon.protocol;
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and validation of the daemon settings and of the release note. */
+package io.sesamehead.daemon.settings;
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
@@ -0,0 +1,135 @@
+package io.sesamehead.daemon.transport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.sesamehead.daemon.protocol.Json;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+
+/** Client of the plain services. All calls block; nothing is repeated. */
+public final class ServiceClient implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int SERVER_ERROR = 500;
+
+    private final HttpExchanges http;
+
+    /**
+     * Creates a client; no connection is opened yet.
+     *
+     * @param maxConnections most connections in all
+     * @param maxPerService most connections to one address
+     * @param connectTimeout longest time to open a connection
+     */
+    public ServiceClient(int maxConnections, int maxPerService, Duration connectTimeout) {
+        this.http = new HttpExchanges(maxConnections, maxPerService, connectTimeout);
+    }
+
+    /**
+     * Runs one attempt of a call.
+     *
+     * @param address {@code ip:port} of the service
+     * @param call the call
+     * @param deadline time left for the attempt
+     * @param cancellation ends the attempt early
+     * @return how the attempt ended
+     */
+    public AttemptEnd call(String address, ServiceRequest call, Duration deadline, Cancellation cancellation) {
+        HttpUriRequestBase request =
+                new HttpUriRequestBase(call.method(), URI.create("http://" + address + "/" + call.path()));
+        request.setHeader("X-Request-Id", call.requestId().value());
+        call.key().ifPresent(key -> request.setHeader("Idempotency-Key", key));
+        if (call.body().length > 0) {
+            request.setEntity(new ByteArrayEntity(call.body(), null));
+            request.setHeader(HttpHeaders.CONTENT_TYPE, contentType(call));
+        }
+        return Attempted.end(
+                http.exchange(request, deadline, cancellation, response -> answer(HttpAnswer.read(response))));
+    }
+
+    /**
+     * Asks a service what it knows of an idempotency key.
+     *
+     * @param address {@code ip:port} of the service
+     * @param key the key
+     * @param timeout longest time of the call
+     * @return what the service knows
+     */
+    public KeyState askByKey(String address, String key, Duration timeout) {
+        String path = "/keys/" + URLEncoder.encode(key, StandardCharsets.UTF_8).replace("+", "%20");
+        Exchange<HttpAnswer> exchange =
+                http.exchange(new HttpGet("http://" + address + path), timeout, new Cancellation(), HttpAnswer::read);
+        return switch (exchange) {
+            case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> keyState(answer);
+            case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new KeyState.NoAnswer(detail);
+            case Exchange.Broken<HttpAnswer>(String detail, boolean expired) -> new KeyState.NoAnswer(detail);
+            case Exchange.Cancelled<HttpAnswer>() -> new KeyState.NoAnswer("cancelled");
+        };
+    }
+
+    /**
+     * Asks a service whether it is leaving.
+     *
+     * @param address {@code ip:port} of the service
+     * @param timeout longest time of the call
+     * @return what the service says
+     */
+    public ServiceState status(String address, Duration timeout) {
+        Exchange<HttpAnswer> exchange = http.exchange(
+                new HttpGet("http://" + address + "/status"), timeout, new Cancellation(), HttpAnswer::read);
+        if (exchange instanceof Exchange.Answered<HttpAnswer>(HttpAnswer answer) && answer.status() == OK) {
+            try {
+                String state = Json.parse(answer.body()).path("state").asText();
+                return state.equals("leaving") ? ServiceState.LEAVING : ServiceState.READY;
+            } catch (MalformedMessageException e) {
+                return ServiceState.NO_ANSWER;
+            }
+        }
+        return ServiceState.NO_ANSWER;
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+
+    private static String contentType(ServiceRequest call) {
+        return call.contentType().isEmpty() ? ContentType.APPLICATION_JSON.getMimeType() : call.contentType();
+    }
+
+    private static AttemptEnd answer(HttpAnswer answer) {
+        if (answer.status() >= SERVER_ERROR) {
+            return answer.statesNotRun()
+                    ? new AttemptEnd.Refused(answer.summary())
+                    : new AttemptEnd.Failed(answer.status(), answer.summary());
+        }
+        return new AttemptEnd.Answered(answer.status(), answer.contentType(), answer.body());
+    }
+
+    private static KeyState keyState(HttpAnswer answer) {
+        if (answer.status() == NOT_FOUND) {
+            return new KeyState.NeverSeen();
+        }
+        if (answer.status() != OK) {
+            return new KeyState.NoAnswer(answer.summary());
+        }
+        try {
+            JsonNode tree = Json.parse(answer.body());
+            if (!tree.path("state").asText().equals("done")) {
+                return new KeyState.Running();
+            }
+            JsonNode body = tree.path("body");
+            return new KeyState.Done(
+                    tree.path("status").asInt(OK), body.isTextual() ? body.textValue() : body.toString());
+        } catch (MalformedMessageException e) {
+            return new KeyState.NoAnswer("unreadable answer: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceRequest.java
@@ -0,0 +1,17 @@
+package io.sesamehead.daemon.transport;
+
+import io.sesamehead.state.RequestId;
+import java.util.Optional;
+
+/**
+ * A call to a plain service.
+ *
+ * @param method {@code GET}, {@code POST} or {@code PUT}
+ * @param path path and query without the leading slash
+ * @param contentType content type of the body, may be empty
+ * @param body the body, may be empty
+ * @param requestId identifier of the caller's request
+ * @param key idempotency key, when the caller gave one
+ */
+public record ServiceRequest(
+        String method, String path, String contentType, byte[] body, RequestId requestId, Optional<String> key) {}
