--- a/cli/src/main/java/io/sesamehead/cli/CommandLine.java
+++ b/cli/src/main/java/io/sesamehead/cli/CommandLine.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 
@@ -54,10 +55,12 @@
     }
 
     private ExitCode printHelp(Parsed parsed) {
-        StringBuilder help = new StringBuilder();
-        parsed.innermost().setColumnSize(HELP_COLUMNS);
-        parsed.innermost().getUsageFormatter().usage(help);
-        console.print(help.toString().stripTrailing());
+        String name = parsed.chosenName();
+        if (name.isEmpty()) {
+            printCommands();
+        } else {
+            printOptions(parsed, name);
+        }
         if (parsed.helpWanted()) {
             return ExitCode.DONE;
         }
@@ -65,6 +68,28 @@
         return ExitCode.WRONG_USAGE;
     }
 
+    private void printCommands() {
+        console.print("Usage: " + PROGRAM + " COMMAND [options]");
+        console.print("");
+        Table table = new Table("COMMAND", "PURPOSE");
+        commands.forEach((name, command) -> table.row(
+                name, command.getClass().getAnnotation(Parameters.class).commandDescription()));
+        table.print(console);
+        console.print("");
+        console.print("`" + PROGRAM + " COMMAND --help` describes the options of a command.");
+    }
+
+    private void printOptions(Parsed parsed, String name) {
+        JCommander commander = parsed.innermost();
+        commander.setProgramName(PROGRAM + " " + name);
+        commander.setColumnSize(HELP_COLUMNS);
+        StringBuilder help = new StringBuilder();
+        commander.getUsageFormatter().usage(help);
+        console.print(
+                commands.get(name).getClass().getAnnotation(Parameters.class).commandDescription() + ".");
+        console.print(help.toString().stripTrailing());
+    }
+
     private ExitCode runCommand(Command command) {
         try {
             return command.run(console);
@@ -106,7 +131,6 @@
             }
             CommonOptions common = new CommonOptions();
             parent.addCommand(last, new Object[] {common, command});
-            parent.getCommands().get(last).setProgramName(PROGRAM + " " + name);
             return common;
         }
 
--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -31,6 +31,8 @@
         JsonSource source = new HttpJsonSource();
         return ImmutableMap.<String, Command>builder()
                 .put("load", new LoadCommand((prompt, index) -> "", source))
+                .put("stand-in", new StandInCommand())
+                .put("stand-in platform", new StandInPlatformCommand())
                 .buildOrThrow();
     }
 }
--- a/cli/src/main/sh/preamble.sh
+++ b/cli/src/main/sh/preamble.sh
@@ -31,7 +31,12 @@
   load | report) heap=${SESAMEHEAD_HEAP:-256m} ;;
   *) heap=${SESAMEHEAD_HEAP:-96m} ;;
 esac
-options="-Xmx$heap -Xss512k -XX:+UseSerialGC -XX:+ExitOnOutOfMemoryError -Xshare:auto -Djava.awt.headless=true"
+options="-Xmx$heap -Xss512k -XX:+UseSerialGC -XX:+ExitOnOutOfMemoryError -Djava.awt.headless=true"
+# The optimising compiler costs short-lived programs more than it saves.
+case "${1:-}" in
+  daemon | load) ;;
+  *) options="$options -XX:TieredStopAtLevel=1" ;;
+esac
 if [ "$best_major" -ge 25 ]; then
   options="$options -XX:+UseCompactObjectHeaders"
 fi
