--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/engine/Membership.java
@@ -0,0 +1,192 @@
+package io.sesamehead.standin.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.sesamehead.standin.Json;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The engine's place in a group and what it tells of itself. A head is ready only while it has loaded and all its
+ * members answer; a member that comes back unchanged makes it ready again, a restarted one does not.
+ */
+final class Membership {
+    private final EngineSettings settings;
+    private final List<ObjectNode> orders = new ArrayList<>();
+    private long incarnation;
+    private long highestEpoch;
+    private EngineOrder current;
+    private long loadNumber;
+    private boolean loaded;
+    private boolean leaving;
+    private String missing = "";
+
+    Membership(EngineSettings settings) {
+        this.settings = settings;
+    }
+
+    /** What became of an order. */
+    enum Effect {
+        REFUSED,
+        NONE,
+        LOADING,
+        CHANGED,
+        RELEASED
+    }
+
+    /** Forgets everything but the list of orders, as a restarted process does. */
+    synchronized void restart(long newIncarnation) {
+        incarnation = newIncarnation;
+        highestEpoch = 0;
+        current = null;
+        loaded = false;
+        leaving = false;
+        missing = "";
+        loadNumber++;
+    }
+
+    synchronized Effect take(EngineOrder order) {
+        Effect effect = effectOf(order);
+        orders.add(Json.object()
+                .put("order", order.order())
+                .put("orderId", order.orderId())
+                .put("epoch", order.epoch())
+                .put("group", order.group())
+                .put("incarnation", HexFormat.of().toHexDigits(incarnation))
+                .put("effect", effect.name()));
+        if (effect == Effect.REFUSED) {
+            return effect;
+        }
+        highestEpoch = Math.max(highestEpoch, order.epoch());
+        switch (effect) {
+            case LOADING -> startLoading(order);
+            case CHANGED -> {
+                if (current.rank() != 0) {
+                    missing = unchecked(order);
+                }
+                current = keepModel(order);
+            }
+            case RELEASED -> {
+                current = null;
+                loaded = false;
+                loadNumber++;
+            }
+            default -> {}
+        }
+        return effect;
+    }
+
+    private Effect effectOf(EngineOrder order) {
+        boolean stale = order.epoch() < highestEpoch;
+        if (stale && settings.checksFencing()) {
+            return Effect.REFUSED;
+        }
+        boolean sameGroup = current != null && current.group().equals(order.group());
+        return switch (order.order()) {
+            case "load" -> sameGroup && current.epoch() == order.epoch() ? Effect.NONE : Effect.LOADING;
+            case "role" -> sameGroup ? Effect.CHANGED : Effect.NONE;
+            case "release" -> sameGroup ? Effect.RELEASED : Effect.NONE;
+            default -> Effect.NONE;
+        };
+    }
+
+    private void startLoading(EngineOrder order) {
+        current = order;
+        loaded = false;
+        missing = unchecked(order);
+        loadNumber++;
+    }
+
+    private static String unchecked(EngineOrder order) {
+        return order.rank() == 0 && order.members().size() > 1 ? "the members were not checked yet" : "";
+    }
+
+    private EngineOrder keepModel(EngineOrder order) {
+        return new EngineOrder(
+                order.order(),
+                order.orderId(),
+                order.epoch(),
+                order.group(),
+                current.model(),
+                current.version(),
+                order.members().isEmpty() ? current.members() : order.members(),
+                order.rank());
+    }
+
+    /** Returns the number of the load under way, for {@link #finishLoading}. */
+    synchronized long loadNumber() {
+        return loadNumber;
+    }
+
+    synchronized void finishLoading(long number) {
+        if (number == loadNumber && current != null) {
+            loaded = true;
+        }
+    }
+
+    synchronized void markLeaving(boolean value) {
+        leaving = value;
+    }
+
+    /** Returns the order whose members a head must check, empty when this is no loaded head of several members. */
+    synchronized Optional<EngineOrder> headOrder() {
+        boolean head = current != null && loaded && current.rank() == 0;
+        return head && current.members().size() > 1 ? Optional.of(current) : Optional.empty();
+    }
+
+    /** Records which member is missing (empty for none) and returns whether the head just turned from ready. */
+    synchronized boolean report(EngineOrder checked, String missingMember) {
+        if (!checked.equals(current)) {
+            return false;
+        }
+        boolean broke = missing.isEmpty() && !missingMember.isEmpty();
+        missing = missingMember;
+        return broke;
+    }
+
+    /** Returns why a completion for this group and epoch is not run, empty when it may run. */
+    synchronized Optional<String> refusal(String group, long epoch) {
+        if (current == null || !current.group().equals(group) || current.epoch() != epoch) {
+            return Optional.of("group or epoch is not the engine's current one");
+        }
+        if (current.rank() != 0) {
+            return Optional.of("the engine is not the head of its group");
+        }
+        return state().equals("ready") ? Optional.empty() : Optional.of("the engine is " + state() + " " + missing);
+    }
+
+    private String state() {
+        if (leaving) {
+            return "leaving";
+        }
+        if (current == null) {
+            return "idle";
+        }
+        return loaded && missing.isEmpty() ? "ready" : "loading";
+    }
+
+    synchronized ObjectNode toJson() {
+        ObjectNode json = Json.object()
+                .put("vm", settings.vm())
+                .put("incarnation", HexFormat.of().toHexDigits(incarnation))
+                .put("group", current == null ? "" : current.group())
+                .put("epoch", current == null ? 0 : current.epoch())
+                .put("role", current == null ? "none" : current.rank() == 0 ? "head" : "worker")
+                .put("model", current == null ? "" : current.model())
+                .put("version", current == null ? "" : current.version())
+                .put("state", state())
+                .put("missing", missing)
+                .put("checksFencing", settings.checksFencing());
+        ArrayNode members = json.putArray("members");
+        if (current != null) {
+            current.members().forEach(member -> members.add(member.vm()));
+        }
+        return json;
+    }
+
+    synchronized List<ObjectNode> orders() {
+        return List.copyOf(orders);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/engine/TokenSource.java
@@ -0,0 +1,42 @@
+package io.sesamehead.standin.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Derives each token from the prompt and its index, so that any party can check an answer. */
+public final class TokenSource {
+    private static final int FINGERPRINT_BYTES = 8;
+
+    private TokenSource() {}
+
+    /**
+     * Returns a token.
+     *
+     * @param prompt the prompt
+     * @param index position of the token in the answer, from 0
+     * @return the token's text, a blank and eight hexadecimal digits
+     */
+    public static String token(String prompt, int index) {
+        // Mixing with the 64-bit golden ratio spreads neighbouring indexes over all digits.
+        long mixed = (prompt.hashCode() + ((long) prompt.length() << 32)) ^ (index + 1L) * 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ mixed >>> 32) * 0xD6E8FEB86659FD93L;
+        return " " + HexFormat.of().toHexDigits((int) (mixed >>> 32));
+    }
+
+    /**
+     * Returns a short hash of a prompt for the list of executions.
+     *
+     * @param prompt the prompt
+     * @return 16 hexadecimal digits of its SHA-256
+     */
+    public static String fingerprint(String prompt) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(prompt.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest, 0, FINGERPRINT_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+}
