Add the service stand-in and tests of the stand-ins

Cause: plain services need a stand-in that shows double executions, and the protocol edges of all stand-ins need checks.

--- /dev/null
+++ b/standin/src/main/java/io/sesamehead/standin/service/ServiceSettings.java
@@ -0,0 +1,34 @@
+package io.sesamehead.standin.service;
+
+/**
+ * Settings of the plain service stand-in.
+ *
+ * @param host address to bind
+ * @param port port to bind, 0 for any free port
+ * @param asksByKey whether {@code GET /keys/{key}} is served
+ * @param refusesRepeats whether a key that was seen before is refused with the first result
+ * @param callMillis time one execution takes
+ */
+public record ServiceSettings(String host, int port, boolean asksByKey, boolean refusesRepeats, long callMillis) {
+    /**
+     * Returns settings of a service that knows nothing of keys and answers at once.
+     *
+     * @param host address to bind
+     * @param port port to bind, 0 for any free port
+     * @return the settings
+     */
+    public static ServiceSettings at(String host, int port) {
+        return new ServiceSettings(host, port, false, false, 0);
+    }
+
+    /**
+     * Returns these settings with other support of keys.
+     *
+     * @param asks whether results can be asked by key
+     * @param refuses whether repeats are refused
+     * @return the settings
+     */
+    public ServiceSettings withKeys(boolean asks, boolean refuses) {
+        return new ServiceSettings(host, port, asks, refuses, callMillis);
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/io/sesamehead/standin/engine/EngineStandInTest.java
@@ -0,0 +1,193 @@
+package io.sesamehead.standin.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.sesamehead.standin.Client;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class EngineStandInTest {
+    private static final int ENDLESS = 1_000_000;
+
+    private final EngineStandIn head = engine("vm-1", true);
+    private final EngineStandIn worker = engine("vm-2", false);
+    private Client toHead;
+    private Client toWorker;
+
+    private static EngineStandIn engine(String vm, boolean checksFencing) {
+        return new EngineStandIn(
+                EngineSettings.at("127.0.0.1", 0, vm).withFencing(checksFencing).withTimes(1, 1));
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        head.start();
+        worker.start();
+        toHead = new Client(head.address());
+        toWorker = new Client(worker.address());
+    }
+
+    @AfterEach
+    void stop() {
+        head.close();
+        worker.close();
+    }
+
+    private String order(String order, long epoch, int rank) {
+        return "{\"order\":\"" + order + "\",\"orderId\":\"o\",\"epoch\":" + epoch
+                + ",\"group\":\"g-1\",\"model\":\"m\",\"version\":\"1\",\"rank\":" + rank + ",\"members\":["
+                + "{\"vm\":\"vm-1\",\"address\":\"127.0.0.1:" + head.address().getPort() + "\"},"
+                + "{\"vm\":\"vm-2\",\"address\":\"127.0.0.1:" + worker.address().getPort() + "\"}]}";
+    }
+
+    private static String completion(String id, String prompt, int from, int max, long epoch) {
+        return "{\"prompt\":\"" + prompt + "\",\"max_tokens\":" + max + ",\"request_id\":\"" + id
+                + "\",\"group\":\"g-1\",\"epoch\":" + epoch + ",\"resume_from\":" + from + "}";
+    }
+
+    private void form(long epoch) throws Exception {
+        assertThat(toHead.send("POST", "/control/orders", order("load", epoch, 0))
+                        .status())
+                .isEqualTo(200);
+        assertThat(toWorker.send("POST", "/control/orders", order("load", epoch, 1))
+                        .status())
+                .isEqualTo(200);
+        Client.await(() -> status(toHead).path("state").asText().equals("ready"));
+    }
+
+    private static JsonNode status(Client client) throws Exception {
+        return client.send("GET", "/control/status", "").body();
+    }
+
+    private static List<String> data(BufferedReader stream) throws IOException {
+        List<String> data = new ArrayList<>();
+        for (String line = stream.readLine(); line != null; line = stream.readLine()) {
+            if (!line.isEmpty()) {
+                data.add(line.substring("data: ".length()));
+            }
+        }
+        return data;
+    }
+
+    private BufferedReader endless(String id) throws Exception {
+        BufferedReader stream = toHead.open("POST", "/v1/completions", completion(id, "p", 0, ENDLESS, 7));
+        stream.readLine();
+        return stream;
+    }
+
+    /** Guards against a resumed stream that does not continue the first one exactly. */
+    @Test
+    void streamsAndResumes() throws Exception {
+        form(7);
+        try (BufferedReader stream = toHead.open("POST", "/v1/completions", completion("r", "hello", 2, 4, 7))) {
+            assertThat(data(stream))
+                    .containsExactly(
+                            "{\"index\":2,\"text\":\"" + TokenSource.token("hello", 2) + "\"}",
+                            "{\"index\":3,\"text\":\"" + TokenSource.token("hello", 3) + "\"}",
+                            "{\"finish_reason\":\"stop\",\"count\":4}",
+                            "[DONE]");
+        }
+        Client.await(() -> head.executions().getFirst().finished());
+        Execution execution = head.executions().getFirst();
+        assertThat(execution.firstIndex()).isEqualTo(2);
+        assertThat(execution.tokensSent()).isEqualTo(2);
+        assertThat(TokenSource.token("hello", 0)).isNotEqualTo(TokenSource.token("hello", 1));
+    }
+
+    /** Guards against completions that run on a worker, in an old epoch or after a release. */
+    @Test
+    void refusesCompletionsForAnotherEpochRoleOrState() throws Exception {
+        form(7);
+        Client.Reply old = toHead.send("POST", "/v1/completions", completion("r", "p", 0, 4, 6));
+        assertThat(old.status()).isEqualTo(409);
+        assertThat(old.body().path("run").asText()).isEqualTo("not-run");
+        assertThat(toWorker.send("POST", "/v1/completions", completion("r", "p", 0, 4, 7))
+                        .status())
+                .isEqualTo(409);
+        toHead.send("POST", "/control/orders", order("release", 8, 0));
+        assertThat(toHead.send("POST", "/v1/completions", completion("r", "p", 0, 4, 7))
+                        .status())
+                .isEqualTo(409);
+        assertThat(head.executions()).isEmpty();
+    }
+
+    /** Guards against a stale order that a checking engine takes, and against one that a non-checking engine refuses. */
+    @Test
+    void checksFencingOnlyWhenSet() throws Exception {
+        form(7);
+        assertThat(toHead.send("POST", "/control/orders", order("release", 6, 0))
+                        .status())
+                .isEqualTo(412);
+        assertThat(status(toHead).path("group").asText()).isEqualTo("g-1");
+        assertThat(toWorker.send("POST", "/control/orders", order("release", 6, 1))
+                        .status())
+                .isEqualTo(200);
+        assertThat(status(toWorker).path("state").asText()).isEqualTo("idle");
+        JsonNode orders =
+                toHead.send("GET", "/admin/orders", "").body().path("orders").path(1);
+        assertThat(orders.path("effect").asText()).isEqualTo("REFUSED");
+        assertThat(orders.path("epoch").asInt()).isEqualTo(6);
+    }
+
+    /** Guards against a head that goes on alone after a member crashed and came back without the group. */
+    @Test
+    void failsStreamsWhenAMemberCrashes() throws Exception {
+        form(7);
+        String before = status(toWorker).path("incarnation").asText();
+        try (BufferedReader stream = endless("r")) {
+            assertThatThrownBy(() -> toWorker.send("POST", "/admin/faults", "{\"crash\":true}"))
+                    .isInstanceOf(IOException.class);
+            assertThatThrownBy(() -> data(stream)).isInstanceOf(IOException.class);
+        }
+        assertThat(toHead.send("POST", "/v1/completions", completion("s", "p", 0, 4, 7))
+                        .status())
+                .isEqualTo(409);
+        worker.start();
+        toWorker.send("POST", "/control/orders", order("load", 7, 1));
+        Client.await(() -> status(toHead).path("missing").asText().equals("vm-2 was restarted"));
+        assertThat(status(toWorker).path("incarnation").asText()).isNotEqualTo(before);
+        form(8);
+    }
+
+    /** Guards against a head that ignores a paused member or never serves again after the pause. */
+    @Test
+    void isReadyAgainAfterAMembersPause() throws Exception {
+        form(7);
+        try (BufferedReader stream = endless("r")) {
+            toWorker.send("POST", "/admin/faults", "{\"pauseMillis\":1500}");
+            assertThatThrownBy(() -> data(stream)).isInstanceOf(IOException.class);
+        }
+        Client.await(() -> status(toHead).path("state").asText().equals("ready"));
+    }
+
+    /** Guards against a poisonous prompt that leaves the engine running or its execution unrecorded. */
+    @Test
+    void crashesOnPrompt() throws Exception {
+        form(7);
+        toHead.send("POST", "/admin/faults", "{\"crashOnPrompt\":\"poison\"}");
+        assertThatThrownBy(() -> toHead.send("POST", "/v1/completions", completion("r", "a poison b", 0, 4, 7)))
+                .isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> status(toHead)).isInstanceOf(IOException.class);
+        assertThat(head.executions()).hasSize(1);
+        head.start();
+        assertThat(status(toHead).path("state").asText()).isEqualTo("idle");
+    }
+
+    /** Guards against a cancelled request that keeps its slot. */
+    @Test
+    void cancels() throws Exception {
+        form(7);
+        try (BufferedReader stream = endless("r")) {
+            assertThat(toHead.send("DELETE", "/v1/requests/r", "").status()).isEqualTo(200);
+            assertThat(data(stream)).last().isEqualTo("[DONE]");
+        }
+        Client.await(() -> toHead.send("DELETE", "/v1/requests/r", "").status() == 404);
+    }
+}
