Add public signatures of the coordination packages of core

The daemon's wiring needs the types before the controller is finished. No tests beyond the existing ones.

--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/config/package-info.java
@@ -0,0 +1,2 @@
+/** Which configuration is in force, and whether the daemon is ready. */
+package io.sesamehead.coordination.config;
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Upstreams that are leaving, and a daemon that stops. */
+package io.sesamehead.coordination.drain;
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/lease/package-info.java
@@ -0,0 +1,2 @@
+/** The controller lease of a failure domain. */
+package io.sesamehead.coordination.lease;
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
@@ -0,0 +1,33 @@
+package io.sesamehead.coordination.membership;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import io.sesamehead.state.DaemonId;
+import java.util.Collection;
+import java.util.Comparator;
+
+/** Rendezvous hashing: the loss of a daemon moves only the keys that it had. */
+final class Rendezvous {
+    private static final HashFunction HASH = Hashing.murmur3_128(0x5e5a);
+
+    private Rendezvous() {}
+
+    static ImmutableList<DaemonId> top(String key, Collection<DaemonId> candidates, int count) {
+        return candidates.stream()
+                .distinct()
+                .sorted(Comparator.<DaemonId>comparingLong(daemon -> weight(key, daemon))
+                        .thenComparing(DaemonId::value))
+                .limit(count)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static long weight(String key, DaemonId daemon) {
+        return HASH.newHasher()
+                .putUnencodedChars(key)
+                .putByte((byte) 0)
+                .putUnencodedChars(daemon.value())
+                .hash()
+                .asLong();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/store/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about writes to the platform's object API. */
+package io.sesamehead.coordination.store;
