--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/EngineCodec.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/EngineCodec.java
@@ -7,10 +7,8 @@
 import io.sesamehead.state.EngineState;
 import io.sesamehead.state.Epoch;
 import io.sesamehead.state.GroupId;
-import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.MemberReport;
 import io.sesamehead.state.VmId;
-import java.util.Locale;
 import java.util.Optional;
 
 /** Messages of the model engine: status, control orders and completions. */
@@ -32,10 +30,10 @@
         }
         MemberReport report = new MemberReport(
                 new VmId(status.nonBlank("vm")),
-                incarnation(status.text("incarnation")),
+                Values.incarnation(status.text("incarnation")),
                 status.optionalText("group").map(GroupId::new),
                 new Epoch(status.numberOr("epoch", 0)),
-                state(status.text("state")),
+                Values.constant(EngineState.class, status.text("state")),
                 model(status),
                 (int) status.numberOr("inFlight", 0),
                 (int) status.numberOr("queued", 0),
@@ -122,22 +120,6 @@
                 member.isTextual() ? member.textValue() : Fields.of(member).nonBlank("vm"));
     }
 
-    private static Incarnation incarnation(String text) throws MalformedMessageException {
-        try {
-            return Incarnation.parse(text);
-        } catch (IllegalArgumentException e) {
-            throw new MalformedMessageException("field incarnation is not hexadecimal: " + text);
-        }
-    }
-
-    private static EngineState state(String text) throws MalformedMessageException {
-        try {
-            return EngineState.valueOf(text.toUpperCase(Locale.ROOT));
-        } catch (IllegalArgumentException e) {
-            throw new MalformedMessageException("field state has an unknown value: " + text);
-        }
-    }
-
     private static Optional<String> model(Fields status) {
         return status.optionalText("model")
                 .map(model -> model + "@" + status.optionalText("version").orElse(""));
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Attempted.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Attempted.java
@@ -4,13 +4,13 @@
 final class Attempted {
     private Attempted() {}
 
-    static AttemptEnd end(Exchange<AttemptEnd> exchange) {
+    static UpstreamResult result(Exchange<UpstreamResult> exchange) {
         return switch (exchange) {
-            case Exchange.Answered<AttemptEnd>(AttemptEnd end) -> end;
-            case Exchange.NotSent<AttemptEnd>(String detail, boolean expired) -> new AttemptEnd.NotSent(detail);
-            case Exchange.Broken<AttemptEnd>(String detail, boolean expired) ->
-                expired ? new AttemptEnd.DeadlinePassed(detail) : new AttemptEnd.Lost(detail);
-            case Exchange.Cancelled<AttemptEnd>() -> new AttemptEnd.Cancelled();
+            case Exchange.Answered<UpstreamResult>(UpstreamResult result) -> result;
+            case Exchange.NotSent<UpstreamResult>(String detail, boolean expired) -> new UpstreamResult.NotSent(detail);
+            case Exchange.Broken<UpstreamResult>(String detail, boolean expired) ->
+                expired ? new UpstreamResult.DeadlinePassed(detail) : new UpstreamResult.Lost(detail);
+            case Exchange.Cancelled<UpstreamResult>() -> new UpstreamResult.Cancelled();
         };
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
@@ -49,8 +49,8 @@
      * @return the status, or why there is none
      */
     public StatusResult status(String address, Duration timeout) {
-        Exchange<HttpAnswer> exchange = http.exchange(
-                new HttpGet("http://" + address + "/control/status"), timeout, new Cancellation(), HttpAnswer::read);
+        Exchange<HttpAnswer> exchange =
+                http.exchange(new HttpGet("http://" + address + "/control/status"), timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> statusOf(answer);
             case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new StatusResult.NoAnswer(detail);
@@ -70,7 +70,7 @@
     public OrderResult order(String address, EngineOrder order, Duration timeout) {
         HttpPost request = new HttpPost("http://" + address + "/control/orders");
         request.setEntity(new ByteArrayEntity(Json.bytes(EngineCodec.encode(order)), ContentType.APPLICATION_JSON));
-        Exchange<HttpAnswer> exchange = http.exchange(request, timeout, new Cancellation(), HttpAnswer::read);
+        Exchange<HttpAnswer> exchange = http.exchange(request, timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> orderAnswer(answer);
             case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new OrderResult.NotSent(detail);
@@ -86,21 +86,23 @@
      * @param completion the completion
      * @param deadline time left for the whole attempt
      * @param cancellation ends the attempt early
+     * @param gate asked immediately before the first byte is sent
      * @param sink takes the tokens on the calling thread
      * @return how the attempt ended
      */
-    public AttemptEnd complete(
+    public UpstreamResult complete(
             String address,
             CompletionRequest completion,
             Duration deadline,
             Cancellation cancellation,
+            SendGate gate,
             TokenSink sink) {
         HttpPost request = new HttpPost("http://" + address + "/v1/completions");
         request.setEntity(
                 new ByteArrayEntity(Json.bytes(EngineCodec.encode(completion)), ContentType.APPLICATION_JSON));
-        Exchange<AttemptEnd> exchange = http.exchange(
-                request, deadline, cancellation, response -> readCompletion(response, cancellation, sink));
-        return Attempted.end(exchange);
+        Exchange<UpstreamResult> exchange = http.exchange(
+                request, deadline, cancellation, gate, response -> readCompletion(response, cancellation, sink));
+        return Attempted.result(exchange);
     }
 
     /**
@@ -112,11 +114,7 @@
      */
     public void cancel(String address, RequestId request, Duration timeout) {
         String id = URLEncoder.encode(request.value(), StandardCharsets.UTF_8);
-        http.exchange(
-                new HttpDelete("http://" + address + "/v1/requests/" + id),
-                timeout,
-                new Cancellation(),
-                HttpAnswer::read);
+        http.exchange(new HttpDelete("http://" + address + "/v1/requests/" + id), timeout, HttpAnswer::read);
     }
 
     @Override
@@ -150,13 +148,13 @@
         }
     }
 
-    private static AttemptEnd readCompletion(ClassicHttpResponse response, Cancellation cancellation, TokenSink sink)
-            throws IOException {
+    private static UpstreamResult readCompletion(
+            ClassicHttpResponse response, Cancellation cancellation, TokenSink sink) throws IOException {
         if (response.getCode() != OK) {
             HttpAnswer answer = HttpAnswer.read(response);
             return answer.statesNotRun()
-                    ? new AttemptEnd.Refused(answer.summary())
-                    : new AttemptEnd.Failed(answer.status(), answer.summary());
+                    ? new UpstreamResult.Refused(answer.summary())
+                    : new UpstreamResult.Failed(answer.status(), answer.summary());
         }
         BufferedReader lines =
                 new BufferedReader(new InputStreamReader(response.getEntity().getContent(), StandardCharsets.UTF_8));
@@ -168,7 +166,7 @@
             switch (event) {
                 case CompletionEvent.End(int count, String finish) -> {
                     skipToEnd(lines);
-                    return new AttemptEnd.Finished(count, finish);
+                    return new UpstreamResult.Finished(count, finish);
                 }
                 case CompletionEvent.Token(int index, String text) -> {
                     if (!sink.token(index, text)) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -1,6 +1,7 @@
 package io.sesamehead.daemon.transport;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -23,6 +24,7 @@
 import org.apache.hc.core5.http.io.HttpClientResponseHandler;
 import org.apache.hc.core5.http.io.HttpResponseInformationCallback;
 import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
@@ -35,6 +37,7 @@
     private static final TimeValue CHECK_AFTER_IDLE = TimeValue.ofMilliseconds(100);
 
     private static final String MAY_BE_SENT = "sesamehead.may-be-sent";
+    private static final String GATE = "sesamehead.gate";
 
     private final CloseableHttpClient client;
     private final ScheduledExecutorService timers;
@@ -68,6 +71,19 @@
                 Thread.ofPlatform().daemon().name("http-deadlines").factory());
     }
 
+    /**
+     * Sends a request that needs no gate and cannot be cancelled.
+     *
+     * @param <T> result of the handler
+     * @param request the request
+     * @param deadline time left for the whole exchange
+     * @param handler reads the response
+     * @return how the exchange ended
+     */
+    <T> Exchange<T> exchange(HttpUriRequestBase request, Duration deadline, HttpClientResponseHandler<T> handler) {
+        return exchange(request, deadline, new Cancellation(), SendGate.OPEN, handler);
+    }
+
     /**
      * Sends a request and handles its response, both before the deadline.
      *
@@ -75,6 +91,7 @@
      * @param request the request
      * @param deadline time left for the whole exchange
      * @param cancellation signal that ends the exchange early
+     * @param gate asked immediately before the first byte is sent
      * @param handler reads the response; a handler that returns before the end of the body must throw instead
      * @return how the exchange ended
      */
@@ -82,9 +99,11 @@
             HttpUriRequestBase request,
             Duration deadline,
             Cancellation cancellation,
+            SendGate gate,
             HttpClientResponseHandler<T> handler) {
         AtomicBoolean expired = new AtomicBoolean();
         HttpClientContext context = HttpClientContext.create();
+        context.setAttribute(GATE, gate);
         request.setConfig(config(deadline));
         Runnable abort = request::cancel;
         ScheduledFuture<?> timer =
@@ -126,7 +145,7 @@
     @Override
     public void close() {
         timers.shutdownNow();
-        client.close(org.apache.hc.core5.io.CloseMode.IMMEDIATE);
+        client.close(CloseMode.IMMEDIATE);
     }
 
     /** Marks the context immediately before the first byte of a request is written to a connection. */
@@ -138,6 +157,9 @@
                 HttpResponseInformationCallback informationCallback,
                 HttpContext context)
                 throws IOException, HttpException {
+            if (!((SendGate) context.getAttribute(GATE)).maySend()) {
+                throw new InterruptedIOException("the attempt ended before it was sent");
+            }
             context.setAttribute(MAY_BE_SENT, Boolean.TRUE);
             return super.execute(request, connection, informationCallback, context);
         }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
@@ -150,6 +150,7 @@
                 new HttpGet(base + OBJECTS + kind + query),
                 duration.plus(timeout),
                 cancellation,
+                SendGate.OPEN,
                 response -> WatchReader.read(kind, response, events));
         return switch (exchange) {
             case Exchange.Answered<WatchEnd>(WatchEnd end) -> end;
@@ -174,8 +175,7 @@
             return new StoreResult.RateLimited<>(timeout);
         }
         boolean write = !request.getMethod().equals(HttpGet.METHOD_NAME);
-        Exchange<HttpAnswer> exchange =
-                http.exchange(request, timeout, new Cancellation(), response -> HttpAnswer.read(response));
+        Exchange<HttpAnswer> exchange = http.exchange(request, timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> readsOnly(write, reader.read(answer));
             case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new StoreResult.Unavailable<>(detail);
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
@@ -39,9 +39,11 @@
      * @param call the call
      * @param deadline time left for the attempt
      * @param cancellation ends the attempt early
+     * @param gate asked immediately before the first byte is sent
      * @return how the attempt ended
      */
-    public AttemptEnd call(String address, ServiceRequest call, Duration deadline, Cancellation cancellation) {
+    public UpstreamResult call(
+            String address, ServiceRequest call, Duration deadline, Cancellation cancellation, SendGate gate) {
         HttpUriRequestBase request =
                 new HttpUriRequestBase(call.method(), URI.create("http://" + address + "/" + call.path()));
         request.setHeader("X-Request-Id", call.requestId().value());
@@ -50,8 +52,8 @@
             request.setEntity(new ByteArrayEntity(call.body(), null));
             request.setHeader(HttpHeaders.CONTENT_TYPE, contentType(call));
         }
-        return Attempted.end(
-                http.exchange(request, deadline, cancellation, response -> answer(HttpAnswer.read(response))));
+        return Attempted.result(
+                http.exchange(request, deadline, cancellation, gate, response -> answer(HttpAnswer.read(response))));
     }
 
     /**
@@ -65,7 +67,7 @@
     public KeyState askByKey(String address, String key, Duration timeout) {
         String path = "/keys/" + URLEncoder.encode(key, StandardCharsets.UTF_8).replace("+", "%20");
         Exchange<HttpAnswer> exchange =
-                http.exchange(new HttpGet("http://" + address + path), timeout, new Cancellation(), HttpAnswer::read);
+                http.exchange(new HttpGet("http://" + address + path), timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> keyState(answer);
             case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new KeyState.NoAnswer(detail);
@@ -82,8 +84,8 @@
      * @return what the service says
      */
     public ServiceState status(String address, Duration timeout) {
-        Exchange<HttpAnswer> exchange = http.exchange(
-                new HttpGet("http://" + address + "/status"), timeout, new Cancellation(), HttpAnswer::read);
+        Exchange<HttpAnswer> exchange =
+                http.exchange(new HttpGet("http://" + address + "/status"), timeout, HttpAnswer::read);
         if (exchange instanceof Exchange.Answered<HttpAnswer>(HttpAnswer answer) && answer.status() == OK) {
             try {
                 String state = Json.parse(answer.body()).path("state").asText();
@@ -104,13 +106,13 @@
         return call.contentType().isEmpty() ? ContentType.APPLICATION_JSON.getMimeType() : call.contentType();
     }
 
-    private static AttemptEnd answer(HttpAnswer answer) {
+    private static UpstreamResult answer(HttpAnswer answer) {
         if (answer.status() >= SERVER_ERROR) {
             return answer.statesNotRun()
-                    ? new AttemptEnd.Refused(answer.summary())
-                    : new AttemptEnd.Failed(answer.status(), answer.summary());
+                    ? new UpstreamResult.Refused(answer.summary())
+                    : new UpstreamResult.Failed(answer.status(), answer.summary());
         }
-        return new AttemptEnd.Answered(answer.status(), answer.contentType(), answer.body());
+        return new UpstreamResult.Answered(answer.status(), answer.contentType(), answer.body());
     }
 
     private static KeyState keyState(HttpAnswer answer) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/AttemptEnd.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/UpstreamResult.java
@@ -1,14 +1,14 @@
 package io.sesamehead.daemon.transport;
 
 /** How one attempt on an upstream ended. The variant states precisely what is known about execution. */
-public sealed interface AttemptEnd {
+public sealed interface UpstreamResult {
     /**
      * The completion ended with its end marker.
      *
      * @param count tokens of the whole answer
      * @param finish finish reason
      */
-    record Finished(int count, String finish) implements AttemptEnd {}
+    record Finished(int count, String finish) implements UpstreamResult {}
 
     /**
      * The plain service answered.
@@ -17,21 +17,21 @@
      * @param contentType content type, may be empty
      * @param body the whole body
      */
-    record Answered(int status, String contentType, byte[] body) implements AttemptEnd {}
+    record Answered(int status, String contentType, byte[] body) implements UpstreamResult {}
 
     /**
      * No byte of the request reached a socket.
      *
      * @param detail a sentence for the caller
      */
-    record NotSent(String detail) implements AttemptEnd {}
+    record NotSent(String detail) implements UpstreamResult {}
 
     /**
      * The upstream refused the request before running it.
      *
      * @param detail a sentence for the caller
      */
-    record Refused(String detail) implements AttemptEnd {}
+    record Refused(String detail) implements UpstreamResult {}
 
     /**
      * The upstream answered with an error.
@@ -39,22 +39,22 @@
      * @param status HTTP status
      * @param detail a sentence for the caller
      */
-    record Failed(int status, String detail) implements AttemptEnd {}
+    record Failed(int status, String detail) implements UpstreamResult {}
 
     /**
      * The connection broke, or the answer was cut short, after at least one byte may have been sent.
      *
      * @param detail a sentence for the caller
      */
-    record Lost(String detail) implements AttemptEnd {}
+    record Lost(String detail) implements UpstreamResult {}
 
     /**
      * The deadline passed after at least one byte may have been sent.
      *
      * @param detail a sentence for the caller
      */
-    record DeadlinePassed(String detail) implements AttemptEnd {}
+    record DeadlinePassed(String detail) implements UpstreamResult {}
 
     /** The daemon cancelled the attempt, because its caller is gone or its group broke. */
-    record Cancelled() implements AttemptEnd {}
+    record Cancelled() implements UpstreamResult {}
 }
