Add decisions about requests, routing, orders and open calls

Cause: the daemon needs signatures to wire against. Measured: nothing; no tests of these packages yet.

--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/order/ClaimRead.java
@@ -0,0 +1,20 @@
+package io.sesamehead.coordination.order;
+
+import io.sesamehead.state.OrderRecord;
+
+/** Result of reading an {@code orders} object. */
+public sealed interface ClaimRead {
+    /** There is no such object. */
+    record Missing() implements ClaimRead {}
+
+    /**
+     * The object exists.
+     *
+     * @param order its content
+     * @param version its resource version
+     */
+    record Found(OrderRecord order, String version) implements ClaimRead {}
+
+    /** The object API did not answer. */
+    record Unavailable() implements ClaimRead {}
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/order/OrderLedger.java
@@ -0,0 +1,263 @@
+package io.sesamehead.coordination.order;
+
+import io.sesamehead.coordination.request.InFlightTable.OpenCall;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.OrderRecord;
+import io.sesamehead.state.RunState;
+import io.sesamehead.state.WriteToken;
+import java.util.Optional;
+
+/**
+ * Decides how keyed calls proceed, so that each key is dispatched at most once. A call is dispatched only under a claim
+ * that carries its own token, read back or confirmed by the object API, and only with an unused {@link ClaimTicket}. A
+ * claim without a result stays claimed, also when its daemon has died.
+ *
+ * <p>Sequence: {@link #join}, read the object, {@link #onRead}, write the claim, {@link #onClaimWritten}, possibly
+ * {@link #onReadBack}, dispatch, {@link #record}. Stateless apart from the tickets, therefore thread-safe.
+ */
+public final class OrderLedger {
+    private final DaemonId daemon;
+    private final Incarnation incarnation;
+
+    /**
+     * Creates the ledger of a daemon.
+     *
+     * @param daemon the daemon
+     * @param incarnation its incarnation
+     */
+    public OrderLedger(DaemonId daemon, Incarnation incarnation) {
+        this.daemon = daemon;
+        this.incarnation = incarnation;
+    }
+
+    /**
+     * Decides from this daemon's open calls alone, before the object is read.
+     *
+     * @param call the call
+     * @param inFlight another open call of this daemon with the same object name, if any
+     * @return the decision, or empty when the object must be read
+     */
+    public Optional<OrderDecision> join(OrderCall call, Optional<OpenCall> inFlight) {
+        return inFlight.filter(open -> !open.request().equals(call.request())).map(open -> {
+            boolean same = open.fingerprint().equals(call.fingerprint());
+            return same ? new OrderDecision.JoinInFlight(open.request()) : new OrderDecision.AnswerKeyReused();
+        });
+    }
+
+    /**
+     * Decides after the first read of the object.
+     *
+     * @param ticket the call's ticket
+     * @param read what was read
+     * @param inFlight another open call of this daemon with the same object name, if any
+     * @param settings settings of the service
+     * @return the decision
+     */
+    public OrderDecision onRead(
+            ClaimTicket ticket, ClaimRead read, Optional<OpenCall> inFlight, OrderSettings settings) {
+        OrderCall call = ticket.call();
+        Optional<OrderDecision> joined = join(call, inFlight);
+        if (joined.isPresent()) {
+            return joined.get();
+        }
+        return switch (read) {
+            case ClaimRead.Missing ignored -> createClaim(ticket, Optional.empty());
+            case ClaimRead.Found found -> onFound(ticket, found, settings);
+            case ClaimRead.Unavailable ignored -> withoutStore(ticket, settings);
+        };
+    }
+
+    /**
+     * Decides after the claim was written.
+     *
+     * @param ticket the call's ticket
+     * @param written the claim and what became of its write
+     * @param result what became of the write
+     * @param settings settings of the service
+     * @return the decision
+     */
+    public OrderDecision onClaimWritten(
+            ClaimTicket ticket, OrderDecision.CreateClaim written, ClaimWrite result, OrderSettings settings) {
+        return switch (result) {
+            case ClaimWrite.Written done -> dispatch(ticket, written.claim(), done.version());
+            case ClaimWrite.Conflict ignored -> new OrderDecision.ReadBack(written.objectName());
+            case ClaimWrite.Ambiguous ignored -> new OrderDecision.ReadBack(written.objectName());
+            case ClaimWrite.Unavailable ignored -> withoutStore(ticket, settings);
+        };
+    }
+
+    /**
+     * Decides after the object was read back because the claim's write was ambiguous or met a conflict.
+     *
+     * @param ticket the call's ticket
+     * @param read what was read
+     * @param settings settings of the service
+     * @return the decision; the claim is written again with the same token when the object is missing, so that a late
+     *     first write and the second one cannot both count
+     */
+    public OrderDecision onReadBack(ClaimTicket ticket, ClaimRead read, OrderSettings settings) {
+        return switch (read) {
+            case ClaimRead.Missing ignored -> createClaim(ticket, Optional.empty());
+            case ClaimRead.Found found -> onFound(ticket, found, settings);
+            case ClaimRead.Unavailable ignored -> withoutStore(ticket, settings);
+        };
+    }
+
+    /**
+     * Decides after the upstream was asked about the key.
+     *
+     * @param answer its answer
+     * @return the decision; never a dispatch, because the claimed call may still be on its way to the upstream
+     */
+    public OrderDecision onUpstreamAnswer(KeyAnswer answer) {
+        return switch (answer) {
+            case KeyAnswer.Done done -> new OrderDecision.ReplayResult(done.result());
+            case KeyAnswer.Running ignored -> new OrderDecision.AnswerClaimedElsewhere();
+            case KeyAnswer.NeverSeen ignored -> new OrderDecision.AnswerClaimedElsewhere();
+            case KeyAnswer.Unavailable ignored -> new OrderDecision.AnswerClaimedElsewhere();
+        };
+    }
+
+    /**
+     * Starts to record the result of a dispatched call.
+     *
+     * @param dispatched the claim under which it was dispatched
+     * @param result the result
+     * @param token token of this write
+     * @return the write; a result that may have run is not recorded, so that the key stays claimed
+     */
+    public ResultDecision record(OrderDecision.Dispatch dispatched, OrderRecord.Result result, WriteToken token) {
+        if (result.runState() == RunState.MAY_HAVE_RUN) {
+            return new ResultDecision.GiveUp();
+        }
+        return write(dispatched.claim(), dispatched.version(), result, token);
+    }
+
+    /**
+     * Frees a key that a withdrawn ticket claimed without a dispatch, by recording that the call was not run. Without
+     * this the key would stay claimed although its caller was told to come back.
+     *
+     * @param ticket the withdrawn ticket
+     * @param read the object as read after the withdrawal
+     * @param recordedEpochMillis wall-clock time of the record, in milliseconds since 1970
+     * @param token token of this write
+     * @return the write, or empty when the object does not hold this ticket's claim
+     * @throws IllegalStateException if the ticket was not withdrawn
+     */
+    public Optional<ResultDecision.Write> releaseUndispatched(
+            ClaimTicket ticket, ClaimRead read, long recordedEpochMillis, WriteToken token) {
+        if (!ticket.withdrawn()) {
+            throw new IllegalStateException("the ticket was not withdrawn");
+        }
+        if (read instanceof ClaimRead.Found found && found.order().token().equals(ticket.token())) {
+            OrderRecord.Result notRun = new OrderRecord.Result(RunState.NOT_RUN, 0, "", "", recordedEpochMillis);
+            return Optional.of(write(found.order(), found.version(), notRun, token));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Decides after a result was written.
+     *
+     * @param write the write
+     * @param result what became of it
+     * @return the next step
+     */
+    public ResultDecision onResultWritten(ResultDecision.Write write, ClaimWrite result) {
+        return switch (result) {
+            case ClaimWrite.Written ignored -> new ResultDecision.Recorded();
+            case ClaimWrite.Conflict ignored -> new ResultDecision.ReadBack(write);
+            case ClaimWrite.Ambiguous ignored -> new ResultDecision.ReadBack(write);
+            case ClaimWrite.Unavailable ignored -> new ResultDecision.TryLater(write);
+        };
+    }
+
+    /**
+     * Decides after the object was read back because a result's write was ambiguous or met a conflict.
+     *
+     * @param write the write in doubt
+     * @param read what was read
+     * @return the next step
+     */
+    public ResultDecision onResultReadBack(ResultDecision.Write write, ClaimRead read) {
+        return switch (read) {
+            case ClaimRead.Missing ignored -> new ResultDecision.GiveUp();
+            case ClaimRead.Unavailable ignored -> new ResultDecision.ReadBack(write);
+            case ClaimRead.Found found
+            when found.order().token().equals(write.order().token()) -> new ResultDecision.Recorded();
+            case ClaimRead.Found found when found.version().equals(write.version()) -> write;
+            case ClaimRead.Found ignored -> new ResultDecision.GiveUp();
+        };
+    }
+
+    private OrderDecision onFound(ClaimTicket ticket, ClaimRead.Found found, OrderSettings settings) {
+        OrderRecord order = found.order();
+        if (order.token().equals(ticket.token())) {
+            return dispatch(ticket, order, found.version());
+        }
+        if (!order.bodyFingerprint().equals(ticket.call().fingerprint().value())) {
+            return new OrderDecision.AnswerKeyReused();
+        }
+        if (order.result().isPresent()) {
+            return onRecorded(ticket, order.result().get(), found.version());
+        }
+        return settings.asksByKey()
+                ? new OrderDecision.AskUpstream(order.key(), order.token())
+                : new OrderDecision.AnswerClaimedElsewhere();
+    }
+
+    /** A call that was recorded as not run may be claimed again, by a write conditional on that record. */
+    private OrderDecision onRecorded(ClaimTicket ticket, OrderRecord.Result result, String version) {
+        return result.runState() == RunState.NOT_RUN
+                ? createClaim(ticket, Optional.of(version))
+                : new OrderDecision.ReplayResult(result);
+    }
+
+    private OrderDecision createClaim(ClaimTicket ticket, Optional<String> replaces) {
+        OrderCall call = ticket.call();
+        OrderRecord claim = new OrderRecord(
+                call.service(),
+                call.account(),
+                call.key(),
+                call.fingerprint().value(),
+                daemon,
+                incarnation,
+                ticket.token(),
+                Optional.empty());
+        return new OrderDecision.CreateClaim(call.objectName(), claim, replaces);
+    }
+
+    private OrderDecision dispatch(ClaimTicket ticket, OrderRecord claim, String version) {
+        return ticket.use() ? new OrderDecision.Dispatch(claim, version) : new OrderDecision.AnswerClaimedElsewhere();
+    }
+
+    /** The ticket is used up either way, so that a claim found later under its token is not dispatched. */
+    private OrderDecision withoutStore(ClaimTicket ticket, OrderSettings settings) {
+        boolean unused = settings.refusesRepeats() ? ticket.dispatch() : ticket.withdraw();
+        if (!unused) {
+            return new OrderDecision.AnswerClaimedElsewhere();
+        }
+        return settings.refusesRepeats()
+                ? new OrderDecision.DispatchWithoutClaim()
+                : new OrderDecision.AnswerStoreUnavailable();
+    }
+
+    private static ResultDecision.Write write(
+            OrderRecord claim, String version, OrderRecord.Result result, WriteToken token) {
+        OrderRecord order = new OrderRecord(
+                claim.service(),
+                claim.account(),
+                claim.key(),
+                claim.bodyFingerprint(),
+                claim.claimedBy(),
+                claim.claimant(),
+                token,
+                Optional.of(result));
+        return new ResultDecision.Write(objectName(claim), order, version);
+    }
+
+    private static String objectName(OrderRecord order) {
+        return OrderCall.objectName(order.service(), order.account(), order.key());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/order/ResultDecision.java
@@ -0,0 +1,35 @@
+package io.sesamehead.coordination.order;
+
+import io.sesamehead.state.OrderRecord;
+
+/** Next step of recording a result. */
+public sealed interface ResultDecision {
+    /**
+     * Write the result; what becomes of the write goes to {@link OrderLedger#onResultWritten}.
+     *
+     * @param objectName name of the object
+     * @param order content to write
+     * @param version resource version on which the write is conditional
+     */
+    record Write(String objectName, OrderRecord order, String version) implements ResultDecision {}
+
+    /**
+     * Read the object; what was read goes to {@link OrderLedger#onResultReadBack}.
+     *
+     * @param write the write in doubt
+     */
+    record ReadBack(Write write) implements ResultDecision {}
+
+    /** The result is recorded. */
+    record Recorded() implements ResultDecision {}
+
+    /** The result cannot be recorded; the key stays claimed. */
+    record GiveUp() implements ResultDecision {}
+
+    /**
+     * The object API does not answer: submit the write again later.
+     *
+     * @param write the write, unchanged
+     */
+    record TryLater(Write write) implements ResultDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/request/Suspects.java
@@ -0,0 +1,92 @@
+package io.sesamehead.coordination.request;
+
+import com.google.common.collect.ImmutableMap;
+import io.sesamehead.coordination.routing.UpstreamId;
+import io.sesamehead.state.AttemptId;
+import java.util.OptionalLong;
+
+/**
+ * Limits the upstreams that one request can crash. All requests in flight on an upstream that crashes become suspects. A
+ * suspect runs only where no other suspect runs; its second crash quarantines it. Thread-safe: all state is in one
+ * {@link SuspectTable}.
+ */
+public final class Suspects {
+    /** Default length of a quarantine, in milliseconds: longer than callers usually repeat a request. */
+    public static final long DEFAULT_QUARANTINE_MILLIS = 600_000;
+
+    private final SuspectTable table;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param quarantineMillis length of a quarantine, and time for which a suspect is remembered, in milliseconds
+     */
+    public Suspects(long quarantineMillis) {
+        this.table = new SuspectTable(quarantineMillis);
+    }
+
+    /**
+     * Decides whether an attempt may go out to an upstream, and records it as running there if so.
+     *
+     * @param attempt the attempt
+     * @param fingerprint the request's fingerprint
+     * @param upstream the upstream
+     * @param nowMillis present time, in milliseconds
+     * @return the decision
+     */
+    public SuspectDecision begin(AttemptId attempt, Fingerprint fingerprint, UpstreamId upstream, long nowMillis) {
+        return table.begin(attempt, fingerprint, upstream, nowMillis);
+    }
+
+    /**
+     * Ends an attempt whose whole answer arrived; its request is no longer a suspect.
+     *
+     * @param attempt the attempt
+     */
+    public void completed(AttemptId attempt) {
+        table.completed(attempt);
+    }
+
+    /**
+     * Ends an attempt that says nothing about its request, for example one that was cancelled or refused. No effect
+     * after a crash or after completion.
+     *
+     * @param attempt the attempt
+     */
+    public void abandoned(AttemptId attempt) {
+        table.abandoned(attempt);
+    }
+
+    /**
+     * Records the crash of an upstream: all attempts running there end, and their requests become suspects.
+     *
+     * @param upstream the upstream
+     * @param nowMillis present time, in milliseconds
+     * @return crash counts of these requests, for the peers
+     */
+    public ImmutableMap<Fingerprint, Integer> crashed(UpstreamId upstream, long nowMillis) {
+        return table.crashed(upstream, nowMillis);
+    }
+
+    /**
+     * Takes a crash count from a peer; the higher count wins.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param crashes upstreams that crashed while they ran the request
+     * @param nowMillis present time, in milliseconds
+     */
+    public void learn(Fingerprint fingerprint, int crashes, long nowMillis) {
+        table.learn(fingerprint, crashes, nowMillis);
+    }
+
+    /**
+     * Returns the rest of a request's quarantine.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param nowMillis present time, in milliseconds
+     * @return milliseconds, or empty when the request is not quarantined
+     */
+    public OptionalLong quarantineRemainingMillis(Fingerprint fingerprint, long nowMillis) {
+        return table.quarantineRemainingMillis(fingerprint, nowMillis);
+    }
+}
