--- a/core/src/main/java/io/sesamehead/coordination/order/OrderLedger.java
+++ b/core/src/main/java/io/sesamehead/coordination/order/OrderLedger.java
@@ -229,7 +229,9 @@
     }
 
     private OrderDecision dispatch(ClaimTicket ticket, OrderRecord claim, String version) {
-        return ticket.use() ? new OrderDecision.Dispatch(claim, version) : new OrderDecision.AnswerClaimedElsewhere();
+        return ticket.dispatch()
+                ? new OrderDecision.Dispatch(claim, version)
+                : new OrderDecision.AnswerClaimedElsewhere();
     }
 
     /** The ticket is used up either way, so that a claim found later under its token is not dispatched. */
