--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/FrameCounters.java
@@ -0,0 +1,60 @@
+package io.sesamehead.daemon.transport;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame.BodyCase;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Counts frames and bytes of peer connections by kind and direction. */
+public final class FrameCounters {
+    private final Map<BodyCase, Pair> sent = new EnumMap<>(BodyCase.class);
+    private final Map<BodyCase, Pair> received = new EnumMap<>(BodyCase.class);
+    private final Map<BodyCase, Counter> dropped = new EnumMap<>(BodyCase.class);
+    private final Counter unmatched;
+
+    /**
+     * Registers the counters.
+     *
+     * @param metrics where they are registered
+     */
+    public FrameCounters(MetricRegistry metrics) {
+        for (BodyCase kind : BodyCase.values()) {
+            String name = kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+            sent.put(kind, Pair.register(metrics, "peer.sent." + name));
+            received.put(kind, Pair.register(metrics, "peer.received." + name));
+            dropped.put(kind, metrics.counter("peer.dropped." + name));
+        }
+        unmatched = metrics.counter("peer.unmatched");
+    }
+
+    void sent(Frame frame, int bytes) {
+        sent.get(frame.getBodyCase()).add(bytes);
+    }
+
+    void received(Frame frame, int bytes) {
+        received.get(frame.getBodyCase()).add(bytes);
+    }
+
+    void dropped(Frame frame) {
+        dropped.get(frame.getBodyCase()).inc();
+    }
+
+    /** Counts a frame of a call that matches no live attempt. */
+    public void unmatched() {
+        unmatched.inc();
+    }
+
+    private record Pair(Counter messages, Counter bytes) {
+        static Pair register(MetricRegistry metrics, String prefix) {
+            return new Pair(metrics.counter(prefix + ".messages"), metrics.counter(prefix + ".bytes"));
+        }
+
+        void add(int size) {
+            messages.inc();
+            bytes.inc(size);
+        }
+    }
+}
