--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
@@ -52,30 +52,37 @@
     };
 
     private final Supplier<Hello> self;
-    private final PeerListener listener;
     private final FrameCounters counters;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Map<InetSocketAddress, PeerLink> links = new ConcurrentHashMap<>();
     private final Set<PeerConnection> accepted = ConcurrentHashMap.newKeySet();
+    private volatile PeerListener listener;
     private Channel server;
 
     /**
      * Creates a mesh that is not started.
      *
      * @param self this daemon's Hello without a connection incarnation
-     * @param listener receives connections and frames on the network thread
      * @param counters frame counters
      */
-    public PeerMesh(Supplier<Hello> self, PeerListener listener, FrameCounters counters) {
+    public PeerMesh(Supplier<Hello> self, FrameCounters counters) {
         this.self = self;
-        this.listener = listener;
         this.counters = counters;
         this.group =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
         this.loop = (EventLoop) group.next();
     }
 
+    /**
+     * Sets the receiver of connections and frames. Called once, before the mesh listens or dials.
+     *
+     * @param receiver called on the network thread
+     */
+    public void deliverTo(PeerListener receiver) {
+        listener = receiver;
+    }
+
     /**
      * Binds the peer address.
      *
--- a/daemon/src/test/java/io/sesamehead/daemon/transport/PeerMeshTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/transport/PeerMeshTest.java
@@ -102,7 +102,8 @@
                     .setDaemon(name)
                     .setIncarnation(incarnation)
                     .build();
-            mesh = new PeerMesh(() -> hello, this, new FrameCounters(metrics));
+            mesh = new PeerMesh(() -> hello, new FrameCounters(metrics));
+            mesh.deliverTo(this);
         }
 
         <T> T next(BlockingQueue<T> queue) throws InterruptedException {
