--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
@@ -82,6 +82,7 @@
         Evidence.Builder brief = Evidence.newBuilder();
         synchronized (this) {
             sent.keySet().retainAll(Set.copyOf(probed));
+            informed.removeIf(connection -> !connection.active());
             for (AgedEvidence item : items) {
                 Numbered before = sent.get(item.vm());
                 long change = number(item);
@@ -121,9 +122,10 @@
                 .setVm(evidence.vm().value())
                 .setChange(change)
                 .setObservedAgeMillis(PeerMessages.clamped(evidence.ageMillis()));
-        evidence.report().ifPresent(report -> digest.setInFlight(report.inFlight())
-                .setQueued(report.queued())
-                .setReportAgeMillis(PeerMessages.clamped(report.reportAgeMillis())));
+        evidence.report()
+                .ifPresent(report -> digest.setInFlight(report.inFlight())
+                        .setQueued(report.queued())
+                        .setReportAgeMillis(PeerMessages.clamped(report.reportAgeMillis())));
         return digest.build();
     }
 
@@ -160,8 +162,7 @@
      * @param report report of the engine
      */
     public void observeLeaving(long nowMillis, MemberReport report) {
-        drain.observe(
-                nowMillis, report.vm(), LeavingSource.UPSTREAM_STATUS, report.state() == EngineState.LEAVING);
+        drain.observe(nowMillis, report.vm(), LeavingSource.UPSTREAM_STATUS, report.state() == EngineState.LEAVING);
     }
 
     private static AgedEvidence repeated(Numbered numbered, Digest digest) {
@@ -172,7 +173,15 @@
 
     private static MemberReport withLoad(MemberReport it, int inFlight, int queued, long reportAgeMillis) {
         return new MemberReport(
-                it.vm(), it.engine(), it.group(), it.epoch(), it.state(), it.model(), inFlight, queued, reportAgeMillis);
+                it.vm(),
+                it.engine(),
+                it.group(),
+                it.epoch(),
+                it.state(),
+                it.model(),
+                inFlight,
+                queued,
+                reportAgeMillis);
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -0,0 +1,279 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import io.sesamehead.coordination.config.ConfigDecision;
+import io.sesamehead.coordination.config.ConfigSource;
+import io.sesamehead.daemon.protocol.AssignmentCodec;
+import io.sesamehead.daemon.protocol.Json;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.daemon.protocol.PeerMessages;
+import io.sesamehead.daemon.protocol.PlatformObject;
+import io.sesamehead.daemon.protocol.ReleaseCodec;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.AssignmentUpdate;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.ConfigUpdate;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Heartbeat;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.VmUpdate;
+import io.sesamehead.daemon.transport.Broadcast;
+import io.sesamehead.daemon.transport.PeerConnection;
+import io.sesamehead.state.AcceptedRelease;
+import io.sesamehead.state.AssignmentTable;
+import io.sesamehead.state.Generation;
+import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.Vm;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Takes releases, assignments and VM lists from the store and from peers into the tables and passes news on. A relay
+ * also sends what a peer lacks, as seen from the peer's heartbeat.
+ */
+public final class FleetNews {
+    private final DaemonTables tables;
+    private final Broadcast broadcast;
+    private final LongSupplier clock;
+    private final AtomicLong highestControllerEpoch = new AtomicLong();
+    private volatile boolean answered;
+    private volatile Optional<Frame> releaseFrame = Optional.empty();
+
+    /**
+     * Creates the distribution over empty tables.
+     *
+     * @param tables the tables of this daemon
+     * @param broadcast sends to peers
+     * @param clock monotonic clock, in milliseconds
+     */
+    public FleetNews(DaemonTables tables, Broadcast broadcast, LongSupplier clock) {
+        this.tables = tables;
+        this.broadcast = broadcast;
+        this.clock = clock;
+    }
+
+    /** Records that the store or a peer answered, whatever it said. */
+    public void answered() {
+        answered = true;
+    }
+
+    /**
+     * Tells whether the store or a peer answered since this process started.
+     *
+     * @return true once one did
+     */
+    public boolean hasAnswer() {
+        return answered;
+    }
+
+    /**
+     * Takes the release that the store holds.
+     *
+     * @param object the object {@code releases/current}
+     */
+    public void releaseFromStore(PlatformObject object) {
+        try {
+            AcceptedRelease release = ReleaseCodec.decode(object.spec());
+            if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
+                releaseFrame.ifPresent(broadcast::toAll);
+            }
+        } catch (MalformedMessageException e) {
+            Logger.error("config: the release in the store is unreadable: {}", e.getMessage());
+        }
+    }
+
+    /**
+     * Takes a release that a peer sent. News from another failure domain is passed on within this one.
+     *
+     * @param connection connection of the peer
+     * @param update the release
+     */
+    public void releaseFromPeer(PeerConnection connection, ConfigUpdate update) {
+        try {
+            byte[] spec = update.getNote().toByteArray();
+            AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec));
+            boolean adopted = adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
+            if (adopted && !broadcast.isNear(connection)) {
+                releaseFrame.ifPresent(broadcast::toNear);
+            }
+        } catch (MalformedMessageException e) {
+            Logger.error("config: a release from {} is unreadable: {}", connection, e.getMessage());
+        }
+    }
+
+    private boolean adopt(AcceptedRelease release, byte[] spec, ConfigSource source, String origin) {
+        ConfigDecision decision = tables.config().offer(release, source);
+        switch (decision) {
+            case ConfigDecision.Adopt(Generation generation) -> {
+                releaseFrame = Optional.of(configFrame(generation, spec));
+                Logger.info("config: generation {} is in force, received from {}", generation.value(), origin);
+                return true;
+            }
+            case ConfigDecision.StaleStore(Generation inForce, Generation offered) ->
+                Logger.error(
+                        "config: ALARM the store holds generation {}, older than generation {} in force; refused",
+                        offered.value(),
+                        inForce.value());
+            case ConfigDecision.Conflicting(Generation generation, ConfigSource from) ->
+                Logger.error(
+                        "config: ALARM {} offers another content of generation {}; refused", origin, generation.value());
+            case ConfigDecision.Ignore() -> Logger.debug("config: {} offers nothing new", origin);
+        }
+        return false;
+    }
+
+    private static Frame configFrame(Generation generation, byte[] spec) {
+        return Frame.newBuilder()
+                .setConfigUpdate(ConfigUpdate.newBuilder()
+                        .setGeneration(generation.value())
+                        .setNote(ByteString.copyFrom(spec)))
+                .build();
+    }
+
+    /**
+     * Takes the assignment that the store holds and passes it on if it is new.
+     *
+     * @param object the object {@code groupassignments/<fd>}
+     */
+    public void assignmentFromStore(PlatformObject object) {
+        try {
+            storedAssignment(AssignmentCodec.decode(object.spec()));
+        } catch (MalformedMessageException | IllegalStateException e) {
+            Logger.error("group: the assignment in the store is unreadable: {}", e.getMessage());
+        }
+    }
+
+    /**
+     * Takes an assignment that the store is known to hold and passes it on if it is new.
+     *
+     * @param assignment the assignment
+     */
+    public void storedAssignment(GroupAssignment assignment) {
+        if (tables.assignments().offer(assignment) == AssignmentTable.Offer.ADOPTED) {
+            raiseEpoch(assignment.controllerEpoch());
+            broadcast.toNear(assignmentFrame(assignment));
+        }
+    }
+
+    /**
+     * Takes an assignment that a peer sent.
+     *
+     * @param update the assignment
+     */
+    public void assignmentFromPeer(AssignmentUpdate update) {
+        try {
+            GroupAssignment assignment =
+                    AssignmentCodec.decode(Json.parse(update.getGroups().toByteArray()));
+            raiseEpoch(assignment.controllerEpoch());
+            tables.assignments().offer(assignment);
+        } catch (MalformedMessageException | IllegalStateException e) {
+            Logger.error("group: an assignment from a peer is unreadable: {}", e.getMessage());
+        }
+    }
+
+    private static Frame assignmentFrame(GroupAssignment assignment) {
+        return Frame.newBuilder()
+                .setAssignmentUpdate(AssignmentUpdate.newBuilder()
+                        .setFailureDomain(assignment.failureDomain().value())
+                        .setEpoch(assignment.controllerEpoch())
+                        .setVersion(assignment.version())
+                        .setGroups(ByteString.copyFrom(Json.bytes(AssignmentCodec.encode(assignment)))))
+                .build();
+    }
+
+    /**
+     * Takes the platform's VM list and passes it on if it changed.
+     *
+     * @param listed VMs of all failure domains
+     */
+    public void vmsFromStore(ImmutableList<Vm> listed) {
+        ImmutableList<Vm> own = listed.stream()
+                .filter(vm -> vm.failureDomain().equals(tables.failureDomain()))
+                .collect(ImmutableList.toImmutableList());
+        if (tables.vms().replace(clock.getAsLong(), own)) {
+            Logger.info("group: the platform lists {} VMs of {}", own.size(), tables.failureDomain());
+            broadcast.toNear(PeerMessages.vms(tables.failureDomain(), own));
+        }
+    }
+
+    /**
+     * Takes a VM list that a peer of this failure domain sent.
+     *
+     * @param update the list
+     */
+    public void vmsFromPeer(VmUpdate update) {
+        if (update.getFailureDomain().equals(tables.failureDomain().value())) {
+            tables.vms().replace(clock.getAsLong(), PeerMessages.vms(update));
+        }
+    }
+
+    /**
+     * Sends all that this daemon knows to a peer that just connected.
+     *
+     * @param connection connection of the peer
+     */
+    public void sendSnapshot(PeerConnection connection) {
+        connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
+        releaseFrame.ifPresent(connection::send);
+        if (broadcast.isNear(connection)) {
+            tables.assignments().assignment(tables.failureDomain()).ifPresent(it -> connection.send(assignmentFrame(it)));
+            if (!tables.vms().all().isEmpty()) {
+                connection.send(PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
+            }
+        }
+    }
+
+    /**
+     * Compares a peer's heartbeat with the tables and sends what the peer lacks.
+     *
+     * @param connection connection of the peer
+     * @param heartbeat the heartbeat
+     */
+    public void compare(PeerConnection connection, Heartbeat heartbeat) {
+        answered();
+        tables.config().reported(new Generation(heartbeat.getConfigGeneration()));
+        long assignmentVersion = 0;
+        long assignmentEpoch = 0;
+        for (var controller : heartbeat.getControllerEpochsList()) {
+            if (controller.getFailureDomain().equals(tables.failureDomain().value())) {
+                raiseEpoch(controller.getEpoch());
+                assignmentEpoch = controller.getEpoch();
+                assignmentVersion = controller.getAssignmentVersion();
+            }
+        }
+        if (!tables.isRelay(clock.getAsLong())) {
+            return;
+        }
+        if (heartbeat.getConfigGeneration() < tables.config().generation().value()) {
+            releaseFrame.ifPresent(connection::send);
+        }
+        if (broadcast.isNear(connection)) {
+            sendNewerAssignment(connection, assignmentEpoch, assignmentVersion);
+        }
+    }
+
+    private void sendNewerAssignment(PeerConnection connection, long epoch, long version) {
+        Optional<GroupAssignment> own = tables.assignments().assignment(tables.failureDomain());
+        if (own.isEmpty()) {
+            return;
+        }
+        GroupAssignment mine = own.get();
+        boolean newer = mine.controllerEpoch() > epoch || (mine.controllerEpoch() == epoch && mine.version() > version);
+        if (newer) {
+            connection.send(assignmentFrame(mine));
+        }
+    }
+
+    private void raiseEpoch(long epoch) {
+        highestControllerEpoch.accumulateAndGet(epoch, Math::max);
+    }
+
+    /**
+     * Returns the highest controller epoch of this failure domain that any source reported.
+     *
+     * @return the epoch, 0 for none
+     */
+    public long highestControllerEpoch() {
+        return highestControllerEpoch.get();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
@@ -0,0 +1,143 @@
+package io.sesamehead.daemon.runtime;
+
+import io.sesamehead.coordination.membership.DaemonDirectory;
+import io.sesamehead.coordination.membership.DaemonEntry;
+import io.sesamehead.daemon.protocol.PeerMessages;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame;
+import io.sesamehead.daemon.protocol.generated.PeerProtocol.Heartbeat;
+import io.sesamehead.daemon.transport.PeerConnection;
+import io.sesamehead.daemon.transport.PeerListener;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.ServiceName;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.tinylog.Logger;
+
+/** Passes each frame of a peer to the part of the daemon that it concerns. */
+public final class PeerTraffic implements PeerListener {
+    private final DaemonTables tables;
+    private final FleetNews news;
+    private final EvidenceExchange evidence;
+    private final CallFrames calls;
+    private final LongSupplier clock;
+    private final Map<DaemonId, Set<ServiceName>> serving = new ConcurrentHashMap<>();
+
+    /** Takes the frames of forwarded calls and of suspects. */
+    public interface CallFrames {
+        /**
+         * A frame of a call or a suspect arrived.
+         *
+         * @param connection where it arrived
+         * @param frame the frame
+         */
+        void received(PeerConnection connection, Frame frame);
+
+        /**
+         * A connection ended, and with it the calls on it.
+         *
+         * @param connection the connection
+         */
+        void disconnected(PeerConnection connection);
+    }
+
+    /**
+     * Creates the dispatch.
+     *
+     * @param tables the tables of this daemon
+     * @param news takes releases, assignments and VM lists
+     * @param evidence takes evidence
+     * @param calls takes frames of calls
+     * @param clock monotonic clock, in milliseconds
+     */
+    public PeerTraffic(
+            DaemonTables tables, FleetNews news, EvidenceExchange evidence, CallFrames calls, LongSupplier clock) {
+        this.tables = tables;
+        this.news = news;
+        this.evidence = evidence;
+        this.calls = calls;
+        this.clock = clock;
+    }
+
+    @Override
+    public void connected(PeerConnection connection) {
+        DaemonEntry peer = PeerMessages.daemon(connection.peer(), false);
+        if (heard(peer) == DaemonDirectory.Change.REPLACED) {
+            Logger.warn("peer: closed a connection of replaced incarnation {} of {}", peer.incarnation(), peer.daemon());
+            connection.close();
+            return;
+        }
+        news.answered();
+        if (tables.isRelay(clock.getAsLong()) || !connection.dialled()) {
+            news.sendSnapshot(connection);
+        }
+    }
+
+    private DaemonDirectory.Change heard(DaemonEntry peer) {
+        DaemonDirectory.Change change = tables.directory().heard(clock.getAsLong(), peer);
+        if (change == DaemonDirectory.Change.NEW || change == DaemonDirectory.Change.RESTARTED) {
+            Logger.info("peer: {} of {} is {}", peer.daemon(), peer.failureDomain(), change == DaemonDirectory.Change.NEW ? "new" : "restarted");
+        }
+        return change;
+    }
+
+    @Override
+    public void received(PeerConnection connection, Frame frame) {
+        try {
+            dispatch(connection, frame);
+        } catch (IllegalArgumentException e) {
+            Logger.error("peer: dropped a malformed frame from {}: {}", connection, e.getMessage());
+        }
+    }
+
+    private void dispatch(PeerConnection connection, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HEARTBEAT -> heartbeat(connection, frame.getHeartbeat());
+            case EVIDENCE -> evidence.receive(connection, frame.getEvidence());
+            case CONFIG_UPDATE -> news.releaseFromPeer(connection, frame.getConfigUpdate());
+            case ASSIGNMENT_UPDATE -> news.assignmentFromPeer(frame.getAssignmentUpdate());
+            case VM_UPDATE -> news.vmsFromPeer(frame.getVmUpdate());
+            case DIRECTORY_UPDATE ->
+                PeerMessages.directory(frame.getDirectoryUpdate()).forEach(tables.directory()::learned);
+            case LEAVING -> {
+                heard(PeerMessages.daemon(connection.peer(), true));
+                Logger.info("peer: {} is leaving", connection.peer().getDaemon());
+            }
+            case FORWARD, FORWARD_EVENT, FORWARD_END, FORWARD_CANCEL, SUSPECT -> calls.received(connection, frame);
+            case HELLO, BODY_NOT_SET -> Logger.debug("peer: ignored a frame of kind {}", frame.getBodyCase());
+        }
+    }
+
+    private void heartbeat(PeerConnection connection, Heartbeat heartbeat) {
+        DaemonEntry peer = PeerMessages.daemon(connection.peer(), heartbeat.getLeaving());
+        if (heard(peer) == DaemonDirectory.Change.REPLACED) {
+            connection.close();
+            return;
+        }
+        if (!peer.failureDomain().equals(tables.failureDomain())) {
+            serving.put(
+                    peer.daemon(),
+                    heartbeat.getServingList().stream().map(ServiceName::new).collect(Collectors.toSet()));
+        }
+        news.compare(connection, heartbeat);
+    }
+
+    /**
+     * Tells whether a daemon of another failure domain said that it serves a service.
+     *
+     * @param daemon the daemon
+     * @param service the service
+     * @return true when its last heartbeat named the service
+     */
+    public boolean serves(DaemonId daemon, ServiceName service) {
+        return serving.getOrDefault(daemon, Set.of()).contains(service);
+    }
+
+    @Override
+    public void disconnected(PeerConnection connection) {
+        evidence.disconnected(connection);
+        calls.disconnected(connection);
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/VmTable.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/VmTable.java
@@ -38,7 +38,8 @@
      * @return true when the list changed
      */
     public synchronized boolean replace(long nowMillis, ImmutableList<Vm> listed) {
-        ImmutableMap<VmId, Vm> next = listed.stream().collect(ImmutableMap.toImmutableMap(Vm::id, vm -> vm, (a, b) -> b));
+        ImmutableMap<VmId, Vm> next =
+                listed.stream().collect(ImmutableMap.toImmutableMap(Vm::id, vm -> vm, (a, b) -> b));
         if (next.equals(vms)) {
             return false;
         }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Addresses.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Addresses.java
@@ -1,13 +1,35 @@
 package io.sesamehead.daemon.transport;
 
+import com.google.common.net.HostAndPort;
 import java.net.InetSocketAddress;
 
 /** Text form of socket addresses. */
-final class Addresses {
+public final class Addresses {
     private Addresses() {}
 
-    static String text(InetSocketAddress address) {
+    /**
+     * Writes an address.
+     *
+     * @param address the address
+     * @return {@code ip:port}, with brackets around an IPv6 address
+     */
+    public static String text(InetSocketAddress address) {
         String host = address.getHostString();
         return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + address.getPort();
     }
+
+    /**
+     * Reads an address.
+     *
+     * @param text {@code ip:port}
+     * @return the address
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static InetSocketAddress parse(String text) {
+        HostAndPort parts = HostAndPort.fromString(text);
+        if (!parts.hasPort()) {
+            throw new IllegalArgumentException("no port: " + text);
+        }
+        return new InetSocketAddress(parts.getHost(), parts.getPort());
+    }
 }
