--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/ReleaseObject.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/ReleaseObject.java
@@ -1,8 +1,14 @@
 package io.sesamehead.daemon.protocol;
 
+import com.google.common.base.Joiner;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import io.sesamehead.daemon.settings.ReadResult;
+import io.sesamehead.daemon.settings.ReleaseNoteReader;
+import io.sesamehead.daemon.settings.SettingProblem;
+import io.sesamehead.state.AcceptedRelease;
 import io.sesamehead.state.Generation;
+import io.sesamehead.state.ReleaseNote;
 import io.sesamehead.state.VmId;
 import io.sesamehead.state.WriteToken;
 
@@ -24,6 +30,20 @@
     /** Writers' tokens that are kept. */
     public static final int WRITERS_KEPT = 16;
 
+    /**
+     * Parses the note.
+     *
+     * @return what a daemon acts on
+     * @throws MalformedMessageException if the note is not valid, with all its problems
+     */
+    public AcceptedRelease release() throws MalformedMessageException {
+        return switch (ReleaseNoteReader.read(note)) {
+            case ReadResult.Valid<ReleaseNote>(ReleaseNote valid) -> new AcceptedRelease(generation, valid, drained);
+            case ReadResult.Invalid<ReleaseNote>(ImmutableList<SettingProblem> problems) ->
+                throw new MalformedMessageException("the release note is not valid: " + Joiner.on("; ").join(problems));
+        };
+    }
+
     /**
      * Returns the object of the next acceptance.
      *
