--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/DaemonStatuses.java
@@ -0,0 +1,40 @@
+package io.sesamehead.cli;
+
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.cli.operator.DaemonStatus;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Asks all daemons at once, so that one that does not answer delays the others by nothing. */
+final class DaemonStatuses {
+    private DaemonStatuses() {}
+
+    static ImmutableList<DaemonStatus> read(JsonSource source, List<String> addresses) throws InterruptedException {
+        ImmutableList.Builder<DaemonStatus> result = ImmutableList.builder();
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<Future<DaemonStatus>> answers = new ArrayList<>();
+            for (String address : addresses) {
+                answers.add(threads.submit(() -> read(source, address)));
+            }
+            for (Future<DaemonStatus> answer : answers) {
+                result.add(answer.get());
+            }
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("reading a status reports its errors in the status", e);
+        }
+        return result.build();
+    }
+
+    private static DaemonStatus read(JsonSource source, String address) throws InterruptedException {
+        try {
+            return DaemonStatus.of(address, source.read("http://" + address + "/status"));
+        } catch (IOException e) {
+            return DaemonStatus.silent(address, String.valueOf(e.getMessage()));
+        }
+    }
+}
--- a/cli/src/main/java/io/sesamehead/cli/LoadCommand.java
+++ b/cli/src/main/java/io/sesamehead/cli/LoadCommand.java
@@ -26,7 +26,7 @@
     private static final int MAX_CONCURRENT = 4000;
 
     @Parameter(names = "--daemons", required = true, description = "Caller addresses, ip:port, separated by commas")
-    private List<String> daemons = new ArrayList<>();
+    private List<String> daemons;
 
     @Parameter(names = "--accounts", description = "Client accounts that take turns")
     private List<String> accounts = List.of("shop-1", "shop-2", "press-1");
@@ -182,6 +182,7 @@
         }
         ImmutableMap.Builder<String, Long> counts = ImmutableMap.builder();
         source.read(executions)
+                .path("byKey")
                 .fields()
                 .forEachRemaining(
                         field -> counts.put(field.getKey(), field.getValue().asLong()));
--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -1,10 +1,12 @@
 package io.sesamehead.cli;
 
 import com.google.common.collect.ImmutableMap;
+import io.sesamehead.standin.engine.TokenSource;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import org.tinylog.configuration.Configuration;
 
 /** Entry point of the one binary. */
 public final class Main {
@@ -16,6 +18,11 @@
      * @param args command line
      */
     public static void main(String[] args) {
+        // Libraries log through tinylog; a command for people shows only what matters. The daemon sets its own level.
+        Configuration.set("level", "warn");
+        Configuration.set("writer", "console");
+        Configuration.set("writer.stream", "err");
+        Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
         Console console = new Console(stream(FileDescriptor.out), stream(FileDescriptor.err));
         ExitCode code = new CommandLine(commands(), console).run(args);
         console.out().flush();
@@ -30,9 +37,16 @@
     static ImmutableMap<String, Command> commands() {
         JsonSource source = new HttpJsonSource();
         return ImmutableMap.<String, Command>builder()
-                .put("load", new LoadCommand((prompt, index) -> "", source))
+                .put("check-settings", new CheckSettingsCommand())
+                .put("apply", new ApplyCommand(source))
+                .put("status", new StatusCommand(source))
+                .put("groups", new GroupsCommand())
+                .put("drain", new DrainCommand())
+                .put("load", new LoadCommand(TokenSource::token, source))
                 .put("stand-in", new StandInCommand())
                 .put("stand-in platform", new StandInPlatformCommand())
+                .put("stand-in engine", new StandInEngineCommand())
+                .put("stand-in service", new StandInServiceCommand())
                 .buildOrThrow();
     }
 }
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/PlatformOptions.java
@@ -0,0 +1,41 @@
+package io.sesamehead.cli;
+
+import com.beust.jcommander.Parameter;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.PlatformClient;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Options of commands that talk to the platform. */
+final class PlatformOptions {
+    /** Environment variable that names the platform when the option is not given. */
+    static final String ENVIRONMENT = "SESAMEHEAD_PLATFORM";
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final int CALLS_PER_SECOND = 20;
+
+    @Parameter(
+            names = "--platform",
+            converter = AddressConverter.class,
+            description = "Address of the platform's object API, ip:port; default: environment " + ENVIRONMENT)
+    private InetSocketAddress address;
+
+    PlatformClient open() throws CommandFailure {
+        InetSocketAddress chosen = address;
+        String fromEnvironment = System.getenv(ENVIRONMENT);
+        if (chosen == null && fromEnvironment != null) {
+            chosen = AddressConverter.parse(fromEnvironment);
+        }
+        if (chosen == null) {
+            throw new CommandFailure(
+                    ExitCode.WRONG_USAGE, "the platform's address is missing; give --platform or set " + ENVIRONMENT);
+        }
+        return new PlatformClient(
+                new DaemonSettings.Platform(chosen, CALL_TIMEOUT, CALLS_PER_SECOND), PlatformOptions::nowMillis);
+    }
+
+    static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- a/cli/src/main/java/io/sesamehead/cli/load/CallerClient.java
+++ b/cli/src/main/java/io/sesamehead/cli/load/CallerClient.java
@@ -199,8 +199,9 @@
     private static AttemptResult readOrder(ClassicHttpResponse response, CallSpec.Order order)
             throws IOException, ParseException {
         String answer = EntityUtils.toString(response.getEntity());
-        if (!answer.contains(order.key())) {
-            return new AttemptResult.Wrong("answer to order " + order.key() + " does not name it: " + answer);
+        // The service stand-in repeats the body that it was given, and each body names its key.
+        if (!order.body().equals(JSON.readTree(answer).path("body").asText())) {
+            return new AttemptResult.Wrong("answer to order " + order.key() + " is not its own: " + answer);
         }
         return new AttemptResult.Whole(answer);
     }
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/operator/DaemonStatus.java
@@ -0,0 +1,60 @@
+package io.sesamehead.cli.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * What a daemon says of itself on its admin port.
+ *
+ * @param address admin address
+ * @param answered whether it answered
+ * @param detail why it did not answer; empty when it did
+ * @param daemon name of the daemon
+ * @param failureDomain its failure domain
+ * @param ready whether it takes calls
+ * @param generation generation in force at it
+ * @param serving by group id, whether the daemon sends work to the group now
+ */
+public record DaemonStatus(
+        String address,
+        boolean answered,
+        String detail,
+        String daemon,
+        String failureDomain,
+        boolean ready,
+        long generation,
+        ImmutableMap<String, Boolean> serving) {
+    /**
+     * Describes a daemon that did not answer.
+     *
+     * @param address admin address
+     * @param detail the cause
+     * @return the status
+     */
+    public static DaemonStatus silent(String address, String detail) {
+        return new DaemonStatus(address, false, detail, "-", "-", false, 0, ImmutableMap.of());
+    }
+
+    /**
+     * Reads the {@code /status} document.
+     *
+     * @param address admin address
+     * @param document the document
+     * @return the status
+     */
+    public static DaemonStatus of(String address, JsonNode document) {
+        ImmutableMap.Builder<String, Boolean> serving = ImmutableMap.builder();
+        for (JsonNode group : document.path("groups")) {
+            serving.put(group.path("id").asText(), group.path("serving").asBoolean());
+        }
+        return new DaemonStatus(
+                address,
+                true,
+                "",
+                document.path("daemon").asText("-"),
+                document.path("failureDomain").asText("-"),
+                document.path("ready").asBoolean(),
+                document.path("generation").asLong(),
+                serving.buildKeepingLast());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/operator/ReleaseDiff.java
@@ -0,0 +1,159 @@
+package io.sesamehead.cli.operator;
+
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.state.ClientAccount;
+import io.sesamehead.state.ReleaseNote;
+import io.sesamehead.state.ServiceName;
+import io.sesamehead.state.ServiceSpec;
+import java.lang.reflect.RecordComponent;
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * What a release note changes.
+ *
+ * @param changes the changes, in the order of the note's sections
+ */
+public record ReleaseDiff(ImmutableList<Change> changes) {
+    /**
+     * One change.
+     *
+     * @param kind what happens to the subject
+     * @param subject what changes, such as {@code service assistant}
+     * @param detail the change in words
+     */
+    public record Change(Kind kind, String subject, String detail) {}
+
+    /** What happens to a subject. */
+    public enum Kind {
+        /** It is new. */
+        ADDED,
+        /** It stays with other content. */
+        CHANGED,
+        /** It is taken out. */
+        WITHDRAWN;
+
+        /**
+         * Returns the word for people and programs.
+         *
+         * @return the name in lower case
+         */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /**
+     * Compares two notes.
+     *
+     * @param accepted the note in force
+     * @param next the new note
+     * @return the differences
+     */
+    public static ReleaseDiff between(ReleaseNote accepted, ReleaseNote next) {
+        ImmutableList.Builder<Change> changes = ImmutableList.builder();
+        compareServices(accepted, next, changes);
+        compareAccounts(accepted, next, changes);
+        if (accepted.loadsPerMinute() != next.loadsPerMinute()) {
+            String detail = "loads-per-minute " + accepted.loadsPerMinute() + " -> " + next.loadsPerMinute();
+            changes.add(new Change(Kind.CHANGED, "weights", detail));
+        }
+        if (!accepted.policy().equals(next.policy())) {
+            changes.add(new Change(Kind.CHANGED, "policy", fieldChanges(accepted.policy(), next.policy())));
+        }
+        return new ReleaseDiff(changes.build());
+    }
+
+    private static void compareServices(ReleaseNote accepted, ReleaseNote next, ImmutableList.Builder<Change> changes) {
+        Set<ServiceName> names = new TreeSet<>(Comparator.comparing(ServiceName::value));
+        names.addAll(accepted.services().keySet());
+        names.addAll(next.services().keySet());
+        for (ServiceName name : names) {
+            String subject = "service " + name.value();
+            ServiceSpec before = accepted.services().get(name);
+            ServiceSpec after = next.services().get(name);
+            if (before == null) {
+                changes.add(new Change(Kind.ADDED, subject, summary(after)));
+            } else if (after == null) {
+                changes.add(new Change(Kind.WITHDRAWN, subject, summary(before)));
+            } else if (!before.equals(after)) {
+                changes.add(new Change(Kind.CHANGED, subject, specChanges(before, after)));
+            }
+        }
+    }
+
+    private static void compareAccounts(ReleaseNote accepted, ReleaseNote next, ImmutableList.Builder<Change> changes) {
+        Set<ClientAccount> accounts = new TreeSet<>(Comparator.comparing(ClientAccount::value));
+        accounts.addAll(accepted.shares().keySet());
+        accounts.addAll(next.shares().keySet());
+        for (ClientAccount account : accounts) {
+            String subject = "account " + account.value();
+            Integer before = accepted.shares().get(account);
+            Integer after = next.shares().get(account);
+            if (before == null) {
+                changes.add(new Change(Kind.ADDED, subject, "share " + after));
+            } else if (after == null) {
+                String detail = "share " + before + " -> " + ReleaseNote.DEFAULT_SHARE + " (default)";
+                changes.add(new Change(Kind.WITHDRAWN, subject, detail));
+            } else if (!before.equals(after)) {
+                changes.add(new Change(Kind.CHANGED, subject, "share " + before + " -> " + after));
+            }
+        }
+    }
+
+    /**
+     * Describes a service in a few words.
+     *
+     * @param spec the service
+     * @return what the note asks
+     */
+    public static String summary(ServiceSpec spec) {
+        return switch (spec) {
+            case ServiceSpec.ModelService model ->
+                "model " + model.model() + " version " + model.version() + ", " + model.replicas() + " replicas of "
+                        + model.vmsPerReplica() + " VMs in each of " + model.failureDomains();
+            case ServiceSpec.PlainService plain -> "plain service at " + addresses(plain);
+        };
+    }
+
+    private static String addresses(ServiceSpec.PlainService plain) {
+        return String.join(
+                ", ",
+                plain.addresses().stream()
+                        .map(address -> address.failureDomain().value() + "@" + address.address())
+                        .toList());
+    }
+
+    private static String specChanges(ServiceSpec before, ServiceSpec after) {
+        return before.getClass().equals(after.getClass())
+                ? fieldChanges((Record) before, (Record) after)
+                : summary(before) + " -> " + summary(after);
+    }
+
+    private static String fieldChanges(Record before, Record after) {
+        ImmutableList.Builder<String> changed = ImmutableList.builder();
+        for (RecordComponent component : before.getClass().getRecordComponents()) {
+            Object old = value(component, before);
+            Object now = value(component, after);
+            if (!old.equals(now)) {
+                changed.add(settingName(component.getName()) + " " + old + " -> " + now);
+            }
+        }
+        return String.join(", ", changed.build());
+    }
+
+    private static Object value(RecordComponent component, Record holder) {
+        try {
+            return component.getAccessor().invoke(holder);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("record components have public accessors", e);
+        }
+    }
+
+    /** Settings are named with dashes, record components in camel case. */
+    private static String settingName(String component) {
+        return component.replaceAll("([A-Z])", "-$1").toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' changes of the accepted release, and what the platform says about the fleet. */
+package io.sesamehead.cli.operator;
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -92,7 +92,8 @@
         try {
             byte[] spec = update.getNote().toByteArray();
             AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec));
-            boolean adopted = adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
+            boolean adopted =
+                    adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
             if (adopted && !broadcast.isNear(connection)) {
                 releaseFrame.ifPresent(broadcast::toNear);
             }
@@ -116,7 +117,9 @@
                         inForce.value());
             case ConfigDecision.Conflicting(Generation generation, ConfigSource from) ->
                 Logger.error(
-                        "config: ALARM {} offers another content of generation {}; refused", origin, generation.value());
+                        "config: ALARM {} offers another content of generation {}; refused",
+                        origin,
+                        generation.value());
             case ConfigDecision.Ignore() -> Logger.debug("config: {} offers nothing new", origin);
         }
         return false;
@@ -216,9 +219,12 @@
         connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
         releaseFrame.ifPresent(connection::send);
         if (broadcast.isNear(connection)) {
-            tables.assignments().assignment(tables.failureDomain()).ifPresent(it -> connection.send(assignmentFrame(it)));
+            tables.assignments()
+                    .assignment(tables.failureDomain())
+                    .ifPresent(it -> connection.send(assignmentFrame(it)));
             if (!tables.vms().all().isEmpty()) {
-                connection.send(PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
+                connection.send(
+                        PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
             }
         }
     }
