--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -10,11 +10,14 @@
 import io.sesamehead.daemon.protocol.PeerMessages;
 import io.sesamehead.daemon.protocol.PlatformObject;
 import io.sesamehead.daemon.protocol.ReleaseCodec;
+import io.sesamehead.daemon.protocol.ReleaseObject;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.AssignmentUpdate;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.ConfigUpdate;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Heartbeat;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.VmUpdate;
+import io.sesamehead.daemon.settings.ReadResult;
+import io.sesamehead.daemon.settings.Releases;
 import io.sesamehead.daemon.transport.Broadcast;
 import io.sesamehead.daemon.transport.PeerConnection;
 import io.sesamehead.state.AcceptedRelease;
@@ -22,6 +25,7 @@
 import io.sesamehead.state.Generation;
 import io.sesamehead.state.GroupAssignment;
 import io.sesamehead.state.Vm;
+import io.sesamehead.state.WriteToken;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -36,6 +40,7 @@
     private final Broadcast broadcast;
     private final LongSupplier clock;
     private final AtomicLong highestControllerEpoch = new AtomicLong();
+    private final WriteToken peerToken;
     private volatile boolean answered;
     private volatile Optional<Frame> releaseFrame = Optional.empty();
 
@@ -50,6 +55,7 @@
         this.tables = tables;
         this.broadcast = broadcast;
         this.clock = clock;
+        this.peerToken = new WriteToken(tables.self().incarnation(), 0);
     }
 
     /** Records that the store or a peer answered, whatever it said. */
@@ -73,8 +79,7 @@
      */
     public void releaseFromStore(PlatformObject object) {
         try {
-            AcceptedRelease release = ReleaseCodec.decode(object.spec());
-            if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
+            if (adopt(ReleaseCodec.decode(object.spec()), Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
                 releaseFrame.ifPresent(broadcast::toAll);
             }
         } catch (MalformedMessageException e) {
@@ -91,8 +96,9 @@
     public void releaseFromPeer(PeerConnection connection, ConfigUpdate update) {
         try {
             byte[] spec = update.getNote().toByteArray();
-            AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec));
-            boolean adopted = adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
+            AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec)).release();
+            boolean adopted =
+                    adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
             if (adopted && !broadcast.isNear(connection)) {
                 releaseFrame.ifPresent(broadcast::toNear);
             }
@@ -101,7 +107,21 @@
         }
     }
 
-    private boolean adopt(AcceptedRelease release, byte[] spec, ConfigSource source, String origin) {
+    private boolean adopt(ReleaseObject stored, byte[] spec, ConfigSource source, String origin) {
+        return switch (Releases.accepted(stored)) {
+            case ReadResult.Valid<AcceptedRelease>(AcceptedRelease release) -> offer(release, spec, source, origin);
+            case ReadResult.Invalid<AcceptedRelease>(var problems) -> {
+                Logger.error(
+                        "config: generation {} from {} is not valid: {}",
+                        stored.generation().value(),
+                        origin,
+                        problems);
+                yield false;
+            }
+        };
+    }
+
+    private boolean offer(AcceptedRelease release, byte[] spec, ConfigSource source, String origin) {
         ConfigDecision decision = tables.config().offer(release, source);
         switch (decision) {
             case ConfigDecision.Adopt(Generation generation) -> {
@@ -116,7 +136,9 @@
                         inForce.value());
             case ConfigDecision.Conflicting(Generation generation, ConfigSource from) ->
                 Logger.error(
-                        "config: ALARM {} offers another content of generation {}; refused", origin, generation.value());
+                        "config: ALARM {} offers another content of generation {}; refused",
+                        origin,
+                        generation.value());
             case ConfigDecision.Ignore() -> Logger.debug("config: {} offers nothing new", origin);
         }
         return false;
@@ -171,13 +193,13 @@
         }
     }
 
-    private static Frame assignmentFrame(GroupAssignment assignment) {
+    private Frame assignmentFrame(GroupAssignment assignment) {
         return Frame.newBuilder()
                 .setAssignmentUpdate(AssignmentUpdate.newBuilder()
                         .setFailureDomain(assignment.failureDomain().value())
                         .setEpoch(assignment.controllerEpoch())
                         .setVersion(assignment.version())
-                        .setGroups(ByteString.copyFrom(Json.bytes(AssignmentCodec.encode(assignment)))))
+                        .setGroups(ByteString.copyFrom(Json.bytes(AssignmentCodec.encode(assignment, peerToken)))))
                 .build();
     }
 
@@ -216,9 +238,12 @@
         connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
         releaseFrame.ifPresent(connection::send);
         if (broadcast.isNear(connection)) {
-            tables.assignments().assignment(tables.failureDomain()).ifPresent(it -> connection.send(assignmentFrame(it)));
+            tables.assignments()
+                    .assignment(tables.failureDomain())
+                    .ifPresent(it -> connection.send(assignmentFrame(it)));
             if (!tables.vms().all().isEmpty()) {
-                connection.send(PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
+                connection.send(
+                        PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
             }
         }
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/HeartbeatTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/HeartbeatTask.java
@@ -85,7 +85,12 @@
 
     private Frame far(long nowMillis) {
         Heartbeat.Builder heartbeat = base();
-        tables.assignments().assignment(tables.failureDomain()).map(GroupAssignment::groups).orElse(ImmutableList.of()).stream()
+        tables
+                .assignments()
+                .assignment(tables.failureDomain())
+                .map(GroupAssignment::groups)
+                .orElse(ImmutableList.of())
+                .stream()
                 .filter(group -> serves(nowMillis, group))
                 .map(group -> group.service().value())
                 .distinct()
@@ -103,8 +108,9 @@
                 .setConfigGeneration(tables.config().generation().value())
                 .setLoad(callsInFlight.getAsInt())
                 .setLeaving(tables.shutdown().phase() != StopPhase.RUNNING);
-        tables.assignments().assignment(tables.failureDomain()).ifPresent(own -> heartbeat.addControllerEpochs(
-                ControllerEpoch.newBuilder()
+        tables.assignments()
+                .assignment(tables.failureDomain())
+                .ifPresent(own -> heartbeat.addControllerEpochs(ControllerEpoch.newBuilder()
                         .setFailureDomain(own.failureDomain().value())
                         .setEpoch(own.controllerEpoch())
                         .setAssignmentVersion(own.version())));
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/LeaseTask.java
@@ -0,0 +1,172 @@
+package io.sesamehead.daemon.runtime;
+
+import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.coordination.lease.LeaseDecision;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.LeaseCodec;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.daemon.protocol.PlatformObject;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.StoreResult;
+import io.sesamehead.state.Evidence;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Takes and renews the controller lease. Only the relays of the failure domain and the present holder read the lease,
+ * so that the store's load does not grow with the number of daemons.
+ */
+public final class LeaseTask implements Runnable {
+    private static final int CHECKS_PER_TTL = 3;
+
+    private final DaemonTables tables;
+    private final FleetNews news;
+    private final PlatformClient platform;
+    private final StoreWrites writes;
+    private final long ttlMillis;
+    private final LongSupplier clock;
+    private boolean wasHolder;
+    private long nextMillis;
+
+    /**
+     * Creates the task.
+     *
+     * @param tables the tables of this daemon
+     * @param news knows the highest controller epoch
+     * @param platform the store
+     * @param writes conditional writes
+     * @param ttlMillis time to live of the lease, in milliseconds
+     * @param clock monotonic clock, in milliseconds
+     */
+    public LeaseTask(
+            DaemonTables tables,
+            FleetNews news,
+            PlatformClient platform,
+            StoreWrites writes,
+            long ttlMillis,
+            LongSupplier clock) {
+        this.tables = tables;
+        this.news = news;
+        this.platform = platform;
+        this.writes = writes;
+        this.ttlMillis = ttlMillis;
+        this.clock = clock;
+    }
+
+    @Override
+    public synchronized void run() {
+        long nowMillis = clock.getAsLong();
+        nextMillis = nowMillis + ttlMillis / CHECKS_PER_TTL;
+        if (wasHolder || tables.isRelay(nowMillis)) {
+            check();
+        }
+        boolean holder = tables.lease().view(clock.getAsLong()).isPresent();
+        if (holder != wasHolder) {
+            Logger.info("lease: this daemon {} the controller of {}", holder ? "is" : "is no longer", name());
+        }
+        wasHolder = holder;
+    }
+
+    /**
+     * Returns the wait until the next run.
+     *
+     * @return milliseconds
+     */
+    public synchronized long waitMillis() {
+        return Math.max(1, nextMillis - clock.getAsLong());
+    }
+
+    private void check() {
+        switch (platform.read(Kinds.CONTROLLERS, name())) {
+            case StoreResult.Ok<PlatformObject>(PlatformObject object) -> {
+                news.answered();
+                decide(Optional.of(object));
+            }
+            case StoreResult.NotFound<PlatformObject>() -> {
+                news.answered();
+                decide(Optional.empty());
+            }
+            case StoreResult<PlatformObject> other -> Logger.debug("lease: cannot be read: {}", other);
+        }
+    }
+
+    private void decide(Optional<PlatformObject> object) {
+        Optional<Lease> read;
+        try {
+            read = object.isPresent()
+                    ? Optional.of(LeaseCodec.decode(object.get().spec()))
+                    : Optional.empty();
+        } catch (MalformedMessageException e) {
+            Logger.error("lease: the object is unreadable: {}", e.getMessage());
+            return;
+        }
+        Optional<String> version = object.map(PlatformObject::resourceVersion);
+        switch (tables.lease().decide(clock.getAsLong(), read, highestEpoch())) {
+            case LeaseDecision.Write(Lease lease, LeaseDecision.Kind kind) -> write(version, lease, kind);
+            case LeaseDecision.Hold(long renewAtMillis) -> nextMillis = Math.min(nextMillis, renewAtMillis);
+            case LeaseDecision.Wait(long untilMillis) -> nextMillis = Math.min(nextMillis, untilMillis);
+        }
+    }
+
+    private void write(Optional<String> version, Lease lease, LeaseDecision.Kind kind) {
+        switch (writes.write(Kinds.CONTROLLERS, name(), version, token -> LeaseCodec.encode(lease, token))) {
+            case StoreWrites.Outcome.Accepted accepted -> {
+                tables.lease().accepted(clock.getAsLong(), lease);
+                if (kind == LeaseDecision.Kind.ACQUIRE) {
+                    Logger.info("lease: took epoch {} of {}", lease.epoch(), name());
+                }
+            }
+            case StoreWrites.Outcome.Overtaken overtaken -> tables.lease().lost();
+            case StoreWrites.Outcome.NotWritten(String detail) -> Logger.warn("lease: {} failed: {}", kind, detail);
+            case StoreWrites.Outcome.Unknown(String detail) ->
+                Logger.warn("lease: outcome of {} is not known: {}", kind, detail);
+        }
+    }
+
+    /**
+     * Gives the lease back if this daemon holds it.
+     *
+     * @param ordersInFlight orders that can still take effect
+     */
+    public synchronized void giveBack(int ordersInFlight) {
+        Optional<Lease> released = tables.lease().release(ordersInFlight);
+        if (released.isEmpty()) {
+            return;
+        }
+        if (platform.read(Kinds.CONTROLLERS, name()) instanceof StoreResult.Ok<PlatformObject>(PlatformObject object)
+                && stillOurs(object)) {
+            StoreWrites.Outcome outcome = writes.write(
+                    Kinds.CONTROLLERS,
+                    name(),
+                    Optional.of(object.resourceVersion()),
+                    token -> LeaseCodec.encode(released.get(), token));
+            Logger.info("lease: gave {} back: {}", name(), outcome.getClass().getSimpleName());
+        }
+    }
+
+    private boolean stillOurs(PlatformObject object) {
+        try {
+            return LeaseCodec.decode(object.spec())
+                    .heldBy(tables.self().daemon(), tables.self().incarnation());
+        } catch (MalformedMessageException e) {
+            return false;
+        }
+    }
+
+    /** Engines and assignments can know a higher epoch than a store that was restored from an old copy. */
+    private long highestEpoch() {
+        long fromEngines = tables.evidence().snapshot().values().stream()
+                .mapToLong(evidence -> switch (evidence) {
+                    case Evidence.Reported reported -> reported.report().epoch().controllerEpoch();
+                    case Evidence.Unreachable unreachable -> 0;
+                })
+                .max()
+                .orElse(0);
+        return Math.max(fromEngines, news.highestControllerEpoch());
+    }
+
+    private String name() {
+        return tables.failureDomain().value();
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTargets.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTargets.java
@@ -87,7 +87,9 @@
                 dialledSince.putIfAbsent(daemon, nowMillis);
             }
         });
-        return daemons.stream().filter(daemon -> chosen.contains(daemon.daemon())).toList();
+        return daemons.stream()
+                .filter(daemon -> chosen.contains(daemon.daemon()))
+                .toList();
     }
 
     private boolean mayAnswer(long nowMillis, DaemonId daemon) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
@@ -65,7 +65,8 @@
     public void connected(PeerConnection connection) {
         DaemonEntry peer = PeerMessages.daemon(connection.peer(), false);
         if (heard(peer) == DaemonDirectory.Change.REPLACED) {
-            Logger.warn("peer: closed a connection of replaced incarnation {} of {}", peer.incarnation(), peer.daemon());
+            Logger.warn(
+                    "peer: closed a connection of replaced incarnation {} of {}", peer.incarnation(), peer.daemon());
             connection.close();
             return;
         }
@@ -78,7 +79,11 @@
     private DaemonDirectory.Change heard(DaemonEntry peer) {
         DaemonDirectory.Change change = tables.directory().heard(clock.getAsLong(), peer);
         if (change == DaemonDirectory.Change.NEW || change == DaemonDirectory.Change.RESTARTED) {
-            Logger.info("peer: {} of {} is {}", peer.daemon(), peer.failureDomain(), change == DaemonDirectory.Change.NEW ? "new" : "restarted");
+            Logger.info(
+                    "peer: {} of {} is {}",
+                    peer.daemon(),
+                    peer.failureDomain(),
+                    change == DaemonDirectory.Change.NEW ? "new" : "restarted");
         }
         return change;
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/VmTable.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/VmTable.java
@@ -17,6 +17,7 @@
 public final class VmTable {
     private final EvidenceTable evidence;
     private final Drain drain;
+    private volatile boolean known;
     private volatile ImmutableMap<VmId, Vm> vms = ImmutableMap.of();
 
     /**
@@ -40,8 +41,10 @@
     public synchronized boolean replace(long nowMillis, ImmutableList<Vm> listed) {
         ImmutableMap<VmId, Vm> next =
                 listed.stream().collect(ImmutableMap.toImmutableMap(Vm::id, vm -> vm, (a, b) -> b));
+        boolean first = !known;
+        known = true;
         if (next.equals(vms)) {
-            return false;
+            return first;
         }
         for (VmId gone : vms.keySet()) {
             if (!next.containsKey(gone)) {
@@ -54,6 +57,15 @@
         return true;
     }
 
+    /**
+     * Tells whether a list was received since this process started. Without one nothing follows from a VM's absence.
+     *
+     * @return true once there was one
+     */
+    public boolean known() {
+        return known;
+    }
+
     /**
      * Returns all VMs.
      *
