--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -10,14 +10,11 @@
 import io.sesamehead.daemon.protocol.PeerMessages;
 import io.sesamehead.daemon.protocol.PlatformObject;
 import io.sesamehead.daemon.protocol.ReleaseCodec;
-import io.sesamehead.daemon.protocol.ReleaseObject;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.AssignmentUpdate;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.ConfigUpdate;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Frame;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Heartbeat;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.VmUpdate;
-import io.sesamehead.daemon.settings.ReadResult;
-import io.sesamehead.daemon.settings.Releases;
 import io.sesamehead.daemon.transport.Broadcast;
 import io.sesamehead.daemon.transport.PeerConnection;
 import io.sesamehead.state.AcceptedRelease;
@@ -79,7 +76,8 @@
      */
     public void releaseFromStore(PlatformObject object) {
         try {
-            if (adopt(ReleaseCodec.decode(object.spec()), Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
+            AcceptedRelease release = ReleaseCodec.decode(object.spec()).release();
+            if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
                 releaseFrame.ifPresent(broadcast::toAll);
             }
         } catch (MalformedMessageException e) {
@@ -107,21 +105,7 @@
         }
     }
 
-    private boolean adopt(ReleaseObject stored, byte[] spec, ConfigSource source, String origin) {
-        return switch (Releases.accepted(stored)) {
-            case ReadResult.Valid<AcceptedRelease>(AcceptedRelease release) -> offer(release, spec, source, origin);
-            case ReadResult.Invalid<AcceptedRelease>(var problems) -> {
-                Logger.error(
-                        "config: generation {} from {} is not valid: {}",
-                        stored.generation().value(),
-                        origin,
-                        problems);
-                yield false;
-            }
-        };
-    }
-
-    private boolean offer(AcceptedRelease release, byte[] spec, ConfigSource source, String origin) {
+    private boolean adopt(AcceptedRelease release, byte[] spec, ConfigSource source, String origin) {
         ConfigDecision decision = tables.config().offer(release, source);
         switch (decision) {
             case ConfigDecision.Adopt(Generation generation) -> {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderSender.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderSender.java
@@ -74,12 +74,11 @@
     private void sendNow(ControllerAction.Order order) {
         EngineOrder message = message(order);
         long beforeMillis = clock.getAsLong();
-        if (!tables.lease().maySend(beforeMillis)) {
-            Logger.info("group: order {} was not sent because the lease ended", order.orderId());
-            answered.add(order);
-            return;
-        }
-        OrderResult result = engines.order(order.vm().engineAddress(), message, longestOrder);
+        OrderResult result = engines.order(
+                order.vm().engineAddress(),
+                message,
+                longestOrder,
+                () -> tables.lease().maySend(clock.getAsLong()));
         switch (result) {
             case OrderResult.Accepted(var status) -> {
                 Logger.info("group: {} took order {}", order.vm().id(), order.orderId());
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StorePoll.java
@@ -0,0 +1,75 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.daemon.protocol.DirectoryCodec;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.daemon.protocol.PlatformObject;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.StoreResult;
+import io.sesamehead.state.Vm;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/** Reads the store at start and then rarely, so that a daemon converges even when all news to it were lost. */
+public final class StorePoll {
+    private final DaemonTables tables;
+    private final FleetNews news;
+    private final PlatformClient platform;
+
+    /**
+     * Creates the poll.
+     *
+     * @param tables the tables of this daemon
+     * @param news takes what was read
+     * @param platform the store
+     */
+    public StorePoll(DaemonTables tables, FleetNews news, PlatformClient platform) {
+        this.tables = tables;
+        this.news = news;
+        this.platform = platform;
+    }
+
+    /** Reads release, assignment, VM list and directories. */
+    public void readAll() {
+        read(Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore);
+        read(Kinds.GROUP_ASSIGNMENTS, tables.failureDomain().value(), news::assignmentFromStore);
+        readVms();
+        readDirectories();
+    }
+
+    /** Reads the platform's VM list. */
+    public void readVms() {
+        if (platform.vms() instanceof StoreResult.Ok<ImmutableList<Vm>>(ImmutableList<Vm> vms)) {
+            news.answered();
+            news.vmsFromStore(vms);
+        }
+    }
+
+    private void read(String kind, String name, Consumer<PlatformObject> sink) {
+        switch (platform.read(kind, name)) {
+            case StoreResult.Ok<PlatformObject>(PlatformObject object) -> {
+                news.answered();
+                sink.accept(object);
+            }
+            case StoreResult.NotFound<PlatformObject>() -> news.answered();
+            case StoreResult<PlatformObject> other -> Logger.debug("store: cannot read {}/{}: {}", kind, name, other);
+        }
+    }
+
+    private void readDirectories() {
+        if (platform.list(Kinds.DAEMON_DIRECTORIES)
+                instanceof StoreResult.Ok<ImmutableList<PlatformObject>>(ImmutableList<PlatformObject> objects)) {
+            news.answered();
+            objects.forEach(this::learn);
+        }
+    }
+
+    private void learn(PlatformObject object) {
+        try {
+            DirectoryCodec.decode(object.spec()).forEach(tables.directory()::learned);
+        } catch (MalformedMessageException e) {
+            Logger.error("peer: the directory of {} is unreadable: {}", object.name(), e.getMessage());
+        }
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
@@ -65,12 +65,13 @@
      * @param address {@code ip:port} of the engine
      * @param order the order
      * @param timeout longest time of the call
+     * @param gate asked immediately before the first byte is sent
      * @return what is known of the order
      */
-    public OrderResult order(String address, EngineOrder order, Duration timeout) {
+    public OrderResult order(String address, EngineOrder order, Duration timeout, SendGate gate) {
         HttpPost request = new HttpPost("http://" + address + "/control/orders");
         request.setEntity(new ByteArrayEntity(Json.bytes(EngineCodec.encode(order)), ContentType.APPLICATION_JSON));
-        Exchange<HttpAnswer> exchange = http.exchange(request, timeout, HttpAnswer::read);
+        Exchange<HttpAnswer> exchange = http.exchange(request, timeout, new Cancellation(), gate, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> orderAnswer(answer);
             case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new OrderResult.NotSent(detail);
