Add the controller's planning: replicas, repair, packing and orders

The controller step plans the next assignment and derives orders only from groups that the store holds under the present lease. A VM gets no order while an earlier one can still take effect. A repeated lease write keeps the time of the first one, because that one may be the one that takes effect. Observations merged during or shortly after a pause of the process are dated back by the pause.

--- a/core/src/main/java/io/sesamehead/coordination/group/Controller.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/Controller.java
@@ -1,12 +1,24 @@
 package io.sesamehead.coordination.group;
 
 import com.google.common.collect.ImmutableList;
+import io.sesamehead.coordination.lease.HeldLease;
+import io.sesamehead.state.AcceptedRelease;
 import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.GroupAssignment;
+import java.util.Optional;
 
-/** The controller of one failure domain. Not safe for use by several threads: one task steps it. */
+/**
+ * The controller of one failure domain. Orders are derived only from an assignment that the store holds under the
+ * present lease, so an intent is always written before its orders are sent. One task steps it; answers to orders may
+ * come from other threads. Guarded by its own monitor, a leaf: no other lock is acquired under it.
+ */
 public final class Controller {
     private final FailureDomain failureDomain;
     private final ControllerSettings settings;
+    private final OrderLog orders;
+    private final FlapHistory flaps = new FlapHistory();
+    private final GroupTimes times = new GroupTimes();
+    private Optional<Term> term = Optional.empty();
 
     /**
      * Creates a controller without history.
@@ -17,6 +29,7 @@
     public Controller(FailureDomain failureDomain, ControllerSettings settings) {
         this.failureDomain = failureDomain;
         this.settings = settings;
+        this.orders = new OrderLog(settings.longestOrderMillis());
     }
 
     /**
@@ -24,13 +37,26 @@
      *
      * @param nowMillis present monotonic time, in milliseconds
      * @param view what the controller sees
-     * @return what is to be done, in this order
+     * @return what is to be done, in this order; empty without a lease or a release, or when the assignment was written
+     *     under a later lease
+     * @throws IllegalArgumentException if the view is of another failure domain
      */
-    public ImmutableList<ControllerAction> step(long nowMillis, ControllerView view) {
-        if (failureDomain == null || settings == null) {
-            throw new IllegalStateException();
+    public synchronized ImmutableList<ControllerAction> step(long nowMillis, ControllerView view) {
+        if (!view.assignment().failureDomain().equals(failureDomain)) {
+            throw new IllegalArgumentException(
+                    "assignment of another failure domain: " + view.assignment().failureDomain());
         }
-        return ImmutableList.of();
+        flaps.observe(nowMillis, view.evidence());
+        times.observe(nowMillis, view.assignment().groups());
+        orders.settleAnswered(nowMillis);
+        boolean orderable = view.lease().isPresent()
+                && view.release().isPresent()
+                && view.assignment().controllerEpoch() <= view.lease().get().epoch();
+        if (!orderable) {
+            return ImmutableList.of();
+        }
+        return stepUnderLease(
+                nowMillis, view, view.lease().get(), view.release().get());
     }
 
     /**
@@ -39,7 +65,9 @@
      *
      * @param order the order
      */
-    public void answered(ControllerAction.Order order) {}
+    public synchronized void answered(ControllerAction.Order order) {
+        orders.answered(order);
+    }
 
     /**
      * Returns the number of orders that can still take effect.
@@ -47,7 +75,59 @@
      * @param nowMillis present monotonic time, in milliseconds
      * @return the count, for {@code LeaseHolder.release}
      */
-    public int ordersInFlight(long nowMillis) {
-        return 0;
+    public synchronized int ordersInFlight(long nowMillis) {
+        return orders.inFlight(nowMillis);
+    }
+
+    private ImmutableList<ControllerAction> stepUnderLease(
+            long nowMillis, ControllerView view, HeldLease lease, AcceptedRelease release) {
+        Observations seen = new Observations(nowMillis, lease, view, settings, orders);
+        if (!seen.unread().isEmpty()) {
+            return seen.unread().stream()
+                    .map(ControllerAction.ReadStatus::new)
+                    .collect(ImmutableList.toImmutableList());
+        }
+        Term current = termOf(nowMillis, lease, release);
+        current.epochs.skip(view.assignment());
+        GroupAssignment next = plan(seen, current, view.assignment(), release);
+        ImmutableList.Builder<ControllerAction> actions = ImmutableList.builder();
+        if (!next.equals(view.assignment())) {
+            actions.add(new ControllerAction.WriteAssignment(next));
+        }
+        if (view.assignment().controllerEpoch() == lease.epoch()) {
+            actions.addAll(new OrderPlanner(seen, settings, times, current.loads, current.epochs)
+                    .orders(view.assignment(), next));
+        }
+        ImmutableList<ControllerAction> result = actions.build();
+        logOrders(nowMillis, result);
+        return result;
+    }
+
+    private GroupAssignment plan(Observations seen, Term current, GroupAssignment stored, AcceptedRelease release) {
+        Packing packing =
+                new Packing(release.note().policy().sparesPerFabricDomain(), vm -> flaps.faults(seen.nowMillis(), vm));
+        return new GroupPlanner(seen, times, current.epochs, release, packing).plan(stored);
+    }
+
+    private Term termOf(long nowMillis, HeldLease lease, AcceptedRelease release) {
+        int loadsPerMinute = release.note().loadsPerMinute();
+        if (term.isEmpty() || term.get().epochs.controllerEpoch() != lease.epoch()) {
+            boolean first = lease.epoch() == 1;
+            term = Optional.of(
+                    new Term(new EpochCounter(lease.epoch()), new LoadBudget(nowMillis, loadsPerMinute, first)));
+        }
+        term.get().loads.refill(nowMillis, loadsPerMinute);
+        return term.get();
     }
+
+    private void logOrders(long nowMillis, ImmutableList<ControllerAction> actions) {
+        for (ControllerAction action : actions) {
+            if (action instanceof ControllerAction.Order order) {
+                orders.sent(nowMillis, order);
+            }
+        }
+    }
+
+    /** What lasts as long as one controller epoch. */
+    private record Term(EpochCounter epochs, LoadBudget loads) {}
 }
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/group/Draft.java
@@ -0,0 +1,98 @@
+package io.sesamehead.coordination.group;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.state.Epoch;
+import io.sesamehead.state.Group;
+import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.GroupId;
+import io.sesamehead.state.GroupState;
+import io.sesamehead.state.ServiceSpec.ModelService;
+import io.sesamehead.state.VmId;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** An assignment in the making. */
+final class Draft {
+    private final GroupAssignment stored;
+    private final Map<GroupId, Group> groups = new LinkedHashMap<>();
+    private final TreeSet<VmId> lost;
+    private long nextGroupNumber;
+
+    Draft(GroupAssignment stored) {
+        this.stored = stored;
+        stored.groups().forEach(group -> groups.put(group.id(), group));
+        lost = new TreeSet<>(stored.lost());
+        nextGroupNumber = stored.nextGroupNumber();
+    }
+
+    ImmutableList<Group> groups() {
+        return ImmutableList.copyOf(groups.values());
+    }
+
+    /** A lost VM is found when it reports that it has no group; it is forgotten when the platform no longer lists it. */
+    void forgetFoundVms(Observations seen) {
+        lost.removeIf(vm -> seen.isGone(vm)
+                || seen.settledReport(vm)
+                        .map(report -> report.group().isEmpty())
+                        .orElse(false));
+    }
+
+    void replace(Group group) {
+        groups.put(group.id(), group);
+    }
+
+    void remove(Group group) {
+        groups.remove(group.id());
+    }
+
+    void lose(VmId vm) {
+        lost.add(vm);
+    }
+
+    void release(Group group) {
+        if (group.state() != GroupState.RELEASING) {
+            replace(withState(group, GroupState.RELEASING));
+        }
+    }
+
+    void form(ModelService service, Epoch epoch, ImmutableList<Group.Member> members) {
+        GroupId id = new GroupId(service.name() + "-" + nextGroupNumber);
+        nextGroupNumber++;
+        replace(new Group(id, service.name(), service.model(), service.version(), epoch, GroupState.FORMING, members));
+    }
+
+    /** Lets the same or other members load again in a new epoch. */
+    void reform(Group group, Epoch epoch, ImmutableList<Group.Member> members) {
+        replace(new Group(
+                group.id(), group.service(), group.model(), group.version(), epoch, GroupState.FORMING, members));
+    }
+
+    GroupAssignment result(long controllerEpoch) {
+        ImmutableList<Group> list = groups();
+        boolean same = list.equals(stored.groups())
+                && lost.equals(stored.lost())
+                && controllerEpoch == stored.controllerEpoch();
+        if (same) {
+            return stored;
+        }
+        return new GroupAssignment(
+                stored.failureDomain(),
+                controllerEpoch,
+                stored.version() + 1,
+                nextGroupNumber,
+                list,
+                ImmutableSet.copyOf(lost));
+    }
+
+    static Group withState(Group group, GroupState state) {
+        return new Group(
+                group.id(), group.service(), group.model(), group.version(), group.epoch(), state, group.members());
+    }
+
+    static Group withMembers(Group group, ImmutableList<Group.Member> members) {
+        return new Group(
+                group.id(), group.service(), group.model(), group.version(), group.epoch(), group.state(), members);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/group/GroupHealth.java
@@ -0,0 +1,81 @@
+package io.sesamehead.coordination.group;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import io.sesamehead.state.EngineState;
+import io.sesamehead.state.Group;
+import io.sesamehead.state.MemberReport;
+import io.sesamehead.state.VmId;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** What the controller concludes about the members of a group. */
+sealed interface GroupHealth {
+    /** Every member is ready in this epoch. */
+    record Complete() implements GroupHealth {}
+
+    /** Every member answers; some did not finish loading. */
+    record Loading() implements GroupHealth {}
+
+    /** A member lost its place: its engine was restarted or took an order of another epoch. */
+    record Displaced() implements GroupHealth {}
+
+    /**
+     * Members do not answer.
+     *
+     * @param members the members
+     * @param gone true when none of them is expected back
+     */
+    record Missing(ImmutableSet<VmId> members, boolean gone) implements GroupHealth {}
+
+    /**
+     * Members are leaving or drained.
+     *
+     * @param members the members, with those that do not answer
+     */
+    record Leaving(ImmutableSet<VmId> members) implements GroupHealth {}
+
+    /** Judges a group by what is known of its members. */
+    static GroupHealth of(Group group, Observations seen) {
+        ImmutableSet<VmId> missing = group.members().stream()
+                .map(Group.Member::vm)
+                .filter(vm -> seen.report(vm).isEmpty())
+                .collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<VmId> leaving = group.members().stream()
+                .map(Group.Member::vm)
+                .filter(seen::isLeaving)
+                .collect(ImmutableSet.toImmutableSet());
+        if (!leaving.isEmpty()) {
+            return new Leaving(ImmutableSet.copyOf(Sets.union(leaving, missing)));
+        }
+        if (!missing.isEmpty()) {
+            return new Missing(missing, missing.stream().allMatch(seen::isGone));
+        }
+        if (any(group, member -> isDisplaced(group, member, seen.report(member.vm())))) {
+            return new Displaced();
+        }
+        boolean ready = group.members().stream().allMatch(member -> isReady(group, member, seen.report(member.vm())));
+        return ready ? new Complete() : new Loading();
+    }
+
+    /** Tells whether an engine reports the group in its present epoch. */
+    static boolean holdsPlace(Group group, MemberReport report) {
+        return report.group().equals(Optional.of(group.id())) && report.epoch().equals(group.epoch());
+    }
+
+    private static boolean any(Group group, Predicate<Group.Member> condition) {
+        return group.members().stream().anyMatch(condition);
+    }
+
+    private static boolean isDisplaced(Group group, Group.Member member, Optional<MemberReport> report) {
+        boolean sameEngine = member.engine().equals(report.map(MemberReport::engine));
+        return member.engine().isPresent()
+                && !(sameEngine && report.map(it -> holdsPlace(group, it)).orElse(false));
+    }
+
+    private static boolean isReady(Group group, Group.Member member, Optional<MemberReport> report) {
+        return member.engine().isPresent()
+                && report.map(it -> it.state() == EngineState.READY && holdsPlace(group, it))
+                        .orElse(false);
+    }
+}
--- a/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
+++ b/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
@@ -161,9 +161,15 @@
         return ttlMillis + settings.driftMillis() + settings.longestOrderMillis();
     }
 
+    /**
+     * A write that is repeated after a lost answer keeps the time of the first one: the first one may be the one that
+     * takes effect, and a successor counts from then.
+     */
     private LeaseDecision write(long nowMillis, Lease lease, LeaseDecision.Kind kind) {
-        pending = Optional.of(lease);
-        pendingSentAtMillis = nowMillis;
+        if (!pending.equals(Optional.of(lease))) {
+            pending = Optional.of(lease);
+            pendingSentAtMillis = nowMillis;
+        }
         return new LeaseDecision.Write(lease, kind);
     }
 
--- a/core/src/main/java/io/sesamehead/state/EvidenceTable.java
+++ b/core/src/main/java/io/sesamehead/state/EvidenceTable.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
@@ -13,13 +14,43 @@
  * {@link ReentrantLock}, place 3 in the lock order of the tables.
  */
 public final class EvidenceTable {
+    /** Gap between ticks that counts as a pause; five missed ticks. */
+    private static final long PAUSE_MILLIS = 500;
+
+    /** Time in which a process that resumes reads the messages that waited. */
+    private static final long CATCH_UP_MILLIS = 2_000;
+
     private final ReentrantLock lock = new ReentrantLock();
     private final TreeMap<VmId, Evidence> entries = new TreeMap<>();
     private final TreeSet<VmId> unsent = new TreeSet<>();
 
+    private OptionalLong lastTickMillis = OptionalLong.empty();
+    private long pauseMillis;
+    private long pauseEndMillis;
+
     /** Creates an empty table. */
     public EvidenceTable() {}
 
+    /**
+     * Notices pauses of this process. A message of a peer can wait in a socket buffer during a pause, and its age does
+     * not tell so; observations merged in or shortly after a pause are therefore dated back by its length.
+     *
+     * @param nowMillis present monotonic time, in milliseconds; called every 100 ms
+     */
+    public void tick(long nowMillis) {
+        lock.lock();
+        try {
+            long gapMillis = gapMillis(nowMillis);
+            if (gapMillis > 0) {
+                pauseMillis = gapMillis;
+                pauseEndMillis = nowMillis;
+            }
+            lastTickMillis = OptionalLong.of(nowMillis);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Records an observation of this daemon. Its time is the moment before the status was requested.
      *
@@ -51,8 +82,9 @@
         lock.lock();
         try {
             ImmutableList.Builder<VmId> changed = ImmutableList.builder();
+            long sentByMillis = receivedAtMillis - waitMillis(receivedAtMillis);
             for (AgedEvidence item : received) {
-                if (put(item.vm(), localEvidence(receivedAtMillis, item))) {
+                if (put(item.vm(), localEvidence(sentByMillis, item))) {
                     changed.add(item.vm());
                 }
             }
@@ -139,6 +171,17 @@
         }
     }
 
+    /** Returns how long a message received now may have waited for this process. */
+    private long waitMillis(long nowMillis) {
+        boolean catchingUp = pauseMillis > 0 && nowMillis - pauseEndMillis < CATCH_UP_MILLIS;
+        return Math.max(gapMillis(nowMillis), catchingUp ? pauseMillis : 0);
+    }
+
+    private long gapMillis(long nowMillis) {
+        long gapMillis = lastTickMillis.isPresent() ? nowMillis - lastTickMillis.getAsLong() : 0;
+        return gapMillis > PAUSE_MILLIS ? gapMillis : 0;
+    }
+
     private boolean put(VmId vm, Evidence evidence) {
         Evidence current = entries.get(vm);
         if (current != null && evidence.observedAtMillis() < current.observedAtMillis()) {
@@ -160,8 +203,8 @@
         return result.build();
     }
 
-    private static Evidence localEvidence(long receivedAtMillis, AgedEvidence item) {
-        long observedAtMillis = receivedAtMillis - Math.max(0, item.ageMillis());
+    private static Evidence localEvidence(long sentByMillis, AgedEvidence item) {
+        long observedAtMillis = sentByMillis - Math.max(0, item.ageMillis());
         return item.report()
                 .<Evidence>map(report -> new Evidence.Reported(report, observedAtMillis))
                 .orElseGet(() -> new Evidence.Unreachable(item.vm(), observedAtMillis));
