--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
@@ -0,0 +1,222 @@
+package io.sesamehead.coordination.group;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.state.Epoch;
+import io.sesamehead.state.Group;
+import io.sesamehead.state.GroupId;
+import io.sesamehead.state.GroupState;
+import io.sesamehead.state.VmId;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against groups that are not formed, repaired, rolled or released as the release asks. */
+final class ControllerTest {
+    private final FakeFleet fleet = new FakeFleet();
+
+    @Test
+    void writesIntentBeforeOrders() {
+        addVms(4);
+        fleet.step();
+        assertThat(fleet.lastActions).singleElement().isInstanceOf(ControllerAction.WriteAssignment.class);
+        fleet.step();
+        assertThat(fleet.lastActions).hasSize(4).allMatch(ControllerAction.SendLoad.class::isInstance);
+    }
+
+    @Test
+    void sendsNothingWhileIntentCannotBeWritten() {
+        addVms(4);
+        fleet.storeDown = true;
+        fleet.run(10);
+        assertThat(fleet.loadTimes).isEmpty();
+    }
+
+    @Test
+    void reloadsRestartedMemberWithoutReloadingTheOthers() {
+        serveTwoGroups(4);
+        fleet.engine("vm1").restart();
+        fleet.run(20);
+        assertThat(fleet.serving()).isEqualTo(2);
+        assertThat(fleet.loadTimes).hasSize(5);
+    }
+
+    @Test
+    void repairsWithSpareAfterWaitingAsLongAsReload() {
+        serveTwoGroups(5);
+        fleet.engine("vm1").reachable = false;
+        fleet.run(4);
+        assertThat(fleet.states()).contains(GroupState.BROKEN);
+        assertThat(fleet.loadTimes).hasSize(4);
+        fleet.run(16);
+        assertThat(fleet.serving()).isEqualTo(2);
+        assertThat(fleet.loadTimes).hasSize(5);
+        assertThat(fleet.stored.lost()).containsExactly(new VmId("vm1"));
+    }
+
+    @Test
+    void serveAgainWithoutOrdersWhenMemberComesBackUnchanged() {
+        serveTwoGroups(5);
+        fleet.engine("vm1").reachable = false;
+        fleet.run(2);
+        fleet.engine("vm1").reachable = true;
+        fleet.run(2);
+        assertThat(fleet.serving()).isEqualTo(2);
+        assertThat(fleet.loadTimes).hasSize(4);
+    }
+
+    @Test
+    void releasesReplacedMemberThatComesBackWithOldGroup() {
+        serveTwoGroups(5);
+        fleet.engine("vm1").reachable = false;
+        fleet.run(20);
+        fleet.engine("vm1").reachable = true;
+        fleet.run(4);
+        assertThat(fleet.engine("vm1").group).isEmpty();
+        assertThat(fleet.stored.lost()).isEmpty();
+    }
+
+    @Test
+    void rollsVersionOneGroupAtATime() {
+        serveTwoGroups(4);
+        fleet.version = "2";
+        for (int i = 0; i < 80; i++) {
+            fleet.step();
+            long working = fleet.stored.groups().stream()
+                    .filter(group -> group.state() == GroupState.SERVING)
+                    .count();
+            assertThat(working).as("step %s", i).isGreaterThanOrEqualTo(1);
+        }
+        assertThat(fleet.serving()).isEqualTo(2);
+        assertThat(fleet.stored.groups()).hasSize(2);
+    }
+
+    @Test
+    void drainedVmIsReleasedOnlyWhenItsWorkIsDone() {
+        serveTwoGroups(6);
+        fleet.engine("vm1").inFlight = 1;
+        fleet.drained.add(new VmId("vm1"));
+        fleet.run(20);
+        assertThat(fleet.engine("vm1").group).isPresent();
+        fleet.engine("vm1").inFlight = 0;
+        fleet.run(10);
+        assertThat(fleet.engine("vm1").group).isEmpty();
+        assertThat(fleet.serving()).isEqualTo(2);
+    }
+
+    @Test
+    void newControllerOrdersNothingBeforeEveryVmWasRead() {
+        addVms(4);
+        fleet.lease = new io.sesamehead.coordination.lease.HeldLease(1, 2 * FakeFleet.STEP_MILLIS);
+        fleet.step();
+        assertThat(fleet.lastActions).hasSize(4).allMatch(ControllerAction.ReadStatus.class::isInstance);
+    }
+
+    @Test
+    void olderLeaseGivesWayToAssignmentOfLaterOne() {
+        serveTwoGroups(4);
+        fleet.changeController();
+        fleet.step();
+        assertThat(fleet.stored.controllerEpoch()).isEqualTo(2);
+        fleet.lease = new io.sesamehead.coordination.lease.HeldLease(1, 0);
+        fleet.engine("vm1").restart();
+        fleet.step();
+        assertThat(fleet.lastActions).isEmpty();
+    }
+
+    @Test
+    void lostReleaseOrderDelaysReuseOfTheVm() {
+        serveTwoGroups(4);
+        fleet.replicas = 1;
+        fleet.run(8);
+        fleet.ordersToLose = 2;
+        fleet.run(20);
+        assertThat(fleet.stored.groups()).hasSize(1);
+        assertThat(fleet.engines.values().stream().filter(it -> it.group.isPresent()))
+                .hasSize(2);
+    }
+
+    @Test
+    void loadsStayWithinTheLimitOfEachMinute() {
+        fleet.loadsPerMinute = 8;
+        fleet.replicas = 10;
+        addVms(20);
+        fleet.run(400);
+        assertThat(fleet.serving()).isEqualTo(10);
+        for (long from : fleet.loadTimes) {
+            long inMinute = fleet.loadTimes.stream()
+                    .filter(at -> at >= from && at < from + 60_000)
+                    .count();
+            assertThat(inMinute).isLessThanOrEqualTo(8);
+        }
+    }
+
+    @Test
+    void completesOneOfTwoBrokenGroupsFromTheOther() {
+        serveTwoGroups(4);
+        Group second = fleet.stored.groups().get(1);
+        fleet.engine("vm1").reachable = false;
+        fleet.engines.get(second.members().get(0).vm()).reachable = false;
+        fleet.run(40);
+        assertThat(fleet.serving()).isEqualTo(1);
+    }
+
+    /** Faults of all kinds strike while the checks in {@link FakeFleet} run; afterwards the fleet converges. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void convergesAfterRandomFaults(long seed) {
+        Random random = new Random(seed);
+        addVms(8);
+        fleet.replicas = 3;
+        for (int i = 0; i < 400; i++) {
+            strike(random);
+            fleet.step();
+        }
+        fleet.storeDown = false;
+        fleet.ordersToLose = 0;
+        fleet.drained.clear();
+        fleet.engines.values().forEach(engine -> {
+            engine.reachable = true;
+            engine.leave(false);
+        });
+        fleet.run(200);
+        assertThat(fleet.serving()).as("seed %s: %s", seed, fleet.stored).isEqualTo(3);
+        assertThat(fleet.stored.groups()).hasSize(3);
+        assertThat(fleet.engines.values().stream().filter(it -> it.group.isPresent()))
+                .hasSize(6);
+    }
+
+    private void strike(Random random) {
+        FakeFleet.Engine engine = fleet.engine("vm" + (1 + random.nextInt(8)));
+        switch (random.nextInt(40)) {
+            case 0 -> engine.restart();
+            case 1, 2 -> engine.reachable = false;
+            case 3, 4, 5 -> engine.reachable = true;
+            case 6 -> engine.leave(true);
+            case 7, 8 -> engine.leave(false);
+            case 9 -> fleet.ordersToLose = random.nextInt(4);
+            case 10 -> fleet.storeDown = !fleet.storeDown;
+            case 11 -> fleet.changeController();
+            case 12 -> fleet.version = Integer.toString(1 + random.nextInt(3));
+            case 13 -> fleet.drained.add(engine.vm.id());
+            case 14 -> fleet.drained.clear();
+            case 15 -> engine.group = engine.group.isEmpty() ? Optional.of(new GroupId("old-1")) : engine.group;
+            default -> {}
+        }
+    }
+
+    private void serveTwoGroups(int vms) {
+        addVms(vms);
+        fleet.run(12);
+        assertThat(fleet.serving()).isEqualTo(2);
+        assertThat(fleet.stored.groups()).extracting(Group::epoch).doesNotContain(Epoch.NONE);
+    }
+
+    private void addVms(int count) {
+        for (int i = 1; i <= count; i++) {
+            fleet.add("vm" + i, "rack1", 40);
+        }
+    }
+}
