--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -24,7 +24,7 @@
         Configuration.set("writer.stream", "err");
         Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
         Console console = new Console(stream(FileDescriptor.out), stream(FileDescriptor.err));
-        ExitCode code = new CommandLine(commands(), console).run(args);
+        ExitCode code = new CommandLine(commands(new HttpJsonSource()), console).run(args);
         console.out().flush();
         System.exit(code.code());
     }
@@ -34,8 +34,7 @@
     }
 
     /** The commands in the order of the help text. */
-    static ImmutableMap<String, Command> commands() {
-        JsonSource source = new HttpJsonSource();
+    static ImmutableMap<String, Command> commands(JsonSource source) {
         return ImmutableMap.<String, Command>builder()
                 .put("check-settings", new CheckSettingsCommand())
                 .put("apply", new ApplyCommand(source))
--- /dev/null
+++ b/cli/src/test/java/io/sesamehead/cli/load/StreamCheckTest.java
@@ -0,0 +1,54 @@
+package io.sesamehead.cli.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards the check of streams: skipped, repeated, foreign and missing tokens must be noticed. */
+class StreamCheckTest {
+    private static final CallSpec.Completion CALL = new CallSpec.Completion("shop-1", "assistant", "p", 2, true);
+    private static final String FIRST = "event: token\nid: 0\ndata: {\"index\":0,\"text\":\"p0\"}\n\n";
+    private static final String SECOND = "event: token\nid: 1\ndata: {\"index\":1,\"text\":\"p1\"}\n\n";
+    private static final String END = "event: end\ndata: {\"count\":2,\"finish\":\"stop\"}\n\n";
+
+    @Test
+    void completeStreamIsWhole() throws IOException {
+        assertThat(read(": comment\n\n" + FIRST + SECOND + END)).containsInstanceOf(AttemptResult.Whole.class);
+    }
+
+    @Test
+    void anyOtherOrderCountOrTextIsWrong() throws IOException {
+        assertThat(read(SECOND)).containsInstanceOf(AttemptResult.Wrong.class);
+        assertThat(read(FIRST + FIRST)).containsInstanceOf(AttemptResult.Wrong.class);
+        assertThat(read(FIRST + END)).containsInstanceOf(AttemptResult.Wrong.class);
+        assertThat(read(FIRST.replace("p0", "q0"))).containsInstanceOf(AttemptResult.Wrong.class);
+        assertThat(read(FIRST + SECOND + END.replace("2", "3"))).containsInstanceOf(AttemptResult.Wrong.class);
+    }
+
+    @Test
+    void errorEventCarriesItsRunState() throws IOException {
+        String error = "event: error\ndata: {\"type\":\"urn:sesamehead:error:stream-torn\",\"run\":\"may-have-run\"}\n\n";
+        assertThat(read(FIRST + error)).containsInstanceOf(AttemptResult.Refused.class);
+    }
+
+    @Test
+    void streamCutWithinItsLastEventHasNoEnd() throws IOException {
+        assertThat(read(FIRST + SECOND + END.strip())).isEmpty();
+    }
+
+    private static Optional<AttemptResult> read(String text) throws IOException {
+        EventReader events = new EventReader(new BufferedReader(new StringReader(text)));
+        StreamCheck check = new StreamCheck(CALL, (prompt, index) -> prompt + index, new Timings(), 0);
+        for (Optional<EventReader.Event> event = events.next(); event.isPresent(); event = events.next()) {
+            Optional<AttemptResult> end = check.accept(event.get(), 0);
+            if (end.isPresent()) {
+                return end;
+            }
+        }
+        return Optional.empty();
+    }
+}
