--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -0,0 +1,100 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.inject.Inject;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.Broadcast;
+import io.sesamehead.daemon.transport.PeerMesh;
+import io.sesamehead.daemon.transport.PlatformClient;
+import java.time.Duration;
+import java.util.function.IntSupplier;
+
+/** Starts the control tasks of a daemon on the worker pool. */
+final class ControlTasks implements AutoCloseable {
+    private static final Duration SAFETY_POLL = Duration.ofSeconds(60);
+    private static final Duration POLL_UNTIL_ANSWERED = Duration.ofSeconds(1);
+
+    /** The first source to report that a VM is leaving counts within 3 s, so the list is read more often than that. */
+    private static final Duration VM_POLL = Duration.ofSeconds(2);
+
+    private final DaemonSettings settings;
+    private final DaemonTables tables;
+    private final FleetNews news;
+    private final PlatformClient platform;
+    private final StoreWrites writes;
+    private final WorkerPool workers;
+    private final MonotonicClock clock;
+    private final StoreWatch releaseWatch;
+    private final StoreWatch assignmentWatch;
+
+    @Inject
+    ControlTasks(
+            DaemonSettings settings,
+            DaemonTables tables,
+            FleetNews news,
+            PlatformClient platform,
+            StoreWrites writes,
+            WorkerPool workers,
+            MonotonicClock clock) {
+        this.settings = settings;
+        this.tables = tables;
+        this.news = news;
+        this.platform = platform;
+        this.writes = writes;
+        this.workers = workers;
+        this.clock = clock;
+        this.releaseWatch = new StoreWatch(
+                tables, news, platform, Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore, clock);
+        this.assignmentWatch = new StoreWatch(
+                tables,
+                news,
+                platform,
+                Kinds.GROUP_ASSIGNMENTS,
+                tables.failureDomain().value(),
+                news::assignmentFromStore,
+                clock);
+    }
+
+    void startStoreTasks(LeaseTask lease) {
+        StorePoll poll = new StorePoll(tables, news, platform);
+        workers.repeat("store poll", poll::readAll, this::pollWaitMillis);
+        workers.every("VM list", VM_POLL, () -> {
+            if (tables.isRelay(clock.getAsLong())) {
+                poll.readVms();
+            }
+        });
+        workers.repeat("release watch", releaseWatch, releaseWatch::waitMillis);
+        workers.repeat("assignment watch", assignmentWatch, assignmentWatch::waitMillis);
+        workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock));
+        workers.repeat("lease", lease, lease::waitMillis);
+    }
+
+    void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
+        workers.every("heartbeat", settings.peers().heartbeat(), heartbeat);
+        workers.every("probes", ProbeTask.INTERVAL, probes);
+        workers.every("controller", ControllerTask.INTERVAL, controller);
+    }
+
+    HeartbeatTask heartbeat(PeerMesh mesh, Broadcast broadcast, IntSupplier callsInFlight) {
+        PeerTargets targets = new PeerTargets(
+                tables.directory(), tables.self(), settings.peers().seeds());
+        return new HeartbeatTask(
+                tables,
+                mesh,
+                broadcast,
+                targets,
+                callsInFlight,
+                settings.evidence().maxAge().toMillis(),
+                clock);
+    }
+
+    private long pollWaitMillis() {
+        return (news.hasAnswer() ? SAFETY_POLL : POLL_UNTIL_ANSWERED).toMillis();
+    }
+
+    @Override
+    public void close() {
+        releaseWatch.close();
+        assignmentWatch.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -0,0 +1,171 @@
+package io.sesamehead.daemon.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.sesamehead.coordination.config.ConfigTable;
+import io.sesamehead.coordination.drain.Drain;
+import io.sesamehead.coordination.drain.Shutdown;
+import io.sesamehead.coordination.group.Controller;
+import io.sesamehead.coordination.group.ControllerSettings;
+import io.sesamehead.coordination.lease.LeaseHolder;
+import io.sesamehead.coordination.lease.LeaseSettings;
+import io.sesamehead.coordination.membership.DaemonDirectory;
+import io.sesamehead.coordination.membership.DaemonEntry;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.Broadcast;
+import io.sesamehead.daemon.transport.EngineClient;
+import io.sesamehead.daemon.transport.FrameCounters;
+import io.sesamehead.daemon.transport.PeerMesh;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.state.AssignmentTable;
+import io.sesamehead.state.EvidenceTable;
+import java.time.Duration;
+
+/** Wires the parts of one daemon. The mesh is bound before, because the daemon's entry holds its address. */
+public final class DaemonModule extends AbstractModule {
+    /** Heartbeats between failure domains come every 5 s; two may be lost. */
+    private static final long REMOTE_SUSPECT_MILLIS = 12_000;
+
+    private static final int MAX_ENGINE_CONNECTIONS = 2_048;
+    private static final int MAX_CONNECTIONS_PER_ENGINE = 256;
+    private static final Duration ENGINE_CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    private final DaemonSettings settings;
+    private final DaemonEntry self;
+    private final PeerMesh mesh;
+    private final FrameCounters counters;
+    private final MetricRegistry metrics;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates the wiring.
+     *
+     * @param settings settings of the daemon
+     * @param self this daemon with its bound peer address
+     * @param mesh the bound mesh
+     * @param counters frame counters of the mesh
+     * @param metrics registry of all metrics
+     * @param clock the clock of the process
+     */
+    DaemonModule(
+            DaemonSettings settings,
+            DaemonEntry self,
+            PeerMesh mesh,
+            FrameCounters counters,
+            MetricRegistry metrics,
+            MonotonicClock clock) {
+        this.settings = settings;
+        this.self = self;
+        this.mesh = mesh;
+        this.counters = counters;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    @Override
+    protected void configure() {
+        bind(DaemonSettings.class).toInstance(settings);
+        bind(DaemonEntry.class).toInstance(self);
+        bind(PeerMesh.class).toInstance(mesh);
+        bind(FrameCounters.class).toInstance(counters);
+        bind(MetricRegistry.class).toInstance(metrics);
+        bind(MonotonicClock.class).toInstance(clock);
+        bind(WorkerPool.class).toInstance(new WorkerPool());
+    }
+
+    @Provides
+    @Singleton
+    DaemonTables tables() {
+        EvidenceTable evidence = new EvidenceTable();
+        Drain drain = new Drain();
+        DaemonSettings.LeaseTimes times = settings.lease();
+        LeaseSettings leaseSettings = new LeaseSettings(
+                times.ttl().toMillis(),
+                times.drift().toMillis(),
+                times.longestOrder().toMillis());
+        return new DaemonTables(
+                self,
+                new ConfigTable(),
+                new AssignmentTable(),
+                evidence,
+                new DaemonDirectory(self, settings.peers().suspectAfter().toMillis(), REMOTE_SUSPECT_MILLIS),
+                new VmTable(evidence, drain),
+                drain,
+                new LeaseHolder(self.daemon(), self.incarnation(), leaseSettings),
+                new Shutdown(settings.shutdown().grace().toMillis()));
+    }
+
+    @Provides
+    @Singleton
+    Broadcast broadcast() {
+        return new Broadcast(mesh, self.failureDomain());
+    }
+
+    @Provides
+    @Singleton
+    PlatformClient platform() {
+        return new PlatformClient(settings.platform(), clock);
+    }
+
+    @Provides
+    @Singleton
+    EngineClient engines() {
+        return new EngineClient(MAX_ENGINE_CONNECTIONS, MAX_CONNECTIONS_PER_ENGINE, ENGINE_CONNECT_TIMEOUT);
+    }
+
+    @Provides
+    @Singleton
+    StoreWrites writes(PlatformClient platform) {
+        return new StoreWrites(platform, self.incarnation());
+    }
+
+    @Provides
+    @Singleton
+    FleetNews news(DaemonTables tables, Broadcast broadcast) {
+        return new FleetNews(tables, broadcast, clock);
+    }
+
+    @Provides
+    @Singleton
+    EvidenceExchange evidence(DaemonTables tables, Broadcast broadcast) {
+        return new EvidenceExchange(tables.evidence(), tables.drain(), broadcast, clock);
+    }
+
+    @Provides
+    @Singleton
+    ProbeTask probes(DaemonTables tables, EvidenceExchange exchange, EngineClient engines, WorkerPool workers) {
+        return new ProbeTask(tables, exchange, engines, workers, clock);
+    }
+
+    @Provides
+    @Singleton
+    LeaseTask lease(DaemonTables tables, FleetNews news, PlatformClient platform, StoreWrites writes) {
+        return new LeaseTask(
+                tables, news, platform, writes, settings.lease().ttl().toMillis(), clock);
+    }
+
+    @Provides
+    @Singleton
+    OrderSender orders(DaemonTables tables, EngineClient engines, ProbeTask probes, WorkerPool workers) {
+        return new OrderSender(
+                tables, engines, probes, workers, settings.lease().longestOrder(), clock);
+    }
+
+    @Provides
+    @Singleton
+    ControllerTask controller(
+            DaemonTables tables,
+            FleetNews news,
+            PlatformClient platform,
+            StoreWrites writes,
+            OrderSender orders,
+            ProbeTask probes) {
+        ControllerSettings times = ControllerSettings.of(
+                settings.evidence().maxAge().toMillis(),
+                settings.lease().longestOrder().toMillis());
+        Controller controller = new Controller(self.failureDomain(), times);
+        return new ControllerTask(tables, controller, news, platform, writes, orders, probes, clock);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -0,0 +1,140 @@
+package io.sesamehead.daemon.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.Stage;
+import io.sesamehead.coordination.drain.StopPhase;
+import io.sesamehead.coordination.membership.DaemonEntry;
+import io.sesamehead.daemon.protocol.PeerMessages;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.Addresses;
+import io.sesamehead.daemon.transport.Broadcast;
+import io.sesamehead.daemon.transport.EngineClient;
+import io.sesamehead.daemon.transport.FrameCounters;
+import io.sesamehead.daemon.transport.PeerMesh;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.state.Incarnation;
+import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import org.tinylog.Logger;
+
+/** One running daemon, from its settings to its graceful stop. */
+public final class DaemonProcess implements AutoCloseable {
+    private final Injector injector;
+    private final DaemonTables tables;
+    private final PeerMesh mesh;
+    private final ControlTasks tasks;
+    private final StopTask stop;
+
+    private DaemonProcess(Injector injector) {
+        this.injector = injector;
+        this.tables = injector.getInstance(DaemonTables.class);
+        this.mesh = injector.getInstance(PeerMesh.class);
+        this.tasks = injector.getInstance(ControlTasks.class);
+        this.stop = new StopTask(
+                tables,
+                injector.getInstance(Broadcast.class),
+                injector.getInstance(LeaseTask.class),
+                injector.getInstance(ControllerTask.class),
+                () -> 0,
+                injector.getInstance(MonotonicClock.class));
+    }
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings validated settings
+     * @return the running daemon
+     */
+    public static DaemonProcess start(DaemonSettings settings) {
+        MetricRegistry metrics = new MetricRegistry();
+        FrameCounters counters = new FrameCounters(metrics);
+        AtomicReference<DaemonEntry> self = new AtomicReference<>();
+        PeerMesh mesh = new PeerMesh(() -> PeerMessages.hello(self.get()), counters);
+        String peerAddress = Addresses.text(mesh.listen(settings.daemon().peerAddress()));
+        self.set(new DaemonEntry(
+                settings.daemon().name(),
+                new Incarnation(new SecureRandom().nextLong()),
+                settings.daemon().failureDomain(),
+                peerAddress,
+                false));
+        DaemonModule module = new DaemonModule(settings, self.get(), mesh, counters, metrics, new MonotonicClock());
+        DaemonProcess process = new DaemonProcess(Guice.createInjector(Stage.PRODUCTION, module));
+        process.startTasks();
+        Logger.info(
+                "daemon: {} of {} started with incarnation {}",
+                self.get().daemon(),
+                self.get().failureDomain(),
+                self.get().incarnation());
+        return process;
+    }
+
+    private void startTasks() {
+        mesh.deliverTo(new PeerTraffic(
+                tables,
+                injector.getInstance(FleetNews.class),
+                injector.getInstance(EvidenceExchange.class),
+                injector.getInstance(CallForwarding.class),
+                injector.getInstance(MonotonicClock.class)));
+        tasks.startPeerTasks(
+                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), () -> 0),
+                injector.getInstance(ProbeTask.class),
+                injector.getInstance(ControllerTask.class));
+        tasks.startStoreTasks(injector.getInstance(LeaseTask.class));
+    }
+
+    /**
+     * Runs a daemon until a signal stopped it.
+     *
+     * @param settings validated settings
+     * @return exit code of the process
+     */
+    public static int run(DaemonSettings settings) {
+        DaemonProcess process = start(settings);
+        StopSignals.install(process::signal);
+        process.awaitStop();
+        process.close();
+        return 0;
+    }
+
+    /** Asks the daemon to stop; a second call ends the stop at once. */
+    public void signal() {
+        stop.signal();
+    }
+
+    /** Blocks until a stop was asked for and is done. */
+    public void awaitStop() {
+        stop.await();
+    }
+
+    /**
+     * Returns the tables of the daemon.
+     *
+     * @return the tables
+     */
+    public DaemonTables tables() {
+        return tables;
+    }
+
+    /**
+     * Returns the metrics of the daemon.
+     *
+     * @return the registry
+     */
+    public MetricRegistry metrics() {
+        return injector.getInstance(MetricRegistry.class);
+    }
+
+    /** Ends the process without a graceful stop, as a crash would, or after one. */
+    @Override
+    public void close() {
+        tasks.close();
+        injector.getInstance(WorkerPool.class).close();
+        mesh.close();
+        injector.getInstance(PlatformClient.class).close();
+        injector.getInstance(EngineClient.class).close();
+        StopPhase phase = tables.shutdown().phase();
+        Logger.info("daemon: {} ended in phase {}", tables.self().daemon(), phase);
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/LeaseTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/LeaseTask.java
@@ -128,11 +128,12 @@
      * Gives the lease back if this daemon holds it.
      *
      * @param ordersInFlight orders that can still take effect
+     * @return false when it is to be tried again, because orders are in flight or the store did not answer
      */
-    public synchronized void giveBack(int ordersInFlight) {
+    public synchronized boolean giveBack(int ordersInFlight) {
         Optional<Lease> released = tables.lease().release(ordersInFlight);
         if (released.isEmpty()) {
-            return;
+            return ordersInFlight == 0;
         }
         if (platform.read(Kinds.CONTROLLERS, name()) instanceof StoreResult.Ok<PlatformObject>(PlatformObject object)
                 && stillOurs(object)) {
@@ -142,7 +143,9 @@
                     Optional.of(object.resourceVersion()),
                     token -> LeaseCodec.encode(released.get(), token));
             Logger.info("lease: gave {} back: {}", name(), outcome.getClass().getSimpleName());
+            return outcome instanceof StoreWrites.Outcome.Accepted;
         }
+        return false;
     }
 
     private boolean stillOurs(PlatformObject object) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Sets the receiver of connections and frames. Called once, before the mesh listens or dials.
+     * Sets the receiver of connections and frames. Called once; connections accepted before are closed.
      *
      * @param receiver called on the network thread
      */
@@ -140,6 +140,11 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                if (listener == null) {
+                    // The daemon is still starting; the peer dials again.
+                    channel.close();
+                    return;
+                }
                 long incarnation = ThreadLocalRandom.current().nextLong();
                 channel.pipeline()
                         .addLast(new ReadTimeoutHandler(SILENCE_SECONDS))
