--- a/standin/src/main/java/io/sesamehead/standin/Call.java
+++ b/standin/src/main/java/io/sesamehead/standin/Call.java
@@ -114,7 +114,7 @@
     }
 
     /**
-     * Answers with JSON. A body with a {@code run} member is sent as a problem document.
+     * Answers with JSON. An error with a {@code detail} member is sent as a problem document.
      *
      * @param status HTTP status
      * @param answer the answer
@@ -122,7 +122,7 @@
      */
     public void answer(int status, JsonNode answer) throws IOException {
         body();
-        boolean problem = status >= 400 && answer.has("run");
+        boolean problem = status >= 400 && answer.has("detail");
         byte[] bytes = Json.bytes(answer);
         exchange.getResponseHeaders().set("Content-Type", problem ? "application/problem+json" : "application/json");
         exchange.sendResponseHeaders(status, bytes.length);
--- a/standin/src/test/java/io/sesamehead/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/io/sesamehead/standin/engine/EngineStandInTest.java
@@ -5,8 +5,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.sesamehead.standin.Client;
+import io.sesamehead.standin.Json;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -167,6 +170,15 @@
         Client.await(() -> status(toHead).path("state").asText().equals("ready"));
     }
 
+    /** Guards against a head that breaks running streams because a member announced a planned stop. */
+    @Test
+    void countsALeavingMemberAsPresent() throws Exception {
+        form(7);
+        toWorker.send("POST", "/admin/faults", "{\"leaving\":true}");
+        EngineOrder order = EngineOrder.parse(Json.parse(order("load", 7, 0).getBytes(StandardCharsets.UTF_8)));
+        assertThat(new MemberCheck(Duration.ofSeconds(20)).missing(order)).isEmpty();
+    }
+
     /** Guards against a poisonous prompt that leaves the engine running or its execution unrecorded. */
     @Test
     void crashesOnPrompt() throws Exception {
