--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/DaemonCommand.java
@@ -0,0 +1,21 @@
+package io.sesamehead.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.sesamehead.daemon.runtime.DaemonProcess;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.settings.SettingsReader;
+
+/** {@code daemon}: runs one daemon until a signal stops it. */
+@Parameters(commandDescription = "Run a daemon until SIGTERM; a second SIGTERM ends its graceful stop sooner")
+public final class DaemonCommand implements Command {
+    @Parameter(names = "--settings", required = true, description = "Settings file of the daemon")
+    private String file;
+
+    @Override
+    public ExitCode run(Console console) throws CommandFailure {
+        DaemonSettings settings = TextFile.valid(file, TextFile.read(file), SettingsReader::read);
+        int code = DaemonProcess.run(settings);
+        return code == 0 ? ExitCode.DONE : ExitCode.FAILED;
+    }
+}
--- a/cli/src/main/java/io/sesamehead/cli/DaemonStatuses.java
+++ b/cli/src/main/java/io/sesamehead/cli/DaemonStatuses.java
@@ -32,9 +32,18 @@
 
     private static DaemonStatus read(JsonSource source, String address) throws InterruptedException {
         try {
-            return DaemonStatus.of(address, source.read("http://" + address + "/status"));
+            return DaemonStatus.of(address, source.read("http://" + address + "/status"), ready(source, address));
         } catch (IOException e) {
             return DaemonStatus.silent(address, String.valueOf(e.getMessage()));
         }
     }
+
+    private static boolean ready(JsonSource source, String address) throws InterruptedException {
+        try {
+            source.read("http://" + address + "/ready");
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -36,11 +36,13 @@
     /** The commands in the order of the help text. */
     static ImmutableMap<String, Command> commands(JsonSource source) {
         return ImmutableMap.<String, Command>builder()
+                .put("daemon", new DaemonCommand())
                 .put("check-settings", new CheckSettingsCommand())
                 .put("apply", new ApplyCommand(source))
                 .put("status", new StatusCommand(source))
                 .put("groups", new GroupsCommand())
                 .put("drain", new DrainCommand())
+                .put("report", new ReportCommand(source))
                 .put("load", new LoadCommand(TokenSource::token, source))
                 .put("stand-in", new StandInCommand())
                 .put("stand-in platform", new StandInPlatformCommand())
--- a/cli/src/main/java/io/sesamehead/cli/PlatformOptions.java
+++ b/cli/src/main/java/io/sesamehead/cli/PlatformOptions.java
@@ -21,6 +21,10 @@
             description = "Address of the platform's object API, ip:port; default: environment " + ENVIRONMENT)
     private InetSocketAddress address;
 
+    boolean given() {
+        return address != null || System.getenv(ENVIRONMENT) != null;
+    }
+
     PlatformClient open() throws CommandFailure {
         InetSocketAddress chosen = address;
         String fromEnvironment = System.getenv(ENVIRONMENT);
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/ReportCommand.java
@@ -0,0 +1,126 @@
+package io.sesamehead.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.cli.report.BurnCalculator;
+import io.sesamehead.cli.report.BurnReport;
+import io.sesamehead.cli.report.Objectives;
+import io.sesamehead.cli.report.ReportJson;
+import io.sesamehead.cli.report.ReportPage;
+import io.sesamehead.cli.report.Sample;
+import io.sesamehead.cli.report.SampleHistory;
+import io.sesamehead.daemon.transport.PlatformClient;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** {@code report}: service-level burn per service and client account. */
+@Parameters(commandDescription = "Report service-level burn, group downtime and stranded accelerators")
+public final class ReportCommand implements Command {
+    private static final int MAX_SECONDS = 24 * 3600;
+
+    @Parameter(names = "--history", description = "File that keeps samples from run to run, for the long windows")
+    private String history = "";
+
+    @Parameter(names = "--for", description = "Seconds to keep sampling before the report; 0 samples once")
+    private int forSeconds;
+
+    @Parameter(names = "--every", description = "Seconds between samples")
+    private int everySeconds = 5;
+
+    @Parameter(names = "--objective", description = "Promised share of calls that end with their whole answer")
+    private double objective = 0.999;
+
+    @Parameter(names = "--token-objective", description = "Promised share of tokens in time: first 1.3 s, next 50 ms")
+    private double tokenObjective = 0.95;
+
+    @Parameter(names = "--html", description = "File for the report as one self-contained page with plots")
+    private String html = "";
+
+    @Parameter(names = "--json", description = "Print JSON")
+    private boolean json;
+
+    @ParametersDelegate
+    private final AdminOptions adminOptions = new AdminOptions();
+
+    @ParametersDelegate
+    private final PlatformOptions platformOptions = new PlatformOptions();
+
+    private final JsonSource source;
+
+    /**
+     * Creates the command.
+     *
+     * @param source reads the daemons' admin ports
+     */
+    public ReportCommand(JsonSource source) {
+        this.source = source;
+    }
+
+    @Override
+    public ExitCode run(Console console) throws CommandFailure, InterruptedException {
+        checkOptions();
+        ImmutableList<String> addresses = adminOptions.addresses();
+        Optional<PlatformClient> platform =
+                platformOptions.given() ? Optional.of(platformOptions.open()) : Optional.empty();
+        try {
+            List<Sample> samples = samples(new SampleCollector(source, addresses, platform));
+            if (samples.getLast().daemons().isEmpty()) {
+                throw new CommandFailure(ExitCode.FAILED, "none of the daemons answers on its admin port");
+            }
+            BurnReport report =
+                    new BurnCalculator(new Objectives(objective, tokenObjective, tokenObjective)).report(samples);
+            print(report, samples, console);
+            return ExitCode.DONE;
+        } catch (IOException e) {
+            throw new CommandFailure(ExitCode.FAILED, "report: " + e.getMessage());
+        } finally {
+            platform.ifPresent(PlatformClient::close);
+        }
+    }
+
+    private void checkOptions() throws CommandFailure {
+        if (forSeconds < 0 || forSeconds > MAX_SECONDS || everySeconds < 1) {
+            throw new CommandFailure(
+                    ExitCode.WRONG_USAGE, "--for must be 0 to " + MAX_SECONDS + " and --every at least 1");
+        }
+        if (!(objective > 0 && objective < 1 && tokenObjective > 0 && tokenObjective < 1)) {
+            throw new CommandFailure(ExitCode.WRONG_USAGE, "objectives must be above 0 and below 1");
+        }
+    }
+
+    private List<Sample> samples(SampleCollector collector) throws IOException, InterruptedException {
+        List<Sample> samples = new ArrayList<>();
+        if (!history.isEmpty()) {
+            samples.addAll(SampleHistory.read(Path.of(history), System.currentTimeMillis()));
+        }
+        int rounds = 1 + forSeconds / everySeconds;
+        for (int round = 0; round < rounds; round++) {
+            if (round > 0) {
+                Thread.sleep(everySeconds * 1000L);
+            }
+            Sample sample = collector.collect(System.currentTimeMillis());
+            samples.add(sample);
+            if (!history.isEmpty()) {
+                SampleHistory.append(Path.of(history), sample);
+            }
+        }
+        return samples;
+    }
+
+    private void print(BurnReport report, List<Sample> samples, Console console) throws IOException {
+        if (!html.isEmpty()) {
+            Files.writeString(Path.of(html), ReportPage.render(report, samples));
+        }
+        if (json) {
+            console.print(ReportJson.of(report).toPrettyString());
+        } else {
+            ReportTables.print(report, console);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/SampleCollector.java
@@ -0,0 +1,88 @@
+package io.sesamehead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.cli.operator.FleetReader;
+import io.sesamehead.cli.operator.ReleaseWriter;
+import io.sesamehead.cli.operator.ServiceMatch;
+import io.sesamehead.cli.report.FleetCounts;
+import io.sesamehead.cli.report.Level;
+import io.sesamehead.cli.report.LevelKey;
+import io.sesamehead.cli.report.Sample;
+import io.sesamehead.cli.report.SampleReader;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.GroupState;
+import io.sesamehead.state.ReleaseNote;
+import io.sesamehead.state.Vm;
+import io.sesamehead.state.VmId;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+
+/** Takes one sample of the fleet's counters. */
+final class SampleCollector {
+    private final JsonSource source;
+    private final ImmutableList<String> addresses;
+    private final Optional<PlatformClient> platform;
+
+    SampleCollector(JsonSource source, ImmutableList<String> addresses, Optional<PlatformClient> platform) {
+        this.source = source;
+        this.addresses = addresses;
+        this.platform = platform;
+    }
+
+    Sample collect(long epochMillis) throws InterruptedException {
+        ImmutableMap.Builder<String, ImmutableMap<LevelKey, Level>> daemons = ImmutableMap.builder();
+        int silent = 0;
+        for (String address : addresses) {
+            try {
+                JsonNode status = source.read("http://" + address + "/status");
+                JsonNode metrics = source.read("http://" + address + "/metrics");
+                String incarnation = status.path("daemon").asText() + "/"
+                        + status.path("incarnation").asText();
+                daemons.put(incarnation, SampleReader.levels(status, metrics));
+            } catch (IOException e) {
+                silent++;
+            }
+        }
+        return new Sample(epochMillis, daemons.buildKeepingLast(), silent, fleet());
+    }
+
+    private FleetCounts fleet() {
+        if (platform.isEmpty()) {
+            return FleetCounts.UNKNOWN;
+        }
+        try {
+            FleetReader reader = new FleetReader(platform.get());
+            ReleaseNote note =
+                    ReleaseChange.note(new ReleaseChange(platform.get()).read()).orElse(ApplyCommand.NOTHING);
+            return count(note, reader.assignments(), reader.vms());
+        } catch (ReleaseWriter.ReadFailure | CommandFailure e) {
+            return FleetCounts.UNKNOWN;
+        }
+    }
+
+    static FleetCounts count(ReleaseNote note, List<GroupAssignment> assignments, List<Vm> vms) {
+        List<ServiceMatch> matches = ServiceMatch.compare(note, assignments);
+        ImmutableSet<VmId> working = assignments.stream()
+                .flatMap(assignment -> assignment.groups().stream())
+                .filter(group -> group.state() == GroupState.SERVING)
+                .flatMap(group -> group.members().stream())
+                .map(member -> member.vm())
+                .collect(ImmutableSet.toImmutableSet());
+        int stranded = vms.stream()
+                .filter(vm -> !working.contains(vm.id()))
+                .mapToInt(Vm::accelerators)
+                .sum();
+        return new FleetCounts(
+                matches.stream().mapToInt(ServiceMatch::asked).sum(),
+                matches.stream()
+                        .mapToInt(match -> Math.min(match.asked(), match.serving()))
+                        .sum(),
+                vms.stream().mapToInt(Vm::accelerators).sum(),
+                stranded);
+    }
+}
--- a/cli/src/main/java/io/sesamehead/cli/operator/DaemonStatus.java
+++ b/cli/src/main/java/io/sesamehead/cli/operator/DaemonStatus.java
@@ -13,7 +13,7 @@
  * @param failureDomain its failure domain
  * @param ready whether it takes calls
  * @param generation generation in force at it
- * @param serving by group id, whether the daemon sends work to the group now
+ * @param serving by id of the groups of its failure domain, whether the daemon sends work to the group now
  */
 public record DaemonStatus(
         String address,
@@ -40,12 +40,16 @@
      *
      * @param address admin address
      * @param document the document
+     * @param ready whether the daemon takes calls
      * @return the status
      */
-    public static DaemonStatus of(String address, JsonNode document) {
+    public static DaemonStatus of(String address, JsonNode document, boolean ready) {
         ImmutableMap.Builder<String, Boolean> serving = ImmutableMap.builder();
         for (JsonNode group : document.path("groups")) {
-            serving.put(group.path("id").asText(), group.path("serving").asBoolean());
+            // Only groups of the daemon's own failure domain say whether it serves them; ids repeat elsewhere.
+            if (group.has("serving")) {
+                serving.put(group.path("id").asText(), group.path("serving").asBoolean());
+            }
         }
         return new DaemonStatus(
                 address,
@@ -53,7 +57,7 @@
                 "",
                 document.path("daemon").asText("-"),
                 document.path("failureDomain").asText("-"),
-                document.path("ready").asBoolean(),
+                ready,
                 document.path("generation").asLong(),
                 serving.buildKeepingLast());
     }
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/report/BurnCalculator.java
@@ -0,0 +1,147 @@
+package io.sesamehead.cli.report;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Computes burn from samples. */
+public final class BurnCalculator {
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private final Objectives objectives;
+
+    /**
+     * Creates a calculator.
+     *
+     * @param objectives the promised shares
+     */
+    public BurnCalculator(Objectives objectives) {
+        this.objectives = objectives;
+    }
+
+    /**
+     * Computes the report at the newest sample.
+     *
+     * @param samples at least one sample, oldest first
+     * @return the report
+     */
+    public BurnReport report(List<Sample> samples) {
+        Sample newest = samples.getLast();
+        Map<BurnWindow, Map<LevelKey, LevelCounters>> changes = new TreeMap<>();
+        ImmutableMap.Builder<BurnWindow, Double> downtime = ImmutableMap.builder();
+        ImmutableMap.Builder<BurnWindow, Double> stranded = ImmutableMap.builder();
+        for (BurnWindow window : BurnWindow.values()) {
+            int first = firstIndex(samples, window);
+            List<Sample> inside = samples.subList(first, samples.size());
+            changes.put(window, changes(samples, first));
+            downtime.put(window, integrate(inside, sample -> sample.fleet().groupsMissing()));
+            stranded.put(window, integrate(inside, sample -> sample.fleet().stranded()));
+        }
+        TreeSet<LevelKey> keys =
+                new TreeSet<>(changes.get(BurnWindow.THREE_DAYS).keySet());
+        ImmutableList.Builder<BurnReport.Line> lines = ImmutableList.builder();
+        keys.forEach(key -> lines.add(line(key, changes, newest)));
+        return new BurnReport(
+                newest.epochMillis(),
+                newest.epochMillis() - samples.getFirst().epochMillis(),
+                newest.daemons().size(),
+                newest.silent(),
+                lines.build(),
+                newest.fleet(),
+                downtime.buildOrThrow(),
+                stranded.buildOrThrow());
+    }
+
+    /** The last sample before the window starts, from which its changes are counted, or else the first sample. */
+    private static int firstIndex(List<Sample> samples, BurnWindow window) {
+        long from = samples.getLast().epochMillis() - window.millis();
+        int first = 0;
+        for (int index = 0; index < samples.size(); index++) {
+            if (samples.get(index).epochMillis() <= from) {
+                first = index;
+            }
+        }
+        return first;
+    }
+
+    /** Adds up what each daemon incarnation counted since the first sample of the window. */
+    private static Map<LevelKey, LevelCounters> changes(List<Sample> samples, int first) {
+        Map<String, ImmutableMap<LevelKey, Level>> last = new TreeMap<>();
+        samples.subList(first, samples.size()).forEach(sample -> last.putAll(sample.daemons()));
+        Map<String, ImmutableMap<LevelKey, Level>> before = baseline(samples, first);
+        Map<LevelKey, LevelCounters> changes = new TreeMap<>();
+        last.forEach((incarnation, levels) -> levels.forEach((key, level) -> {
+            LevelCounters earlier = Optional.ofNullable(before.get(incarnation))
+                    .map(known -> known.get(key))
+                    .map(Level::counters)
+                    .orElse(LevelCounters.NONE);
+            changes.merge(key, level.counters().minus(earlier), LevelCounters::plus);
+        }));
+        return changes;
+    }
+
+    /**
+     * Counters at the start of the window. A daemon that was silent then keeps its counters of an older sample; one
+     * that was never seen before counts from its own start. A single sample counts from the starts of the daemons.
+     */
+    private static Map<String, ImmutableMap<LevelKey, Level>> baseline(List<Sample> samples, int first) {
+        Map<String, ImmutableMap<LevelKey, Level>> before = new TreeMap<>();
+        if (samples.size() > 1) {
+            samples.subList(0, first + 1).forEach(sample -> before.putAll(sample.daemons()));
+        }
+        return before;
+    }
+
+    private interface SampleValue {
+        int of(Sample sample);
+    }
+
+    /** Each sample's value holds until the next sample. */
+    private static double integrate(List<Sample> inside, SampleValue value) {
+        double total = 0;
+        for (int index = 1; index < inside.size(); index++) {
+            long millis =
+                    inside.get(index).epochMillis() - inside.get(index - 1).epochMillis();
+            total += value.of(inside.get(index - 1)) * millis / MILLIS_PER_SECOND;
+        }
+        return total;
+    }
+
+    private BurnReport.Line line(LevelKey key, Map<BurnWindow, Map<LevelKey, LevelCounters>> changes, Sample newest) {
+        ImmutableMap.Builder<BurnWindow, LevelCounters> counters = ImmutableMap.builder();
+        ImmutableMap.Builder<BurnWindow, Double> burn = ImmutableMap.builder();
+        changes.forEach((window, byKey) -> {
+            LevelCounters change = byKey.getOrDefault(key, LevelCounters.NONE);
+            counters.put(window, change);
+            burn.put(window, Objectives.burnRate(change.bad(), change.calls(), objectives.whole()));
+        });
+        ImmutableMap<BurnWindow, LevelCounters> byWindow = counters.buildOrThrow();
+        LevelCounters hour = byWindow.get(BurnWindow.ONE_HOUR);
+        LevelCounters longest = byWindow.get(BurnWindow.THREE_DAYS);
+        return new BurnReport.Line(
+                key,
+                byWindow,
+                burn.buildOrThrow(),
+                1 - Objectives.burnRate(longest.bad(), longest.calls(), objectives.whole()),
+                Objectives.burnRate(hour.lateFirstTokens(), hour.firstTokens(), objectives.firstToken()),
+                Objectives.burnRate(hour.lateGaps(), hour.gaps(), objectives.betweenTokens()),
+                largest(newest, key, Level::firstTokenP95Millis),
+                largest(newest, key, Level::betweenTokensP95Millis));
+    }
+
+    private interface LevelValue {
+        double of(Level level);
+    }
+
+    private static double largest(Sample newest, LevelKey key, LevelValue value) {
+        return newest.daemons().values().stream()
+                .filter(levels -> levels.containsKey(key))
+                .mapToDouble(levels -> value.of(levels.get(key)))
+                .max()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/report/LevelCounters.java
@@ -0,0 +1,48 @@
+package io.sesamehead.cli.report;
+
+/**
+ * Counters of one service and client account since the start of a daemon, or the sum or difference of such counters.
+ *
+ * @param calls calls that the objective counts; mistakes of callers are left out
+ * @param bad calls among them that did not end with the whole answer
+ * @param firstTokens first tokens delivered
+ * @param lateFirstTokens first tokens later than the objective
+ * @param gaps times between two tokens
+ * @param lateGaps times between two tokens longer than the objective
+ */
+public record LevelCounters(long calls, long bad, long firstTokens, long lateFirstTokens, long gaps, long lateGaps) {
+    /** No calls. */
+    public static final LevelCounters NONE = new LevelCounters(0, 0, 0, 0, 0, 0);
+
+    /**
+     * Adds counters.
+     *
+     * @param other counters of another daemon
+     * @return the sum
+     */
+    public LevelCounters plus(LevelCounters other) {
+        return new LevelCounters(
+                calls + other.calls,
+                bad + other.bad,
+                firstTokens + other.firstTokens,
+                lateFirstTokens + other.lateFirstTokens,
+                gaps + other.gaps,
+                lateGaps + other.lateGaps);
+    }
+
+    /**
+     * Subtracts earlier counters of the same daemon.
+     *
+     * @param earlier the earlier counters
+     * @return what happened in between
+     */
+    public LevelCounters minus(LevelCounters earlier) {
+        return new LevelCounters(
+                calls - earlier.calls,
+                bad - earlier.bad,
+                firstTokens - earlier.firstTokens,
+                lateFirstTokens - earlier.lateFirstTokens,
+                gaps - earlier.gaps,
+                lateGaps - earlier.lateGaps);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/report/LevelKey.java
@@ -0,0 +1,15 @@
+package io.sesamehead.cli.report;
+
+/**
+ * What a service level is kept for.
+ *
+ * @param service name of the service
+ * @param account name of the client account
+ */
+public record LevelKey(String service, String account) implements Comparable<LevelKey> {
+    @Override
+    public int compareTo(LevelKey other) {
+        int byService = service.compareTo(other.service);
+        return byService != 0 ? byService : account.compareTo(other.account);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/report/SampleHistory.java
@@ -0,0 +1,121 @@
+package io.sesamehead.cli.report;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Comparator;
+
+/** Samples in a file, one JSON object a line. Entry VMs keep no state, so the operator's machine keeps the history. */
+public final class SampleHistory {
+    /** The longest window is three days; older samples are not needed. */
+    private static final long KEPT_MILLIS = 3L * 24 * 3600 * 1000 + 3_600_000;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private SampleHistory() {}
+
+    /**
+     * Reads the samples of a file.
+     *
+     * @param file the file; it need not exist
+     * @param nowMillis wall-clock time
+     * @return the samples that a window can reach, oldest first
+     * @throws IOException if the file cannot be read or holds something else
+     */
+    public static ImmutableList<Sample> read(Path file, long nowMillis) throws IOException {
+        if (!Files.exists(file)) {
+            return ImmutableList.of();
+        }
+        ImmutableList.Builder<Sample> samples = ImmutableList.builder();
+        for (String line : Files.readAllLines(file)) {
+            JsonNode node = JSON.readTree(line);
+            if (nowMillis - node.path("epochMillis").asLong() <= KEPT_MILLIS) {
+                samples.add(decode(node));
+            }
+        }
+        return ImmutableList.sortedCopyOf(Comparator.comparingLong(Sample::epochMillis), samples.build());
+    }
+
+    /**
+     * Appends a sample.
+     *
+     * @param file the file
+     * @param sample the sample
+     * @throws IOException if the file cannot be written
+     */
+    public static void append(Path file, Sample sample) throws IOException {
+        Files.writeString(file, encode(sample) + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    }
+
+    static ObjectNode encode(Sample sample) {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("epochMillis", sample.epochMillis());
+        node.put("silent", sample.silent());
+        node.putObject("fleet")
+                .put("groupsAsked", sample.fleet().groupsAsked())
+                .put("groupsServing", sample.fleet().groupsServing())
+                .put("accelerators", sample.fleet().accelerators())
+                .put("stranded", sample.fleet().stranded());
+        ObjectNode daemons = node.putObject("daemons");
+        sample.daemons().forEach((incarnation, levels) -> {
+            var list = daemons.putArray(incarnation);
+            levels.forEach((key, level) -> list.addObject()
+                    .put("service", key.service())
+                    .put("account", key.account())
+                    .put("calls", level.counters().calls())
+                    .put("bad", level.counters().bad())
+                    .put("firstTokens", level.counters().firstTokens())
+                    .put("lateFirstTokens", level.counters().lateFirstTokens())
+                    .put("gaps", level.counters().gaps())
+                    .put("lateGaps", level.counters().lateGaps())
+                    .put("firstTokenP95Millis", level.firstTokenP95Millis())
+                    .put("betweenTokensP95Millis", level.betweenTokensP95Millis()));
+        });
+        return node;
+    }
+
+    static Sample decode(JsonNode node) {
+        ImmutableMap.Builder<String, ImmutableMap<LevelKey, Level>> daemons = ImmutableMap.builder();
+        for (var daemon : node.path("daemons").properties()) {
+            ImmutableMap.Builder<LevelKey, Level> levels = ImmutableMap.builder();
+            for (JsonNode item : daemon.getValue()) {
+                levels.put(
+                        new LevelKey(
+                                item.path("service").asText(),
+                                item.path("account").asText()),
+                        level(item));
+            }
+            daemons.put(daemon.getKey(), levels.buildKeepingLast());
+        }
+        JsonNode fleet = node.path("fleet");
+        return new Sample(
+                node.path("epochMillis").asLong(),
+                daemons.buildKeepingLast(),
+                node.path("silent").asInt(),
+                new FleetCounts(
+                        fleet.path("groupsAsked").asInt(),
+                        fleet.path("groupsServing").asInt(),
+                        fleet.path("accelerators").asInt(),
+                        fleet.path("stranded").asInt()));
+    }
+
+    private static Level level(JsonNode item) {
+        LevelCounters counters = new LevelCounters(
+                item.path("calls").asLong(),
+                item.path("bad").asLong(),
+                item.path("firstTokens").asLong(),
+                item.path("lateFirstTokens").asLong(),
+                item.path("gaps").asLong(),
+                item.path("lateGaps").asLong());
+        return new Level(
+                counters,
+                item.path("firstTokenP95Millis").asDouble(),
+                item.path("betweenTokensP95Millis").asDouble());
+    }
+}
--- a/cli/src/test/java/io/sesamehead/cli/ApplyCommandTest.java
+++ b/cli/src/test/java/io/sesamehead/cli/ApplyCommandTest.java
@@ -114,7 +114,10 @@
         assertThat(drain("vm-1").code()).isEqualTo(ExitCode.FAILED);
         apply(HEAD + ORDERS);
         assertThat(drain("vm-1").code()).isEqualTo(ExitCode.WRONG_USAGE);
-        send("PUT", "/admin/nodes/vm-1", "{\"failureDomain\":\"cebu\",\"fabricDomain\":\"f1\",\"engineAddress\":\"127.0.0.1:1\"}");
+        send(
+                "PUT",
+                "/admin/nodes/vm-1",
+                "{\"failureDomain\":\"cebu\",\"fabricDomain\":\"f1\",\"engineAddress\":\"127.0.0.1:1\"}");
         assertThat(drain("vm-1").out()).isEqualTo("VM vm-1 is drained in generation 2: accepted\n");
         assertThat(drain("vm-1").out())
                 .isEqualTo("VM vm-1 is drained in generation 2: was so before; nothing was written\n");
--- a/cli/src/test/java/io/sesamehead/cli/CommandLineTest.java
+++ b/cli/src/test/java/io/sesamehead/cli/CommandLineTest.java
@@ -32,7 +32,6 @@
                 "status",
                 "groups",
                 "drain",
-                "report",
                 "load",
                 "stand-in",
                 "stand-in platform",
--- a/cli/src/test/java/io/sesamehead/cli/load/StreamCheckTest.java
+++ b/cli/src/test/java/io/sesamehead/cli/load/StreamCheckTest.java
@@ -31,7 +31,8 @@
 
     @Test
     void errorEventCarriesItsRunState() throws IOException {
-        String error = "event: error\ndata: {\"type\":\"urn:sesamehead:error:stream-torn\",\"run\":\"may-have-run\"}\n\n";
+        String error =
+                "event: error\ndata: {\"type\":\"urn:sesamehead:error:stream-torn\",\"run\":\"may-have-run\"}\n\n";
         assertThat(read(FIRST + error)).containsInstanceOf(AttemptResult.Refused.class);
     }
 
