--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -117,8 +117,14 @@
 
     @Provides
     @Singleton
-    StoreWrites writes(PlatformClient platform) {
-        return new StoreWrites(platform, self.incarnation());
+    WriteTokens tokens() {
+        return new WriteTokens(self.incarnation());
+    }
+
+    @Provides
+    @Singleton
+    StoreWrites writes(PlatformClient platform, WriteTokens tokens) {
+        return new StoreWrites(platform, tokens);
     }
 
     @Provides
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -16,8 +16,10 @@
 import io.sesamehead.daemon.transport.PlatformClient;
 import io.sesamehead.state.Incarnation;
 import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
 
 /** One running daemon, from its settings to its graceful stop. */
 public final class DaemonProcess implements AutoCloseable {
@@ -26,6 +28,7 @@
     private final PeerMesh mesh;
     private final ControlTasks tasks;
     private final StopTask stop;
+    private final AtomicBoolean closed = new AtomicBoolean();
 
     private DaemonProcess(Injector injector) {
         this.injector = injector;
@@ -91,6 +94,7 @@
      * @return exit code of the process
      */
     public static int run(DaemonSettings settings) {
+        Configuration.set("level", settings.log().level());
         DaemonProcess process = start(settings);
         StopSignals.install(process::signal);
         process.awaitStop();
@@ -126,9 +130,21 @@
         return injector.getInstance(MetricRegistry.class);
     }
 
+    /**
+     * Returns the time of the daemon's clock.
+     *
+     * @return monotonic milliseconds
+     */
+    public long nowMillis() {
+        return injector.getInstance(MonotonicClock.class).getAsLong();
+    }
+
     /** Ends the process without a graceful stop, as a crash would, or after one. */
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         tasks.close();
         injector.getInstance(WorkerPool.class).close();
         mesh.close();
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
@@ -62,7 +62,11 @@
             for (int attempt = 0; attempt < TRIES && !registered; attempt++) {
                 registered = update(entries -> entries.put(tables.self().daemon(), tables.self()));
             }
-            Logger.info("daemon: registration in the directory {}", registered ? "is done" : "is to be tried again");
+            if (registered) {
+                Logger.info("daemon: registered in the directory of {}", name());
+            } else {
+                Logger.debug("daemon: registration in the directory is to be tried again");
+            }
             return;
         }
         if (nowMillis >= batchDueMillis && tables.lease().maySend(nowMillis)) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -26,6 +26,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /**
@@ -156,7 +157,7 @@
      */
     public void storedAssignment(GroupAssignment assignment) {
         if (tables.assignments().offer(assignment) == AssignmentTable.Offer.ADOPTED) {
-            raiseEpoch(assignment.controllerEpoch());
+            adopted(assignment);
             broadcast.toNear(assignmentFrame(assignment));
         }
     }
@@ -170,13 +171,27 @@
         try {
             GroupAssignment assignment =
                     AssignmentCodec.decode(Json.parse(update.getGroups().toByteArray()));
-            raiseEpoch(assignment.controllerEpoch());
-            tables.assignments().offer(assignment);
+            if (tables.assignments().offer(assignment) == AssignmentTable.Offer.ADOPTED) {
+                adopted(assignment);
+            }
         } catch (MalformedMessageException | IllegalStateException e) {
             Logger.error("group: an assignment from a peer is unreadable: {}", e.getMessage());
         }
     }
 
+    private void adopted(GroupAssignment assignment) {
+        raiseEpoch(assignment.controllerEpoch());
+        String groups = assignment.groups().stream()
+                .map(group -> group.id() + " " + group.state())
+                .collect(Collectors.joining(", "));
+        Logger.info(
+                "group: assignment {} of {} under epoch {}: {}",
+                assignment.version(),
+                assignment.failureDomain(),
+                assignment.controllerEpoch(),
+                groups.isEmpty() ? "no groups" : groups);
+    }
+
     private Frame assignmentFrame(GroupAssignment assignment) {
         return Frame.newBuilder()
                 .setAssignmentUpdate(AssignmentUpdate.newBuilder()
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/StoreWrites.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StoreWrites.java
@@ -9,10 +9,8 @@
 import io.sesamehead.daemon.protocol.Tokens;
 import io.sesamehead.daemon.transport.PlatformClient;
 import io.sesamehead.daemon.transport.StoreResult;
-import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.WriteToken;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.tinylog.Logger;
 
@@ -22,8 +20,7 @@
     private static final int READ_BACKS = 3;
 
     private final PlatformClient platform;
-    private final Incarnation writer;
-    private final AtomicLong sequence = new AtomicLong();
+    private final WriteTokens tokens;
 
     /** What became of a write. */
     public sealed interface Outcome {
@@ -56,20 +53,11 @@
      * Creates a writer.
      *
      * @param platform the store
-     * @param writer incarnation of this process
+     * @param tokens tokens of this process
      */
-    public StoreWrites(PlatformClient platform, Incarnation writer) {
+    public StoreWrites(PlatformClient platform, WriteTokens tokens) {
         this.platform = platform;
-        this.writer = writer;
-    }
-
-    /**
-     * Draws the token of the next write.
-     *
-     * @return a token that no other write carries
-     */
-    public WriteToken nextToken() {
-        return new WriteToken(writer, sequence.incrementAndGet());
+        this.tokens = tokens;
     }
 
     /**
@@ -83,7 +71,7 @@
      */
     public Outcome write(
             String kind, String name, Optional<String> baseVersion, Function<WriteToken, ? extends JsonNode> spec) {
-        WriteToken token = nextToken();
+        WriteToken token = tokens.next();
         JsonNode content = spec.apply(token);
         StoreResult<PlatformObject> result = baseVersion.isEmpty()
                 ? platform.create(kind, name, content)
