--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/CompletionRequest.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/CompletionRequest.java
@@ -1,5 +1,6 @@
 package io.sesamehead.daemon.protocol;
 
+import io.sesamehead.state.ClientAccount;
 import io.sesamehead.state.Epoch;
 import io.sesamehead.state.GroupId;
 import io.sesamehead.state.RequestId;
@@ -8,6 +9,7 @@
  * A completion as it is sent to the head of a group.
  *
  * @param requestId identifier of the caller's request
+ * @param account the client account
  * @param model name of the model
  * @param prompt the prompt
  * @param maxTokens most tokens of the whole answer
@@ -18,6 +20,7 @@
  */
 public record CompletionRequest(
         RequestId requestId,
+        ClientAccount account,
         String model,
         String prompt,
         int maxTokens,
--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/ReleaseObject.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/ReleaseObject.java
@@ -40,7 +40,8 @@
         return switch (ReleaseNoteReader.read(note)) {
             case ReadResult.Valid<ReleaseNote>(ReleaseNote valid) -> new AcceptedRelease(generation, valid, drained);
             case ReadResult.Invalid<ReleaseNote>(ImmutableList<SettingProblem> problems) ->
-                throw new MalformedMessageException("the release note is not valid: " + Joiner.on("; ").join(problems));
+                throw new MalformedMessageException(
+                        "the release note is not valid: " + Joiner.on("; ").join(problems));
         };
     }
 
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallService.java
@@ -0,0 +1,327 @@
+package io.sesamehead.daemon.runtime;
+
+import io.sesamehead.coordination.admission.AdmissionCall;
+import io.sesamehead.coordination.admission.AdmissionDecision;
+import io.sesamehead.coordination.order.KeyAnswer;
+import io.sesamehead.coordination.order.OrderCall;
+import io.sesamehead.coordination.order.OrderSettings;
+import io.sesamehead.coordination.request.InFlightTable;
+import io.sesamehead.coordination.request.RequestRun;
+import io.sesamehead.coordination.request.StreamSequence;
+import io.sesamehead.daemon.protocol.CompletionBody;
+import io.sesamehead.daemon.transport.CallAnswer;
+import io.sesamehead.daemon.transport.CallContext;
+import io.sesamehead.daemon.transport.CallHandler;
+import io.sesamehead.daemon.transport.PlainCall;
+import io.sesamehead.daemon.transport.TokenSink;
+import io.sesamehead.state.ErrorKind;
+import io.sesamehead.state.Outcome;
+import io.sesamehead.state.RequestId;
+import io.sesamehead.state.RetryAdvice;
+import io.sesamehead.state.ServiceSpec;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * The flow of one call: open, admission, claim of its key, attempts, answer. Every slot and entry that a call takes is
+ * given back whatever its end. Holds no lock during I/O.
+ */
+public final class CallService implements CallHandler {
+    /** Rough size of a token; only the ratio of costs between calls matters. */
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    private static final OrderSettings COMPLETION_ORDERS = new OrderSettings(false, false);
+
+    private final Catalogue catalogue;
+    private final InFlightTable inFlight;
+    private final AdmissionGate gate;
+    private final KeyedCalls keyed;
+    private final CompletionRunner completions;
+    private final PlainRunner plains;
+    private final ServiceLevels levels;
+    private final LongSupplier nowMillis;
+    private final ConcurrentMap<RequestId, CompletableFuture<CallAnswer>> answers = new ConcurrentHashMap<>();
+
+    /**
+     * A call and how it is dispatched.
+     *
+     * @param call the call
+     * @param cost tokens that the account is charged
+     * @param repeatable true when a second execution does no harm
+     * @param settings what the release note says about keyed calls
+     * @param upstream asks the upstream about a key
+     * @param dispatch runs the attempts
+     */
+    record Job(
+            CallContext call,
+            long cost,
+            boolean repeatable,
+            OrderSettings settings,
+            Function<String, KeyAnswer> upstream,
+            Supplier<CallAnswer> dispatch) {}
+
+    /**
+     * Creates the service.
+     *
+     * @param catalogue services of the release in force
+     * @param inFlight open calls
+     * @param gate admission
+     * @param keyed claims of idempotency keys
+     * @param completions attempts of completions
+     * @param plains attempts of plain calls
+     * @param levels service-level burn
+     * @param nowMillis monotonic clock, in milliseconds
+     */
+    public CallService(
+            Catalogue catalogue,
+            InFlightTable inFlight,
+            AdmissionGate gate,
+            KeyedCalls keyed,
+            CompletionRunner completions,
+            PlainRunner plains,
+            ServiceLevels levels,
+            LongSupplier nowMillis) {
+        this.catalogue = catalogue;
+        this.inFlight = inFlight;
+        this.gate = gate;
+        this.keyed = keyed;
+        this.completions = completions;
+        this.plains = plains;
+        this.levels = levels;
+        this.nowMillis = nowMillis;
+    }
+
+    @Override
+    public CallAnswer complete(CallContext call, CompletionBody completion, TokenSink caller) {
+        Optional<CallAnswer> unknown = catalogue.check(call.service(), ServiceSpec.ModelService.class);
+        if (unknown.isPresent()) {
+            return unknown.get();
+        }
+        boolean repeatable = call.key().isEmpty() && !call.nonIdempotent().orElse(false);
+        return serve(new Job(
+                call,
+                cost(completion.prompt(), completion.maxTokens()),
+                repeatable,
+                COMPLETION_ORDERS,
+                key -> new KeyAnswer.Unavailable(),
+                () -> dispatch(call, completion, caller, repeatable)));
+    }
+
+    @Override
+    public CallAnswer call(CallContext call, PlainCall plain) {
+        Optional<CallAnswer> unknown = catalogue.check(call.service(), ServiceSpec.PlainService.class);
+        if (unknown.isPresent()) {
+            return unknown.get();
+        }
+        ServiceSpec.PlainService spec = catalogue.plain(call.service());
+        boolean nonIdempotent = call.nonIdempotent().orElse(!plain.method().equals("GET") && spec.nonIdempotent());
+        boolean repeatable = call.key().isEmpty() && !nonIdempotent;
+        return serve(new Job(
+                call,
+                1,
+                repeatable,
+                OrderSettings.of(spec),
+                key -> keyed.askUpstream(spec, key),
+                () -> dispatch(call, plain, spec, repeatable)));
+    }
+
+    private CallAnswer serve(Job job) {
+        ServiceLevel level = levels.of(job.call().service(), job.call().account());
+        CallAnswer answer = new CallAnswer.Failed(ErrorKind.INTERNAL, "internal error", OptionalLong.empty());
+        try {
+            answer = open(job);
+        } finally {
+            if (answer instanceof CallAnswer.Failed failed) {
+                level.error(failed.kind());
+            } else {
+                level.whole(nowMillis.getAsLong() - job.call().arrivedMillis());
+            }
+        }
+        return withRetryAfter(job, answer);
+    }
+
+    /** Opens the call, or joins it to the open call with the same key. */
+    private CallAnswer open(Job job) {
+        RequestId request = job.call().request();
+        CompletableFuture<CallAnswer> own = new CompletableFuture<>();
+        while (true) {
+            if (answers.putIfAbsent(request, own) != null) {
+                return failed(ErrorKind.BAD_HEADER, "the request id is in use by an open call");
+            }
+            InFlightTable.OpenResult result = inFlight.open(openCall(job.call()));
+            if (result instanceof InFlightTable.OpenResult.Opened) {
+                return runOpened(job, own);
+            }
+            answers.remove(request, own);
+            switch (result) {
+                case InFlightTable.OpenResult.Joined(RequestId holder) -> {
+                    Optional<CallAnswer> joined = join(job, holder);
+                    if (joined.isPresent()) {
+                        return joined.get();
+                    }
+                }
+                case InFlightTable.OpenResult.KeyReused ignored -> {
+                    return failed(ErrorKind.KEY_REUSED, "an open call uses the key with another body");
+                }
+                case InFlightTable.OpenResult.IdInUse ignored -> {
+                    return failed(ErrorKind.BAD_HEADER, "the request id is in use by an open call");
+                }
+                case InFlightTable.OpenResult.Stopping ignored -> {
+                    return failed(ErrorKind.SHUTTING_DOWN, "the daemon is shutting down");
+                }
+                case InFlightTable.OpenResult.Opened ignored ->
+                    throw new IllegalStateException("an opened call was handled above");
+            }
+        }
+    }
+
+    private CallAnswer runOpened(Job job, CompletableFuture<CallAnswer> own) {
+        RequestId request = job.call().request();
+        CallAnswer answer = failed(ErrorKind.INTERNAL, "internal error");
+        try {
+            answer = admit(job);
+            return answer;
+        } finally {
+            own.complete(answer);
+            inFlight.close(request);
+            answers.remove(request, own);
+        }
+    }
+
+    /** Waits for the answer of the call that holds the key; empty when that call has just ended. */
+    private Optional<CallAnswer> join(Job job, RequestId holder) {
+        CompletableFuture<CallAnswer> answer = answers.get(holder);
+        try {
+            if (answer == null) {
+                return Optional.empty();
+            }
+            long remaining = Math.max(1, job.call().deadlineMillis() - nowMillis.getAsLong());
+            return Optional.of(answer.get(remaining, TimeUnit.MILLISECONDS));
+        } catch (TimeoutException e) {
+            return Optional.of(failed(ErrorKind.CLAIMED_ELSEWHERE, "the first call with this key is still running"));
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException("the wait for the first call with this key was ended", e);
+        } finally {
+            inFlight.cancel(job.call().request());
+        }
+    }
+
+    private CallAnswer admit(Job job) {
+        CallContext call = job.call();
+        catalogue.applyShares();
+        try {
+            Optional<AdmissionDecision.Refuse> refusal = gate.enter(new AdmissionCall(
+                    call.request(), call.account(), call.priority(), job.cost(), call.deadlineMillis()));
+            if (refusal.isPresent()) {
+                return refused(refusal.get());
+            }
+            if (call.key().isEmpty()) {
+                return job.dispatch().get();
+            }
+            return keyed.run(job);
+        } finally {
+            gate.leave(call.request());
+        }
+    }
+
+    private CallAnswer dispatch(CallContext call, CompletionBody completion, TokenSink caller, boolean repeatable) {
+        RequestRun run = new RequestRun(call.request(), repeatable, call.deadlineMillis());
+        StreamSequence sequence = new StreamSequence();
+        TokenDelivery delivery = new TokenDelivery(
+                run,
+                sequence,
+                caller,
+                new TokenDelivery.Options(
+                        !completion.stream() || call.key().isPresent(),
+                        call.key().isEmpty()),
+                levels.of(call.service(), call.account()),
+                call.arrivedMillis(),
+                nowMillis);
+        ForwardedCompletion content = new ForwardedCompletion(
+                call.request(),
+                call.service(),
+                call.account(),
+                call.fingerprint(),
+                completion.prompt(),
+                completion.maxTokens(),
+                0,
+                call.priority(),
+                repeatable);
+        CompletionTask task =
+                new CompletionTask(content, call.deadlineMillis(), Optional.empty(), run, sequence, delivery);
+        Outcome outcome = completions.run(task);
+        return outcome instanceof Outcome.Ran
+                ? new CallAnswer.Completed(sequence.nextIndex(), task.finish(), delivery.kept())
+                : failure(outcome, task.retryAfterMillis());
+    }
+
+    private CallAnswer dispatch(CallContext call, PlainCall plain, ServiceSpec.PlainService spec, boolean repeatable) {
+        PlainRunner.Result result = plains.run(call, plain, spec, repeatable);
+        return result.answer().isPresent() && result.outcome() instanceof Outcome.Ran
+                ? new CallAnswer.Body(
+                        result.answer().get().status(),
+                        result.answer().get().contentType(),
+                        result.answer().get().body())
+                : failure(result.outcome(), OptionalLong.empty());
+    }
+
+    private static CallAnswer failure(Outcome outcome, OptionalLong retryAfterMillis) {
+        return switch (outcome) {
+            case Outcome.NotRun(ErrorKind kind, String detail) -> new CallAnswer.Failed(kind, detail, retryAfterMillis);
+            case Outcome.RanWithError(ErrorKind kind, String detail) ->
+                new CallAnswer.Failed(kind, detail, retryAfterMillis);
+            case Outcome.MayHaveRun(ErrorKind kind, String detail) ->
+                new CallAnswer.Failed(kind, detail, retryAfterMillis);
+            case Outcome.Ran ignored -> throw new IllegalStateException("a request that ran has an answer");
+        };
+    }
+
+    private static CallAnswer refused(AdmissionDecision.Refuse refuse) {
+        OptionalLong retryAfterMillis =
+                refuse.retryAfterMillis() > 0 ? OptionalLong.of(refuse.retryAfterMillis()) : OptionalLong.empty();
+        return new CallAnswer.Failed(refuse.kind(), "the call was not admitted", retryAfterMillis);
+    }
+
+    /** Adds the time to come back where the error kind has one and the call did not set it. */
+    private CallAnswer withRetryAfter(Job job, CallAnswer answer) {
+        if (!(answer instanceof CallAnswer.Failed(ErrorKind kind, String detail, OptionalLong given))) {
+            return answer;
+        }
+        boolean repeatable = job.repeatable() || job.call().key().isPresent();
+        boolean advised = kind.retryAdvice() == RetryAdvice.ALWAYS
+                || (kind.retryAdvice() == RetryAdvice.IF_REPEATABLE && repeatable);
+        if (!advised) {
+            return new CallAnswer.Failed(kind, detail, OptionalLong.empty());
+        }
+        return given.isPresent()
+                ? answer
+                : new CallAnswer.Failed(
+                        kind,
+                        detail,
+                        OptionalLong.of(gate.retryAfterMillis(job.call().request())));
+    }
+
+    private static CallAnswer failed(ErrorKind kind, String detail) {
+        return new CallAnswer.Failed(kind, detail, OptionalLong.empty());
+    }
+
+    private static InFlightTable.OpenCall openCall(CallContext call) {
+        Optional<String> order =
+                call.key().map(key -> KeyedCalls.orderCall(call, key)).map(OrderCall::objectName);
+        return new InFlightTable.OpenCall(
+                call.request(), call.account(), call.service(), order, call.fingerprint(), call.arrivedMillis());
+    }
+
+    private static long cost(String prompt, int maxTokens) {
+        return 1L + prompt.length() / CHARACTERS_PER_TOKEN + maxTokens;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/Catalogue.java
@@ -0,0 +1,82 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.coordination.admission.Admission;
+import io.sesamehead.coordination.config.ConfigTable;
+import io.sesamehead.daemon.transport.CallAnswer;
+import io.sesamehead.state.AcceptedRelease;
+import io.sesamehead.state.ErrorKind;
+import io.sesamehead.state.Generation;
+import io.sesamehead.state.ServiceName;
+import io.sesamehead.state.ServiceSpec;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** What the release in force says about services and client accounts. */
+public final class Catalogue {
+    private final ConfigTable config;
+    private final Admission admission;
+    private final AtomicReference<Generation> sharesApplied = new AtomicReference<>(Generation.NONE);
+
+    /**
+     * Creates a view of the configuration.
+     *
+     * @param config the release in force
+     * @param admission takes the shares of the client accounts
+     */
+    public Catalogue(ConfigTable config, Admission admission) {
+        this.config = config;
+        this.admission = admission;
+    }
+
+    /**
+     * Checks that a service exists and is of the expected kind.
+     *
+     * @param name the service
+     * @param kind the expected kind
+     * @return empty when it is, otherwise the answer
+     */
+    Optional<CallAnswer> check(ServiceName name, Class<? extends ServiceSpec> kind) {
+        Optional<AcceptedRelease> release = config.inForce();
+        if (release.isEmpty()) {
+            return Optional.of(
+                    new CallAnswer.Failed(ErrorKind.NO_GROUP, "no release is in force yet", OptionalLong.of(1_000)));
+        }
+        ServiceSpec spec = release.get().note().services().get(name);
+        if (spec == null) {
+            return Optional.of(unknown("the release in force has no service " + name));
+        }
+        return kind.isInstance(spec)
+                ? Optional.empty()
+                : Optional.of(unknown("service " + name + " takes no calls of this kind"));
+    }
+
+    /**
+     * Returns a service that {@link #check} found.
+     *
+     * @param name the service
+     * @return the service; without addresses when a new release has just removed it
+     */
+    ServiceSpec.PlainService plain(ServiceName name) {
+        return config.inForce()
+                .map(release -> release.note().services().get(name))
+                .filter(ServiceSpec.PlainService.class::isInstance)
+                .map(ServiceSpec.PlainService.class::cast)
+                .orElseGet(() -> new ServiceSpec.PlainService(name, ImmutableList.of(), true, false, false));
+    }
+
+    /** Hands the shares of a new release to admission. */
+    void applyShares() {
+        Generation inForce = config.generation();
+        Generation applied = sharesApplied.get();
+        if (inForce.compareTo(applied) > 0 && sharesApplied.compareAndSet(applied, inForce)) {
+            config.inForce()
+                    .ifPresent(release -> admission.applyShares(release.note().shares()));
+        }
+    }
+
+    private static CallAnswer unknown(String detail) {
+        return new CallAnswer.Failed(ErrorKind.UNKNOWN_SERVICE, detail, OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -0,0 +1,323 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.coordination.request.AttemptEnd;
+import io.sesamehead.coordination.request.Fingerprint;
+import io.sesamehead.coordination.request.NextStep;
+import io.sesamehead.coordination.request.SuspectDecision;
+import io.sesamehead.coordination.request.Suspects;
+import io.sesamehead.coordination.routing.RouteRequest;
+import io.sesamehead.coordination.routing.Router;
+import io.sesamehead.coordination.routing.StragglerDetector;
+import io.sesamehead.coordination.routing.UpstreamId;
+import io.sesamehead.daemon.protocol.CompletionRequest;
+import io.sesamehead.daemon.runtime.ServingGroups.ServingGroup;
+import io.sesamehead.daemon.transport.EngineClient;
+import io.sesamehead.daemon.transport.UpstreamResult;
+import io.sesamehead.state.AttemptId;
+import io.sesamehead.state.ErrorKind;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.Outcome;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Runs the attempts of completions: on a group of this failure domain, or in another one when none may serve here. An
+ * interrupted stream resumes after its last delivered token. Holds no lock during I/O.
+ */
+public final class CompletionRunner {
+    /** Wait before the tables are asked again, when a started stream has no group to resume on. */
+    private static final long GROUP_POLL_MILLIS = 50;
+
+    /** A broken group is usually replaced or repaired within this time; later the caller is told to come back. */
+    private static final long RESUME_WAIT_MILLIS = 5_000;
+
+    private static final Duration STATUS_TIMEOUT = Duration.ofMillis(300);
+
+    private final ServingGroups groups;
+    private final EngineClient engines;
+    private final RemoteCalls remote;
+    private final Router router;
+    private final StragglerDetector stragglers;
+    private final Suspects suspects;
+    private final CrashNotices crashes;
+    private final RetryBudgets budgets;
+    private final LiveAttempts live;
+    private final LongSupplier nowMillis;
+
+    /**
+     * Creates a runner.
+     *
+     * @param groups the groups that may serve
+     * @param engines client of the engines
+     * @param remote other failure domains
+     * @param routing router and straggler detector
+     * @param suspects requests that crash upstreams
+     * @param crashes tells the peers of crashes
+     * @param budgets retry budgets
+     * @param live attempts in flight
+     * @param nowMillis monotonic clock, in milliseconds
+     */
+    public CompletionRunner(
+            ServingGroups groups,
+            EngineClient engines,
+            RemoteCalls remote,
+            Routing routing,
+            Suspects suspects,
+            CrashNotices crashes,
+            RetryBudgets budgets,
+            LiveAttempts live,
+            LongSupplier nowMillis) {
+        this.groups = groups;
+        this.engines = engines;
+        this.remote = remote;
+        this.router = routing.router();
+        this.stragglers = routing.stragglers();
+        this.suspects = suspects;
+        this.crashes = crashes;
+        this.budgets = budgets;
+        this.live = live;
+        this.nowMillis = nowMillis;
+    }
+
+    /**
+     * Runs a completion to its end.
+     *
+     * @param task the completion
+     * @return its outcome
+     */
+    Outcome run(CompletionTask task) {
+        budgets.of(task.service()).recordCall(nowMillis.getAsLong());
+        Optional<Outcome> end = Optional.empty();
+        while (end.isEmpty()) {
+            end = step(task);
+        }
+        return end.get();
+    }
+
+    /** Makes one attempt or one wait; returns the outcome once the request has ended. */
+    private Optional<Outcome> step(CompletionTask task) {
+        long now = nowMillis.getAsLong();
+        if (now >= task.deadlineMillis()) {
+            return Optional.of(task.run().close(ErrorKind.DEADLINE_DURING_RUN, "the deadline passed"));
+        }
+        ImmutableMap<UpstreamId, ServingGroup> serving = groups.serving(task.service(), now);
+        ImmutableSet<UpstreamId> candidates = task.untried(serving.keySet());
+        Optional<UpstreamId> chosen =
+                router.route(new RouteRequest(task.service(), candidates, Router.prefixHash(task.prompt())), now);
+        if (chosen.isPresent()) {
+            try {
+                return onGroup(task, chosen.get(), serving.get(chosen.get()));
+            } finally {
+                router.finish(chosen.get(), nowMillis.getAsLong());
+            }
+        }
+        Optional<FailureDomain> domain =
+                task.mayForward() ? remote.choose(task.service(), task.triedDomains()) : Optional.empty();
+        return domain.isPresent() ? elsewhere(task, domain.get()) : withoutGroup(task, now);
+    }
+
+    private Optional<Outcome> onGroup(CompletionTask task, UpstreamId upstream, ServingGroup serving) {
+        AttemptId expected = task.nextAttempt();
+        SuspectDecision decision = suspects.begin(expected, task.fingerprint(), upstream, nowMillis.getAsLong());
+        switch (decision) {
+            case SuspectDecision.Run ignored -> {}
+            case SuspectDecision.ChooseAnother ignored -> {
+                task.tried(upstream);
+                return Optional.empty();
+            }
+            case SuspectDecision.Wait ignored -> {
+                pause(GROUP_POLL_MILLIS);
+                return Optional.empty();
+            }
+            case SuspectDecision.Quarantined(long remainingMillis) -> {
+                task.retryAfter(OptionalLong.of(remainingMillis));
+                return Optional.of(
+                        task.run().close(ErrorKind.QUARANTINED, "the same request crashed upstreams before"));
+            }
+        }
+        Optional<AttemptId> attempt = task.begin();
+        if (attempt.isEmpty()) {
+            suspects.abandoned(expected);
+            return task.run().outcome();
+        }
+        task.tried(upstream);
+        LiveAttempts.Live handle = live.add(Optional.of(serving.group()));
+        Runnable stop = handle.cancellation()::cancel;
+        task.forwarder().ifPresent(forwarder -> forwarder.onCancel(stop));
+        try {
+            UpstreamResult result = engines.complete(
+                    serving.headAddress(),
+                    request(task, serving),
+                    remaining(task),
+                    handle.cancellation(),
+                    () -> task.run().sending(attempt.get()),
+                    task.delivery());
+            observeLatency(task, upstream);
+            Optional<Outcome> end = after(task, attempt.get(), handle, result, () -> onLoss(upstream, serving));
+            if (end.isPresent() && end.get() instanceof Outcome.Ran) {
+                suspects.completed(attempt.get());
+            }
+            return end;
+        } finally {
+            task.forwarder().ifPresent(forwarder -> forwarder.remove(stop));
+            live.remove(handle);
+            suspects.abandoned(attempt.get());
+            if (handle.cancellation().cancelled()) {
+                stopEngine(task, serving);
+            }
+        }
+    }
+
+    private Optional<Outcome> elsewhere(CompletionTask task, FailureDomain domain) {
+        Optional<AttemptId> attempt = task.begin();
+        if (attempt.isEmpty()) {
+            return task.run().outcome();
+        }
+        task.triedDomain(domain);
+        LiveAttempts.Live handle = live.add(Optional.empty());
+        try {
+            UpstreamResult result = remote.complete(
+                    domain,
+                    task.forwarded(),
+                    remaining(task),
+                    handle.cancellation(),
+                    () -> task.run().sending(attempt.get()),
+                    task.delivery());
+            return after(task, attempt.get(), handle, result, () -> {});
+        } finally {
+            live.remove(handle);
+        }
+    }
+
+    /** A request that delivered nothing is answered at once; a started stream waits a while for a group. */
+    private Optional<Outcome> withoutGroup(CompletionTask task, long now) {
+        if (task.forgetTried()) {
+            pause(GROUP_POLL_MILLIS);
+            return Optional.empty();
+        }
+        if (task.sequence().nextIndex() > 0 && task.waitedWithoutGroup(now) < RESUME_WAIT_MILLIS) {
+            pause(GROUP_POLL_MILLIS);
+            return Optional.empty();
+        }
+        return Optional.of(task.run().close(ErrorKind.NO_GROUP, "no complete group serves " + task.service()));
+    }
+
+    private Optional<Outcome> after(
+            CompletionTask task, AttemptId attempt, LiveAttempts.Live handle, UpstreamResult result, Runnable onLoss) {
+        return switch (result) {
+            case UpstreamResult.Finished(int count, String finish) -> finished(task, attempt, count, finish);
+            case UpstreamResult.Answered ignored ->
+                ended(task, attempt, new AttemptEnd.Failed("the engine sent no stream"));
+            case UpstreamResult.NotSent(String detail) -> ended(task, attempt, new AttemptEnd.Lost(detail));
+            case UpstreamResult.Refused(String detail) -> ended(task, attempt, new AttemptEnd.Refused(detail));
+            case UpstreamResult.Failed(int status, String detail) ->
+                ended(task, attempt, new AttemptEnd.Failed(detail));
+            case UpstreamResult.Lost(String detail) -> {
+                onLoss.run();
+                yield ended(task, attempt, new AttemptEnd.Lost(detail));
+            }
+            case UpstreamResult.DeadlinePassed(String detail) ->
+                Optional.of(task.run().close(ErrorKind.DEADLINE_DURING_RUN, "the deadline passed"));
+            case UpstreamResult.Cancelled ignored -> cancelled(task, attempt, handle, onLoss);
+        };
+    }
+
+    /** An engine that was told by someone else to stop ends the stream early; that answer is not whole. */
+    private Optional<Outcome> finished(CompletionTask task, AttemptId attempt, int count, String finish) {
+        if (finish.equals(CompletionTask.CANCELLED)) {
+            return ended(task, attempt, new AttemptEnd.Lost("the engine stopped the request"));
+        }
+        return switch (task.sequence().end(count)) {
+            case COMPLETE -> {
+                task.finish(finish);
+                yield ended(task, attempt, new AttemptEnd.Completed());
+            }
+            case MISSING -> ended(task, attempt, new AttemptEnd.Lost("the stream ended before its last token"));
+            case CONTRADICTION -> Optional.of(task.run().close(ErrorKind.STREAM_TORN, "the resumed answer is shorter"));
+        };
+    }
+
+    private Optional<Outcome> cancelled(
+            CompletionTask task, AttemptId attempt, LiveAttempts.Live handle, Runnable onLoss) {
+        if (handle.reason().equals(Optional.of(LiveAttempts.Reason.GROUP_BROKEN))) {
+            onLoss.run();
+            return ended(task, attempt, new AttemptEnd.Lost("the group is no longer complete"));
+        }
+        if (handle.reason().equals(Optional.of(LiveAttempts.Reason.SHUTDOWN))) {
+            return Optional.of(task.run().close(ErrorKind.SHUTTING_DOWN, "the daemon exits"));
+        }
+        if (task.delivery().gap()) {
+            return ended(task, attempt, new AttemptEnd.Lost("tokens are missing in the stream"));
+        }
+        return Optional.of(task.run().close(ErrorKind.CLIENT_GONE, "the caller closed its connection"));
+    }
+
+    private Optional<Outcome> ended(CompletionTask task, AttemptId attempt, AttemptEnd end) {
+        NextStep next = task.run().ended(attempt, end, budgets.of(task.service()), nowMillis.getAsLong());
+        return switch (next) {
+            case NextStep.Finish(Outcome outcome) -> Optional.of(outcome);
+            case NextStep.Retry ignored -> {
+                Logger.debug("route: request {} goes on after {}", task.request(), end);
+                yield Optional.empty();
+            }
+        };
+    }
+
+    private void onLoss(UpstreamId upstream, ServingGroup serving) {
+        boolean ended = serving.group()
+                .head()
+                .engine()
+                .map(engine -> engines.processEnded(serving.headAddress(), engine, STATUS_TIMEOUT))
+                .orElse(false);
+        if (!ended) {
+            return;
+        }
+        ImmutableMap<Fingerprint, Integer> counts = suspects.crashed(upstream, nowMillis.getAsLong());
+        if (!counts.isEmpty()) {
+            Logger.warn("route: {} crashed with {} requests in flight", upstream, counts.size());
+            crashes.send(counts);
+        }
+    }
+
+    private void observeLatency(CompletionTask task, UpstreamId upstream) {
+        double millis = task.delivery().meanBetweenTokensMillis();
+        if (millis >= 0) {
+            stragglers.observe(task.service(), upstream, millis, nowMillis.getAsLong());
+        }
+    }
+
+    private void stopEngine(CompletionTask task, ServingGroup serving) {
+        Thread.startVirtualThread(() -> engines.cancel(serving.headAddress(), task.request(), STATUS_TIMEOUT));
+    }
+
+    private static CompletionRequest request(CompletionTask task, ServingGroup serving) {
+        return new CompletionRequest(
+                task.request(),
+                task.account(),
+                serving.group().model(),
+                task.prompt(),
+                task.maxTokens(),
+                serving.group().id(),
+                serving.group().epoch(),
+                task.sequence().nextIndex(),
+                task.priority());
+    }
+
+    private Duration remaining(CompletionTask task) {
+        return Duration.ofMillis(Math.max(1, task.deadlineMillis() - nowMillis.getAsLong()));
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for a group", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionTask.java
@@ -0,0 +1,188 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import io.sesamehead.coordination.request.Fingerprint;
+import io.sesamehead.coordination.request.RequestRun;
+import io.sesamehead.coordination.request.StreamSequence;
+import io.sesamehead.coordination.routing.UpstreamId;
+import io.sesamehead.daemon.transport.Cancellation;
+import io.sesamehead.state.AttemptId;
+import io.sesamehead.state.ClientAccount;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.RequestId;
+import io.sesamehead.state.ServiceName;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** Progress of one completion over its attempts. Used by one thread, apart from {@link RequestRun}. */
+final class CompletionTask {
+    /** Finish reason of an engine that stopped a request on demand. */
+    static final String CANCELLED = "cancelled";
+
+    private final ForwardedCompletion call;
+    private final long deadlineMillis;
+    private final Optional<Cancellation> forwarder;
+    private final RequestRun run;
+    private final StreamSequence sequence;
+    private final TokenDelivery delivery;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private final Set<FailureDomain> triedDomains = new HashSet<>();
+    private int attempts;
+    private long withoutGroupSinceMillis = -1;
+    private String finish = "";
+    private OptionalLong retryAfterMillis = OptionalLong.empty();
+
+    /**
+     * Creates a task without attempts.
+     *
+     * @param call the completion
+     * @param deadlineMillis deadline on the monotonic clock, in milliseconds
+     * @param forwarder ends a call that another failure domain forwarded; empty for a call of a caller here
+     * @param run the request
+     * @param sequence positions of the stream
+     * @param delivery takes the tokens
+     */
+    CompletionTask(
+            ForwardedCompletion call,
+            long deadlineMillis,
+            Optional<Cancellation> forwarder,
+            RequestRun run,
+            StreamSequence sequence,
+            TokenDelivery delivery) {
+        this.call = call;
+        this.deadlineMillis = deadlineMillis;
+        this.forwarder = forwarder;
+        this.run = run;
+        this.sequence = sequence;
+        this.delivery = delivery;
+    }
+
+    RequestId request() {
+        return call.request();
+    }
+
+    ServiceName service() {
+        return call.service();
+    }
+
+    ClientAccount account() {
+        return call.account();
+    }
+
+    Fingerprint fingerprint() {
+        return call.fingerprint();
+    }
+
+    String prompt() {
+        return call.prompt();
+    }
+
+    int maxTokens() {
+        return call.maxTokens();
+    }
+
+    int priority() {
+        return call.priority();
+    }
+
+    long deadlineMillis() {
+        return deadlineMillis;
+    }
+
+    /** A forwarded call is not forwarded again. */
+    boolean mayForward() {
+        return forwarder.isEmpty();
+    }
+
+    Optional<Cancellation> forwarder() {
+        return forwarder;
+    }
+
+    RequestRun run() {
+        return run;
+    }
+
+    StreamSequence sequence() {
+        return sequence;
+    }
+
+    TokenDelivery delivery() {
+        return delivery;
+    }
+
+    String finish() {
+        return finish;
+    }
+
+    void finish(String reason) {
+        finish = reason;
+    }
+
+    OptionalLong retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
+    void retryAfter(OptionalLong millis) {
+        retryAfterMillis = millis;
+    }
+
+    /** Returns the completion as another failure domain needs it now. */
+    ForwardedCompletion forwarded() {
+        return new ForwardedCompletion(
+                call.request(),
+                call.service(),
+                call.account(),
+                call.fingerprint(),
+                call.prompt(),
+                call.maxTokens(),
+                sequence.nextIndex(),
+                call.priority(),
+                call.repeatable());
+    }
+
+    AttemptId nextAttempt() {
+        return new AttemptId(call.request(), attempts + 1);
+    }
+
+    Optional<AttemptId> begin() {
+        delivery.startAttempt();
+        withoutGroupSinceMillis = -1;
+        Optional<AttemptId> attempt = run.begin();
+        attempt.ifPresent(begun -> attempts = begun.number());
+        return attempt;
+    }
+
+    void tried(UpstreamId upstream) {
+        tried.add(upstream);
+    }
+
+    void triedDomain(FailureDomain domain) {
+        triedDomains.add(domain);
+    }
+
+    ImmutableSet<FailureDomain> triedDomains() {
+        return ImmutableSet.copyOf(triedDomains);
+    }
+
+    ImmutableSet<UpstreamId> untried(Set<UpstreamId> candidates) {
+        return Sets.difference(candidates, tried).immutableCopy();
+    }
+
+    /** Makes upstreams that were tried eligible again; returns false when none was. */
+    boolean forgetTried() {
+        boolean some = !tried.isEmpty() || !triedDomains.isEmpty();
+        tried.clear();
+        triedDomains.clear();
+        return some;
+    }
+
+    long waitedWithoutGroup(long nowMillis) {
+        if (withoutGroupSinceMillis < 0) {
+            withoutGroupSinceMillis = nowMillis;
+        }
+        return nowMillis - withoutGroupSinceMillis;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/KeyedCalls.java
@@ -0,0 +1,120 @@
+package io.sesamehead.daemon.runtime;
+
+import io.sesamehead.coordination.order.ClaimTicket;
+import io.sesamehead.coordination.order.KeyAnswer;
+import io.sesamehead.coordination.order.OrderCall;
+import io.sesamehead.coordination.order.OrderDecision;
+import io.sesamehead.daemon.transport.CallAnswer;
+import io.sesamehead.daemon.transport.CallContext;
+import io.sesamehead.daemon.transport.KeyState;
+import io.sesamehead.daemon.transport.ServiceClient;
+import io.sesamehead.state.ErrorKind;
+import io.sesamehead.state.OrderRecord;
+import io.sesamehead.state.RunState;
+import io.sesamehead.state.ServiceSpec;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/** Calls that carry an idempotency key: claim, dispatch at most once, record, replay. */
+public final class KeyedCalls {
+    private static final Duration ASK_TIMEOUT = Duration.ofSeconds(1);
+    private static final String JSON = "application/json";
+
+    private final OrderClaims claims;
+    private final ServiceClient services;
+    private final WriteTokens tokens;
+    private final LongSupplier epochMillis;
+
+    /**
+     * Creates the flow of keyed calls.
+     *
+     * @param claims claims and records
+     * @param services client of the plain services
+     * @param tokens tokens of this process's writes
+     * @param epochMillis wall clock, in milliseconds since 1970
+     */
+    public KeyedCalls(OrderClaims claims, ServiceClient services, WriteTokens tokens, LongSupplier epochMillis) {
+        this.claims = claims;
+        this.services = services;
+        this.tokens = tokens;
+        this.epochMillis = epochMillis;
+    }
+
+    static OrderCall orderCall(CallContext call, String key) {
+        return new OrderCall(call.request(), call.service(), call.account(), key, call.fingerprint());
+    }
+
+    CallAnswer run(CallService.Job job) {
+        CallContext call = job.call();
+        ClaimTicket ticket = new ClaimTicket(orderCall(call, call.key().orElseThrow()), tokens.next());
+        Optional<OrderDecision> decision = claims.claim(ticket, job.settings(), job.upstream(), call.deadlineMillis());
+        return decision.isPresent() ? follow(job, ticket, decision.get()) : unsettled(ticket);
+    }
+
+    /** Asks the addresses of a service about a key until one knows it. */
+    KeyAnswer askUpstream(ServiceSpec.PlainService spec, String key) {
+        KeyAnswer last = new KeyAnswer.Unavailable();
+        for (ServiceSpec.ServiceAddress address : spec.addresses()) {
+            switch (services.askByKey(address.address(), key, ASK_TIMEOUT)) {
+                case KeyState.Done(int status, String body) -> {
+                    return new KeyAnswer.Done(
+                            new OrderRecord.Result(RunState.RAN, status, JSON, body, epochMillis.getAsLong()));
+                }
+                case KeyState.Running ignored -> {
+                    return new KeyAnswer.Running();
+                }
+                case KeyState.NeverSeen ignored -> last = new KeyAnswer.NeverSeen();
+                case KeyState.NoAnswer(String detail) -> Logger.debug("order: {} does not answer: {}", address, detail);
+            }
+        }
+        return last;
+    }
+
+    private CallAnswer follow(CallService.Job job, ClaimTicket ticket, OrderDecision decision) {
+        return switch (decision) {
+            case OrderDecision.Dispatch dispatch -> dispatched(job, dispatch);
+            case OrderDecision.DispatchWithoutClaim ignored -> job.dispatch().get();
+            case OrderDecision.ReplayResult(OrderRecord.Result result) -> RecordedAnswers.decode(result);
+            case OrderDecision.AnswerKeyReused ignored ->
+                failed(ErrorKind.KEY_REUSED, "the key was used with another body");
+            case OrderDecision.AnswerStoreUnavailable ignored -> {
+                claims.releaseLater(ticket);
+                yield failed(ErrorKind.STORE_UNAVAILABLE, "the platform's object API does not answer");
+            }
+            case OrderDecision.AnswerClaimedElsewhere ignored ->
+                failed(ErrorKind.CLAIMED_ELSEWHERE, "the key is claimed and its result is not known");
+            case OrderDecision.JoinInFlight ignored ->
+                failed(ErrorKind.CLAIMED_ELSEWHERE, "the first call with this key is still running");
+            case OrderDecision.CreateClaim ignored -> unsettled(ticket);
+            case OrderDecision.ReadBack ignored -> unsettled(ticket);
+            case OrderDecision.AskUpstream ignored -> unsettled(ticket);
+        };
+    }
+
+    private CallAnswer dispatched(CallService.Job job, OrderDecision.Dispatch dispatch) {
+        CallAnswer answer = job.dispatch().get();
+        Optional<OrderRecord.Result> result = RecordedAnswers.encode(answer, epochMillis.getAsLong());
+        if (result.isEmpty()) {
+            Logger.warn(
+                    "order: the answer of request {} cannot be recorded; its key stays claimed",
+                    job.call().request());
+        }
+        result.ifPresent(present -> claims.record(dispatch, present));
+        return answer;
+    }
+
+    private CallAnswer unsettled(ClaimTicket ticket) {
+        if (!ticket.withdraw()) {
+            return failed(ErrorKind.CLAIMED_ELSEWHERE, "the key is claimed and its result is not known");
+        }
+        claims.releaseLater(ticket);
+        return failed(ErrorKind.DEADLINE_BEFORE_RUN, "the deadline passed before the key was claimed");
+    }
+
+    private static CallAnswer failed(ErrorKind kind, String detail) {
+        return new CallAnswer.Failed(kind, detail, OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderClaims.java
@@ -0,0 +1,212 @@
+package io.sesamehead.daemon.runtime;
+
+import io.sesamehead.coordination.order.ClaimRead;
+import io.sesamehead.coordination.order.ClaimTicket;
+import io.sesamehead.coordination.order.ClaimWrite;
+import io.sesamehead.coordination.order.KeyAnswer;
+import io.sesamehead.coordination.order.OrderDecision;
+import io.sesamehead.coordination.order.OrderLedger;
+import io.sesamehead.coordination.order.OrderSettings;
+import io.sesamehead.coordination.order.ResultDecision;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.daemon.protocol.OrderCodec;
+import io.sesamehead.daemon.protocol.PlatformObject;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.StoreResult;
+import io.sesamehead.state.OrderRecord;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/** Carries out the decisions of {@link OrderLedger} on the object API. */
+public final class OrderClaims {
+    /** Store calls for one claim; more means that the store answers in a way that the ledger cannot settle. */
+    private static final int MAX_STEPS = 12;
+
+    private static final int MAX_RECORD_STEPS = 20;
+    private static final long RETRY_MILLIS = 500;
+
+    private final OrderLedger ledger;
+    private final PlatformClient platform;
+    private final WriteTokens tokens;
+    private final LongSupplier nowMillis;
+    private final LongSupplier epochMillis;
+
+    /**
+     * Creates an executor of claims.
+     *
+     * @param ledger decides
+     * @param platform client of the object API
+     * @param tokens tokens of this process's writes
+     * @param nowMillis monotonic clock, in milliseconds
+     * @param epochMillis wall clock, in milliseconds since 1970
+     */
+    public OrderClaims(
+            OrderLedger ledger,
+            PlatformClient platform,
+            WriteTokens tokens,
+            LongSupplier nowMillis,
+            LongSupplier epochMillis) {
+        this.ledger = ledger;
+        this.platform = platform;
+        this.tokens = tokens;
+        this.nowMillis = nowMillis;
+        this.epochMillis = epochMillis;
+    }
+
+    /**
+     * Claims a key or finds out how the call is to be answered.
+     *
+     * @param ticket the call's ticket
+     * @param settings settings of the service
+     * @param upstream asks the upstream about a key
+     * @param deadlineMillis deadline of the call on the monotonic clock, in milliseconds
+     * @return a final decision, or empty when the deadline passed and the ticket is still open
+     */
+    Optional<OrderDecision> claim(
+            ClaimTicket ticket, OrderSettings settings, Function<String, KeyAnswer> upstream, long deadlineMillis) {
+        OrderDecision decision = ledger.onRead(ticket, read(ticket.call().objectName()), Optional.empty(), settings);
+        for (int step = 0; step < MAX_STEPS && nowMillis.getAsLong() < deadlineMillis; step++) {
+            switch (decision) {
+                case OrderDecision.CreateClaim create ->
+                    decision = ledger.onClaimWritten(ticket, create, write(create), settings);
+                case OrderDecision.ReadBack(String name) -> decision = ledger.onReadBack(ticket, read(name), settings);
+                case OrderDecision.AskUpstream ask -> decision = ledger.onUpstreamAnswer(upstream.apply(ask.key()));
+                default -> {
+                    return Optional.of(decision);
+                }
+            }
+        }
+        return isFinal(decision) ? Optional.of(decision) : Optional.empty();
+    }
+
+    /**
+     * Records the result of a dispatched call. Returns after the first write was answered; a write that the store does
+     * not take is repeated in the background.
+     *
+     * @param dispatch the claim under which the call was dispatched
+     * @param result the result
+     */
+    void record(OrderDecision.Dispatch dispatch, OrderRecord.Result result) {
+        ResultDecision first = ledger.record(dispatch, result, tokens.next());
+        if (!(first instanceof ResultDecision.Write write)) {
+            return;
+        }
+        ResultDecision next = ledger.onResultWritten(write, write(write));
+        if (!(next instanceof ResultDecision.Recorded)) {
+            Thread.startVirtualThread(() -> finishRecord(next));
+        }
+    }
+
+    /**
+     * Frees, in the background, a key whose claim was written but not dispatched.
+     *
+     * @param ticket the withdrawn ticket
+     */
+    void releaseLater(ClaimTicket ticket) {
+        Thread.startVirtualThread(() -> {
+            for (int step = 0; step < MAX_RECORD_STEPS; step++) {
+                ClaimRead read = read(ticket.call().objectName());
+                if (!(read instanceof ClaimRead.Unavailable)) {
+                    ledger.releaseUndispatched(ticket, read, epochMillis.getAsLong(), tokens.next())
+                            .ifPresent(this::finishRecord);
+                    return;
+                }
+                pause();
+            }
+            Logger.warn(
+                    "order: the key of request {} stays claimed", ticket.call().request());
+        });
+    }
+
+    private void finishRecord(ResultDecision start) {
+        ResultDecision decision = start;
+        for (int step = 0; step < MAX_RECORD_STEPS; step++) {
+            switch (decision) {
+                case ResultDecision.Write write -> decision = ledger.onResultWritten(write, write(write));
+                case ResultDecision.ReadBack back -> {
+                    pause();
+                    decision = ledger.onResultReadBack(
+                            back.write(), read(back.write().objectName()));
+                }
+                case ResultDecision.TryLater later -> {
+                    pause();
+                    decision = later.write();
+                }
+                case ResultDecision.Recorded ignored -> {
+                    return;
+                }
+                case ResultDecision.GiveUp ignored -> {
+                    return;
+                }
+            }
+        }
+        Logger.warn("order: a result could not be recorded; its key stays claimed");
+    }
+
+    private static boolean isFinal(OrderDecision decision) {
+        return switch (decision) {
+            case OrderDecision.CreateClaim ignored -> false;
+            case OrderDecision.ReadBack ignored -> false;
+            case OrderDecision.AskUpstream ignored -> false;
+            default -> true;
+        };
+    }
+
+    private ClaimRead read(String name) {
+        return switch (platform.read(Kinds.ORDERS, name)) {
+            case StoreResult.Ok<PlatformObject>(PlatformObject object) -> found(object);
+            case StoreResult.NotFound<PlatformObject> ignored -> new ClaimRead.Missing();
+            default -> new ClaimRead.Unavailable();
+        };
+    }
+
+    /** An order that cannot be read may be a claim, so it counts as not answered. */
+    private static ClaimRead found(PlatformObject object) {
+        try {
+            return new ClaimRead.Found(OrderCodec.decode(object.spec()), object.resourceVersion());
+        } catch (MalformedMessageException e) {
+            Logger.error("order: object {} is unreadable: {}", object.name(), e.getMessage());
+            return new ClaimRead.Unavailable();
+        }
+    }
+
+    private ClaimWrite write(OrderDecision.CreateClaim create) {
+        if (create.replaces().isEmpty()) {
+            return written(platform.create(Kinds.ORDERS, create.objectName(), OrderCodec.encode(create.claim())));
+        }
+        return update(create.objectName(), create.claim(), create.replaces().get());
+    }
+
+    private ClaimWrite write(ResultDecision.Write write) {
+        return update(write.objectName(), write.order(), write.version());
+    }
+
+    private ClaimWrite update(String name, OrderRecord order, String version) {
+        return written(platform.update(new PlatformObject(Kinds.ORDERS, name, version, OrderCodec.encode(order))));
+    }
+
+    private static ClaimWrite written(StoreResult<PlatformObject> result) {
+        return switch (result) {
+            case StoreResult.Ok<PlatformObject>(PlatformObject object) ->
+                new ClaimWrite.Written(object.resourceVersion());
+            case StoreResult.Conflict<PlatformObject> ignored -> new ClaimWrite.Conflict();
+            case StoreResult.AlreadyExists<PlatformObject> ignored -> new ClaimWrite.Conflict();
+            case StoreResult.NotFound<PlatformObject> ignored -> new ClaimWrite.Conflict();
+            case StoreResult.Ambiguous<PlatformObject> ignored -> new ClaimWrite.Ambiguous();
+            case StoreResult.RateLimited<PlatformObject> ignored -> new ClaimWrite.Unavailable();
+            case StoreResult.Unavailable<PlatformObject> ignored -> new ClaimWrite.Unavailable();
+            case StoreResult.Rejected<PlatformObject> ignored -> new ClaimWrite.Unavailable();
+        };
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Attempted.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Attempted.java
@@ -7,7 +7,7 @@
     static UpstreamResult result(Exchange<UpstreamResult> exchange) {
         return switch (exchange) {
             case Exchange.Answered<UpstreamResult>(UpstreamResult result) -> result;
-            case Exchange.NotSent<UpstreamResult>(String detail, boolean expired) -> new UpstreamResult.NotSent(detail);
+            case Exchange.NotSent<UpstreamResult>(String detail, boolean refused) -> new UpstreamResult.NotSent(detail);
             case Exchange.Broken<UpstreamResult>(String detail, boolean expired) ->
                 expired ? new UpstreamResult.DeadlinePassed(detail) : new UpstreamResult.Lost(detail);
             case Exchange.Cancelled<UpstreamResult>() -> new UpstreamResult.Cancelled();
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Cancellation.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Cancellation.java
@@ -36,7 +36,7 @@
      *
      * @param action the action, which must not block
      */
-    void onCancel(Runnable action) {
+    public void onCancel(Runnable action) {
         synchronized (this) {
             if (!cancelled) {
                 actions.add(action);
@@ -51,7 +51,7 @@
      *
      * @param action the action as it was registered
      */
-    synchronized void remove(Runnable action) {
+    public synchronized void remove(Runnable action) {
         actions.remove(action);
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
@@ -7,6 +7,7 @@
 import io.sesamehead.daemon.protocol.EngineStatus;
 import io.sesamehead.daemon.protocol.Json;
 import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.RequestId;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -53,7 +54,7 @@
                 http.exchange(new HttpGet("http://" + address + "/control/status"), timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> statusOf(answer);
-            case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new StatusResult.NoAnswer(detail);
+            case Exchange.NotSent<HttpAnswer>(String detail, boolean refused) -> new StatusResult.NoAnswer(detail);
             case Exchange.Broken<HttpAnswer>(String detail, boolean expired) -> new StatusResult.NoAnswer(detail);
             case Exchange.Cancelled<HttpAnswer>() -> new StatusResult.NoAnswer("cancelled");
         };
@@ -73,7 +74,7 @@
         Exchange<HttpAnswer> exchange = http.exchange(request, timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> orderAnswer(answer);
-            case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new OrderResult.NotSent(detail);
+            case Exchange.NotSent<HttpAnswer>(String detail, boolean refused) -> new OrderResult.NotSent(detail);
             case Exchange.Broken<HttpAnswer>(String detail, boolean expired) -> new OrderResult.Unknown(detail);
             case Exchange.Cancelled<HttpAnswer>() -> new OrderResult.Unknown("cancelled");
         };
@@ -98,6 +99,7 @@
             SendGate gate,
             TokenSink sink) {
         HttpPost request = new HttpPost("http://" + address + "/v1/completions");
+        request.setHeader("X-Client-Account", completion.account().value());
         request.setEntity(
                 new ByteArrayEntity(Json.bytes(EngineCodec.encode(completion)), ContentType.APPLICATION_JSON));
         Exchange<UpstreamResult> exchange = http.exchange(
@@ -117,6 +119,28 @@
         http.exchange(new HttpDelete("http://" + address + "/v1/requests/" + id), timeout, HttpAnswer::read);
     }
 
+    /**
+     * Tells whether the process of an engine has ended: nothing listens at its address, or another incarnation does. An
+     * engine that is only slow or cut off has not ended as far as is known.
+     *
+     * @param address {@code ip:port} of the engine
+     * @param incarnation the incarnation that was there before
+     * @param timeout longest time of the call
+     * @return true when it is certain that the process has ended
+     */
+    public boolean processEnded(String address, Incarnation incarnation, Duration timeout) {
+        Exchange<HttpAnswer> exchange =
+                http.exchange(new HttpGet("http://" + address + "/control/status"), timeout, HttpAnswer::read);
+        return switch (exchange) {
+            case Exchange.Answered<HttpAnswer>(HttpAnswer answer) ->
+                statusOf(answer) instanceof StatusResult.Answered(EngineStatus status)
+                        && !status.report().engine().equals(incarnation);
+            case Exchange.NotSent<HttpAnswer> notSent -> notSent.connectionRefused();
+            case Exchange.Broken<HttpAnswer> ignored -> false;
+            case Exchange.Cancelled<HttpAnswer> ignored -> false;
+        };
+    }
+
     @Override
     public void close() {
         http.close();
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Exchange.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Exchange.java
@@ -19,9 +19,9 @@
      *
      * @param <T> type of the value
      * @param detail what failed
-     * @param deadlinePassed true when the deadline ended the exchange
+     * @param connectionRefused true when nothing listens at the address
      */
-    record NotSent<T>(String detail, boolean deadlinePassed) implements Exchange<T> {}
+    record NotSent<T>(String detail, boolean connectionRefused) implements Exchange<T> {}
 
     /**
      * The exchange broke after at least one byte may have been sent.
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -131,7 +132,9 @@
             return new Exchange.Cancelled<>();
         }
         String detail = cause.getClass().getSimpleName() + ": " + cause.getMessage();
-        return mayBeSent ? new Exchange.Broken<>(detail, expired) : new Exchange.NotSent<>(detail, expired);
+        return mayBeSent
+                ? new Exchange.Broken<>(detail, expired)
+                : new Exchange.NotSent<>(detail, cause instanceof ConnectException);
     }
 
     private static RequestConfig config(Duration deadline) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
@@ -154,7 +154,7 @@
                 response -> WatchReader.read(kind, response, events));
         return switch (exchange) {
             case Exchange.Answered<WatchEnd>(WatchEnd end) -> end;
-            case Exchange.NotSent<WatchEnd>(String detail, boolean expired) -> new WatchEnd.Broken(detail);
+            case Exchange.NotSent<WatchEnd>(String detail, boolean refused) -> new WatchEnd.Broken(detail);
             case Exchange.Broken<WatchEnd>(String detail, boolean expired) -> new WatchEnd.Broken(detail);
             case Exchange.Cancelled<WatchEnd>() -> new WatchEnd.TimedOut();
         };
@@ -178,7 +178,7 @@
         Exchange<HttpAnswer> exchange = http.exchange(request, timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> readsOnly(write, reader.read(answer));
-            case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new StoreResult.Unavailable<>(detail);
+            case Exchange.NotSent<HttpAnswer>(String detail, boolean refused) -> new StoreResult.Unavailable<>(detail);
             case Exchange.Broken<HttpAnswer>(String detail, boolean expired) ->
                 write ? new StoreResult.Ambiguous<>(detail) : new StoreResult.Unavailable<>(detail);
             case Exchange.Cancelled<HttpAnswer>() -> new StoreResult.Unavailable<>("cancelled");
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Problems.java
@@ -0,0 +1,28 @@
+package io.sesamehead.daemon.transport;
+
+import io.sesamehead.daemon.protocol.Json;
+import io.sesamehead.daemon.protocol.Problem;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.Response;
+import java.util.OptionalLong;
+
+/** Error answers. */
+final class Problems {
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private Problems() {}
+
+    static Response response(Problem problem, OptionalLong retryAfterMillis) {
+        Response.ResponseBuilder builder = Response.status(problem.kind().status())
+                .entity(Json.bytes(problem.toJson()))
+                .header(HttpHeaders.CONTENT_TYPE, Problem.MEDIA_TYPE)
+                .header(CallHeaders.REQUEST_ID, problem.request().value());
+        retryAfterMillis.ifPresent(millis -> builder.header(HttpHeaders.RETRY_AFTER, seconds(millis)));
+        return builder.build();
+    }
+
+    /** Rounds up, so that nobody comes back too early. */
+    private static long seconds(long millis) {
+        return Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
@@ -47,6 +47,7 @@
         HttpUriRequestBase request =
                 new HttpUriRequestBase(call.method(), URI.create("http://" + address + "/" + call.path()));
         request.setHeader("X-Request-Id", call.requestId().value());
+        request.setHeader("X-Client-Account", call.account().value());
         call.key().ifPresent(key -> request.setHeader("Idempotency-Key", key));
         if (call.body().length > 0) {
             request.setEntity(new ByteArrayEntity(call.body(), null));
@@ -70,7 +71,7 @@
                 http.exchange(new HttpGet("http://" + address + path), timeout, HttpAnswer::read);
         return switch (exchange) {
             case Exchange.Answered<HttpAnswer>(HttpAnswer answer) -> keyState(answer);
-            case Exchange.NotSent<HttpAnswer>(String detail, boolean expired) -> new KeyState.NoAnswer(detail);
+            case Exchange.NotSent<HttpAnswer>(String detail, boolean refused) -> new KeyState.NoAnswer(detail);
             case Exchange.Broken<HttpAnswer>(String detail, boolean expired) -> new KeyState.NoAnswer(detail);
             case Exchange.Cancelled<HttpAnswer>() -> new KeyState.NoAnswer("cancelled");
         };
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceRequest.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceRequest.java
@@ -1,5 +1,6 @@
 package io.sesamehead.daemon.transport;
 
+import io.sesamehead.state.ClientAccount;
 import io.sesamehead.state.RequestId;
 import java.util.Optional;
 
@@ -11,7 +12,14 @@
  * @param contentType content type of the body, may be empty
  * @param body the body, may be empty
  * @param requestId identifier of the caller's request
+ * @param account the client account
  * @param key idempotency key, when the caller gave one
  */
 public record ServiceRequest(
-        String method, String path, String contentType, byte[] body, RequestId requestId, Optional<String> key) {}
+        String method,
+        String path,
+        String contentType,
+        byte[] body,
+        RequestId requestId,
+        ClientAccount account,
+        Optional<String> key) {}
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/UncaughtErrors.java
@@ -0,0 +1,37 @@
+package io.sesamehead.daemon.transport;
+
+import io.sesamehead.daemon.protocol.Problem;
+import io.sesamehead.state.ErrorKind;
+import io.sesamehead.state.RequestId;
+import jakarta.ws.rs.WebApplicationException;
+import jakarta.ws.rs.core.Response;
+import jakarta.ws.rs.ext.ExceptionMapper;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/** Answers requests that no resource takes, and faults of the daemon itself. */
+public final class UncaughtErrors implements ExceptionMapper<Throwable> {
+    private final Supplier<RequestId> requestIds;
+
+    /**
+     * Creates the mapper.
+     *
+     * @param requestIds draws identifiers for requests that have none
+     */
+    public UncaughtErrors(Supplier<RequestId> requestIds) {
+        this.requestIds = requestIds;
+    }
+
+    @Override
+    public Response toResponse(Throwable failure) {
+        RequestId request = requestIds.get();
+        if (failure instanceof WebApplicationException web && web.getResponse().getStatus() < 500) {
+            return Problems.response(
+                    new Problem(ErrorKind.UNKNOWN_PATH, "no call has this path and method", request),
+                    OptionalLong.empty());
+        }
+        Logger.error(failure, "daemon: request {} failed", request);
+        return Problems.response(new Problem(ErrorKind.INTERNAL, "internal error", request), OptionalLong.empty());
+    }
+}
