--- a/core/src/main/java/io/sesamehead/coordination/routing/UpstreamLoad.java
+++ b/core/src/main/java/io/sesamehead/coordination/routing/UpstreamLoad.java
@@ -16,6 +16,7 @@
 
     private final Deque<Change> history = new ArrayDeque<>();
     private int own;
+    private int ownBeforeHistory;
     private long others;
     private long reportMadeMillis = Long.MIN_VALUE;
 
@@ -46,14 +47,13 @@
     private void changeOwn(int count, long nowMillis) {
         own = count;
         history.addLast(new Change(nowMillis, count));
-        boolean old = history.getFirst().atMillis() < nowMillis - MAX_REPORT_AGE_MILLIS;
-        if (history.size() > MAX_HISTORY || (old && history.size() > 1)) {
-            history.removeFirst();
+        while (history.size() > MAX_HISTORY || history.getFirst().atMillis() < nowMillis - MAX_REPORT_AGE_MILLIS) {
+            ownBeforeHistory = history.removeFirst().own();
         }
     }
 
     private int ownAt(long timeMillis) {
-        int count = 0;
+        int count = ownBeforeHistory;
         for (Change change : history) {
             if (change.atMillis() > timeMillis) {
                 break;
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/request/SuspectsTest.java
@@ -0,0 +1,102 @@
+package io.sesamehead.coordination.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.coordination.routing.UpstreamId;
+import io.sesamehead.state.AttemptId;
+import io.sesamehead.state.RequestId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+final class SuspectsTest {
+    private static final long QUARANTINE = 1_000;
+    private static final UpstreamId A = new UpstreamId("a");
+    private static final UpstreamId B = new UpstreamId("b");
+
+    private final Suspects suspects = new Suspects(QUARANTINE);
+    private int numbers;
+
+    private static Fingerprint print(String text) {
+        return Fingerprint.of("POST", text, new byte[0]);
+    }
+
+    private AttemptId attempt() {
+        numbers++;
+        return new AttemptId(new RequestId("r" + numbers), 1);
+    }
+
+    @Test
+    void suspectsRunApartAndInnocentOnesAreCleared() {
+        suspects.begin(attempt(), print("x"), A, 0);
+        suspects.begin(attempt(), print("y"), A, 0);
+        assertThat(suspects.crashed(A, 0)).containsOnlyKeys(print("x"), print("y"));
+
+        AttemptId again = attempt();
+        assertThat(suspects.begin(again, print("x"), B, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("x"), A, 0)).isEqualTo(new SuspectDecision.Wait());
+        assertThat(suspects.begin(attempt(), print("y"), B, 0)).isEqualTo(new SuspectDecision.ChooseAnother());
+        assertThat(suspects.begin(attempt(), print("other"), B, 0)).isEqualTo(new SuspectDecision.Run());
+        suspects.completed(again);
+        assertThat(suspects.begin(attempt(), print("y"), B, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("x"), B, 0)).isEqualTo(new SuspectDecision.Run());
+    }
+
+    @Test
+    void secondCrashQuarantinesForATimeAndAThirdAtOnceAgain() {
+        for (long now : new long[] {0, 100}) {
+            suspects.begin(attempt(), print("x"), A, now);
+            suspects.crashed(A, now);
+        }
+
+        assertThat(suspects.begin(attempt(), print("x"), A, 300)).isEqualTo(new SuspectDecision.Quarantined(800));
+        assertThat(suspects.begin(attempt(), print("x"), A, 1_100)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.crashed(A, 1_100)).containsEntry(print("x"), 2);
+        assertThat(suspects.quarantineRemainingMillis(print("x"), 1_100)).hasValue(QUARANTINE);
+        assertThat(suspects.quarantineRemainingMillis(print("x"), 10 * QUARANTINE))
+                .isEmpty();
+    }
+
+    /** Guards against a late peer report that lowers a count or prolongs a quarantine. */
+    @Test
+    void countsOfPeersAreMergedByMaximum() {
+        suspects.learn(print("x"), 2, 0);
+        suspects.learn(print("x"), 1, 500);
+        suspects.learn(print("x"), 2, 500);
+
+        assertThat(suspects.quarantineRemainingMillis(print("x"), 500)).hasValue(500);
+    }
+
+    /** Random runs: one fatal request among innocent ones, sent again and again, crashes at most two upstreams. */
+    @Test
+    void oneRequestCrashesAtMostTwoUpstreams() {
+        for (int seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            Suspects table = new Suspects(1_000_000);
+            Set<AttemptId> innocents = new HashSet<>();
+            int crashes = 0;
+            for (int step = 0; step < 200; step++) {
+                UpstreamId upstream = new UpstreamId("u" + random.nextInt(4));
+                boolean fatal = random.nextInt(5) == 0;
+                Fingerprint fingerprint = print(fatal ? "fatal" : "innocent" + random.nextInt(30));
+                AttemptId attempt = attempt();
+                boolean runs = table.begin(attempt, fingerprint, upstream, step) instanceof SuspectDecision.Run;
+                if (runs && fatal) {
+                    table.crashed(upstream, step);
+                    crashes++;
+                } else if (runs) {
+                    innocents.add(attempt);
+                }
+                if (random.nextBoolean()) {
+                    List<AttemptId> done = new ArrayList<>(innocents);
+                    done.forEach(table::completed);
+                    innocents.clear();
+                }
+            }
+            assertThat(crashes).isLessThanOrEqualTo(2);
+        }
+    }
+}
