--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -22,6 +22,7 @@
 import io.sesamehead.state.Generation;
 import io.sesamehead.state.GroupAssignment;
 import io.sesamehead.state.Vm;
+import io.sesamehead.state.WriteToken;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -36,6 +37,7 @@
     private final Broadcast broadcast;
     private final LongSupplier clock;
     private final AtomicLong highestControllerEpoch = new AtomicLong();
+    private final WriteToken peerToken;
     private volatile boolean answered;
     private volatile Optional<Frame> releaseFrame = Optional.empty();
 
@@ -50,6 +52,7 @@
         this.tables = tables;
         this.broadcast = broadcast;
         this.clock = clock;
+        this.peerToken = new WriteToken(tables.self().incarnation(), 0);
     }
 
     /** Records that the store or a peer answered, whatever it said. */
@@ -73,7 +76,7 @@
      */
     public void releaseFromStore(PlatformObject object) {
         try {
-            AcceptedRelease release = ReleaseCodec.decode(object.spec());
+            AcceptedRelease release = ReleaseCodec.decode(object.spec()).release();
             if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
                 releaseFrame.ifPresent(broadcast::toAll);
             }
@@ -91,8 +94,9 @@
     public void releaseFromPeer(PeerConnection connection, ConfigUpdate update) {
         try {
             byte[] spec = update.getNote().toByteArray();
-            AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec));
-            boolean adopted = adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
+            AcceptedRelease release = ReleaseCodec.decode(Json.parse(spec)).release();
+            boolean adopted =
+                    adopt(release, spec, ConfigSource.PEER, connection.peer().getDaemon());
             if (adopted && !broadcast.isNear(connection)) {
                 releaseFrame.ifPresent(broadcast::toNear);
             }
@@ -116,7 +120,9 @@
                         inForce.value());
             case ConfigDecision.Conflicting(Generation generation, ConfigSource from) ->
                 Logger.error(
-                        "config: ALARM {} offers another content of generation {}; refused", origin, generation.value());
+                        "config: ALARM {} offers another content of generation {}; refused",
+                        origin,
+                        generation.value());
             case ConfigDecision.Ignore() -> Logger.debug("config: {} offers nothing new", origin);
         }
         return false;
@@ -171,13 +177,13 @@
         }
     }
 
-    private static Frame assignmentFrame(GroupAssignment assignment) {
+    private Frame assignmentFrame(GroupAssignment assignment) {
         return Frame.newBuilder()
                 .setAssignmentUpdate(AssignmentUpdate.newBuilder()
                         .setFailureDomain(assignment.failureDomain().value())
                         .setEpoch(assignment.controllerEpoch())
                         .setVersion(assignment.version())
-                        .setGroups(ByteString.copyFrom(Json.bytes(AssignmentCodec.encode(assignment)))))
+                        .setGroups(ByteString.copyFrom(Json.bytes(AssignmentCodec.encode(assignment, peerToken)))))
                 .build();
     }
 
@@ -216,9 +222,12 @@
         connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
         releaseFrame.ifPresent(connection::send);
         if (broadcast.isNear(connection)) {
-            tables.assignments().assignment(tables.failureDomain()).ifPresent(it -> connection.send(assignmentFrame(it)));
+            tables.assignments()
+                    .assignment(tables.failureDomain())
+                    .ifPresent(it -> connection.send(assignmentFrame(it)));
             if (!tables.vms().all().isEmpty()) {
-                connection.send(PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
+                connection.send(
+                        PeerMessages.vms(tables.failureDomain(), tables.vms().all()));
             }
         }
     }
