--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -0,0 +1,179 @@
+package io.sesamehead.daemon.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import io.sesamehead.coordination.admission.Admission;
+import io.sesamehead.coordination.admission.AdmissionLimits;
+import io.sesamehead.coordination.order.OrderLedger;
+import io.sesamehead.coordination.request.InFlightTable;
+import io.sesamehead.coordination.request.Suspects;
+import io.sesamehead.coordination.routing.Router;
+import io.sesamehead.coordination.routing.StragglerDetector;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.EngineClient;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
+import io.sesamehead.state.WriteToken;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** Everything that runs the calls of a daemon, and the points at which the rest of the daemon acts on it. */
+public final class CallStack {
+    private final InFlightTable inFlight = new InFlightTable();
+    private final LiveAttempts live = new LiveAttempts();
+    private final Suspects suspects = new Suspects(Suspects.DEFAULT_QUARANTINE_MILLIS);
+    private final Admission admission;
+    private final ServingGroups groups;
+    private final ServiceStates serviceStates;
+    private final ServiceLevels levels;
+    private final CallService service;
+    private final LongSupplier nowMillis;
+
+    /**
+     * What the calls need from the rest of the daemon.
+     *
+     * @param settings settings of the daemon
+     * @param tables shared tables
+     * @param platform client of the object API
+     * @param engines client of the engines
+     * @param services client of the plain services
+     * @param tokens draws the tokens of this process's writes
+     * @param remote other failure domains
+     * @param crashes tells the peers of crashes
+     * @param metrics registry of all metrics
+     * @param nowMillis monotonic clock, in milliseconds
+     * @param epochMillis wall clock, in milliseconds since 1970
+     */
+    public record Surroundings(
+            DaemonSettings settings,
+            DaemonTables tables,
+            PlatformClient platform,
+            EngineClient engines,
+            ServiceClient services,
+            Supplier<WriteToken> tokens,
+            RemoteCalls remote,
+            CrashNotices crashes,
+            MetricRegistry metrics,
+            LongSupplier nowMillis,
+            LongSupplier epochMillis) {}
+
+    /**
+     * Wires the parts.
+     *
+     * @param around what the calls need
+     */
+    public CallStack(Surroundings around) {
+        DaemonSettings.Limits limits = around.settings().limits();
+        DaemonTables tables = around.tables();
+        this.nowMillis = around.nowMillis();
+        this.admission = new Admission(new AdmissionLimits(limits.concurrentCalls(), limits.queueLength()));
+        StragglerDetector stragglers = new StragglerDetector();
+        Router router = new Router(stragglers, new SplittableRandom());
+        this.groups = new ServingGroups(
+                tables, router, around.settings().evidence().maxAge().toMillis());
+        this.serviceStates = new ServiceStates(tables.config(), around.services());
+        this.levels = new ServiceLevels(around.metrics());
+        RetryBudgets budgets = new RetryBudgets();
+        OrderLedger ledger =
+                new OrderLedger(tables.self().daemon(), tables.self().incarnation());
+        OrderClaims claims =
+                new OrderClaims(ledger, around.platform(), around.tokens(), nowMillis, around.epochMillis());
+        CompletionRunner completions = new CompletionRunner(
+                groups,
+                around.engines(),
+                around.remote(),
+                new Routing(router, stragglers),
+                suspects,
+                around.crashes(),
+                budgets,
+                live,
+                nowMillis);
+        PlainRunner plains = new PlainRunner(
+                around.services(), serviceStates, router, budgets, live, tables.failureDomain(), nowMillis);
+        this.service = new CallService(
+                new Catalogue(tables.config(), admission),
+                inFlight,
+                new AdmissionGate(admission, nowMillis),
+                new KeyedCalls(claims, around.services(), around.tokens(), around.epochMillis()),
+                completions,
+                plains,
+                levels,
+                nowMillis);
+    }
+
+    /**
+     * Returns what runs the calls.
+     *
+     * @return the service
+     */
+    public CallService service() {
+        return service;
+    }
+
+    /**
+     * Returns the requests that crash upstreams, to learn from peers.
+     *
+     * @return the suspects
+     */
+    public Suspects suspects() {
+        return suspects;
+    }
+
+    /**
+     * Returns the groups that may serve.
+     *
+     * @return the groups
+     */
+    public ServingGroups groups() {
+        return groups;
+    }
+
+    /**
+     * Returns the service-level burn.
+     *
+     * @return the counters
+     */
+    public ServiceLevels levels() {
+        return levels;
+    }
+
+    /**
+     * Returns how many calls are open.
+     *
+     * @return the number of calls
+     */
+    public int openCalls() {
+        return inFlight.size();
+    }
+
+    /**
+     * Returns how many calls hold a slot of admission.
+     *
+     * @return the number of calls
+     */
+    public int runningCalls() {
+        return admission.running();
+    }
+
+    /** Moves work in flight away from groups that are no longer complete. To be called when evidence changes. */
+    public void moveBrokenCalls() {
+        long now = nowMillis.getAsLong();
+        live.endBroken(group -> groups.broken(group, now));
+    }
+
+    /** Asks the plain services whether they are leaving; blocks. */
+    public void refreshServices() {
+        serviceStates.refresh();
+    }
+
+    /** Refuses new calls; open ones go on. */
+    public void stopAccepting() {
+        inFlight.stop();
+        admission.close();
+    }
+
+    /** Ends all open calls with their true outcome. */
+    public void endCalls() {
+        live.endAll();
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/KeyedCalls.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/KeyedCalls.java
@@ -12,10 +12,12 @@
 import io.sesamehead.state.OrderRecord;
 import io.sesamehead.state.RunState;
 import io.sesamehead.state.ServiceSpec;
+import io.sesamehead.state.WriteToken;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.tinylog.Logger;
 
 /** Calls that carry an idempotency key: claim, dispatch at most once, record, replay. */
@@ -25,7 +27,7 @@
 
     private final OrderClaims claims;
     private final ServiceClient services;
-    private final WriteTokens tokens;
+    private final Supplier<WriteToken> tokens;
     private final LongSupplier epochMillis;
 
     /**
@@ -36,7 +38,8 @@
      * @param tokens tokens of this process's writes
      * @param epochMillis wall clock, in milliseconds since 1970
      */
-    public KeyedCalls(OrderClaims claims, ServiceClient services, WriteTokens tokens, LongSupplier epochMillis) {
+    public KeyedCalls(
+            OrderClaims claims, ServiceClient services, Supplier<WriteToken> tokens, LongSupplier epochMillis) {
         this.claims = claims;
         this.services = services;
         this.tokens = tokens;
@@ -49,7 +52,7 @@
 
     CallAnswer run(CallService.Job job) {
         CallContext call = job.call();
-        ClaimTicket ticket = new ClaimTicket(orderCall(call, call.key().orElseThrow()), tokens.next());
+        ClaimTicket ticket = new ClaimTicket(orderCall(call, call.key().orElseThrow()), tokens.get());
         Optional<OrderDecision> decision = claims.claim(ticket, job.settings(), job.upstream(), call.deadlineMillis());
         return decision.isPresent() ? follow(job, ticket, decision.get()) : unsettled(ticket);
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderClaims.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderClaims.java
@@ -15,9 +15,11 @@
 import io.sesamehead.daemon.transport.PlatformClient;
 import io.sesamehead.daemon.transport.StoreResult;
 import io.sesamehead.state.OrderRecord;
+import io.sesamehead.state.WriteToken;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.tinylog.Logger;
 
 /** Carries out the decisions of {@link OrderLedger} on the object API. */
@@ -30,7 +32,7 @@
 
     private final OrderLedger ledger;
     private final PlatformClient platform;
-    private final WriteTokens tokens;
+    private final Supplier<WriteToken> tokens;
     private final LongSupplier nowMillis;
     private final LongSupplier epochMillis;
 
@@ -46,7 +48,7 @@
     public OrderClaims(
             OrderLedger ledger,
             PlatformClient platform,
-            WriteTokens tokens,
+            Supplier<WriteToken> tokens,
             LongSupplier nowMillis,
             LongSupplier epochMillis) {
         this.ledger = ledger;
@@ -90,7 +92,7 @@
      * @param result the result
      */
     void record(OrderDecision.Dispatch dispatch, OrderRecord.Result result) {
-        ResultDecision first = ledger.record(dispatch, result, tokens.next());
+        ResultDecision first = ledger.record(dispatch, result, tokens.get());
         if (!(first instanceof ResultDecision.Write write)) {
             return;
         }
@@ -110,7 +112,7 @@
             for (int step = 0; step < MAX_RECORD_STEPS; step++) {
                 ClaimRead read = read(ticket.call().objectName());
                 if (!(read instanceof ClaimRead.Unavailable)) {
-                    ledger.releaseUndispatched(ticket, read, epochMillis.getAsLong(), tokens.next())
+                    ledger.releaseUndispatched(ticket, read, epochMillis.getAsLong(), tokens.get())
                             .ifPresent(this::finishRecord);
                     return;
                 }
