--- a/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
@@ -95,16 +95,14 @@
      * Runs a GET call to a plain service.
      *
      * @param service name of the service
-     * @param http the request
-     * @param body the body, usually empty
+     * @param http the request; a body is ignored
      * @return the answer
      * @throws IOException if the body cannot be read
      */
     @GET
     @Path("calls/{path: .+}")
-    public Response get(@PathParam("service") String service, @Context HttpServletRequest http, InputStream body)
-            throws IOException {
-        return call(service, http, body);
+    public Response get(@PathParam("service") String service, @Context HttpServletRequest http) throws IOException {
+        return call(service, http, InputStream.nullInputStream());
     }
 
     /**
