--- a/cli/src/main/java/io/sesamehead/cli/ApplyCommand.java
+++ b/cli/src/main/java/io/sesamehead/cli/ApplyCommand.java
@@ -7,8 +7,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import io.sesamehead.cli.operator.AcceptedState;
 import io.sesamehead.cli.operator.ReleaseDiff;
 import io.sesamehead.cli.operator.WriteEnd;
@@ -23,9 +21,6 @@
 /** {@code apply}: makes a release note the accepted one. */
 @Parameters(commandDescription = "Make a release note the accepted one, and show what it changes")
 public final class ApplyCommand implements Command {
-    static final ReleaseNote NOTHING = new ReleaseNote(
-            "", ImmutableMap.of(), ImmutableMap.of(), 0, new ReleaseNote.PolicySettings(0, "", 0), ImmutableSet.of());
-
     @Parameter(description = "NOTE.ini", required = true)
     private String file;
 
@@ -74,8 +69,7 @@
             ReleaseChange change = new ReleaseChange(platform);
             AcceptedState accepted = change.read();
             checkBase(accepted);
-            ReleaseNote before = checkOmissions(accepted, note);
-            ReleaseDiff diff = ReleaseDiff.between(before, note);
+            ReleaseDiff diff = compare(accepted, note);
             if (dryRun) {
                 print(console, accepted.generation(), Optional.empty(), diff);
                 return ExitCode.DONE;
@@ -93,10 +87,10 @@
         }
     }
 
-    private ReleaseNote checkOmissions(AcceptedState accepted, ReleaseNote note) throws CommandFailure {
+    private ReleaseDiff compare(AcceptedState accepted, ReleaseNote note) throws CommandFailure {
         Optional<ReleaseNote> before = ReleaseChange.note(accepted);
         if (before.isEmpty()) {
-            return NOTHING;
+            return ReleaseDiff.first(note);
         }
         ImmutableList<SettingProblem> problems = ReleaseNoteReader.compare(before.get(), note);
         if (!problems.isEmpty()) {
@@ -104,7 +98,7 @@
                     ExitCode.WRONG_USAGE,
                     problems.stream().map(problem -> file + ": " + problem).collect(ImmutableList.toImmutableList()));
         }
-        return before.get();
+        return ReleaseDiff.between(before.get(), note);
     }
 
     private static ReleaseObject next(AcceptedState accepted, String text) {
--- a/cli/src/main/java/io/sesamehead/cli/CommandLine.java
+++ b/cli/src/main/java/io/sesamehead/cli/CommandLine.java
@@ -3,8 +3,11 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Reads the command line and runs the subcommand that it names. */
 public final class CommandLine {
@@ -12,6 +15,13 @@
     /** Column at which help texts wrap, so that they fit a usual terminal. */
     private static final int HELP_COLUMNS = 100;
 
+    private static final ImmutableList<Wording> WORDINGS = ImmutableList.of(
+            new Wording(Pattern.compile("Expected a command, got (.*)"), "unknown command "),
+            new Wording(Pattern.compile("Main parameters are required \\(\"(.*)\"\\)"), "missing argument: "),
+            new Wording(Pattern.compile("Only one main parameter allowed .*\"(-.*)\""), "unknown option "),
+            new Wording(Pattern.compile("Only one main parameter allowed .*\"(.*)\""), "unexpected argument "),
+            new Wording(Pattern.compile("The following options? (?:is|are) required: \\[(.*)]"), "missing option: "));
+
     private final ImmutableMap<String, Command> commands;
     private final Console console;
 
@@ -47,13 +57,21 @@
         return runCommand(parsed.chosen());
     }
 
+    /** Replaces the library's wording where it does not name the operator's mistake. */
     private static String message(ParameterException e) {
         String text = String.valueOf(e.getMessage());
-        return text.startsWith("Expected a command, got ")
-                ? "unknown command " + text.substring("Expected a command, got ".length())
-                : text;
+        for (Wording wording : WORDINGS) {
+            Matcher matcher = wording.library().matcher(text);
+            if (matcher.matches()) {
+                return wording.own() + matcher.group(1);
+            }
+        }
+        return text;
     }
 
+    /** A message of the library, and what is printed in front of its first group instead. */
+    private record Wording(Pattern library, String own) {}
+
     private ExitCode printHelp(Parsed parsed) {
         String name = parsed.chosenName();
         if (name.isEmpty()) {
@@ -96,6 +114,9 @@
         } catch (CommandFailure e) {
             e.errors().forEach(console::error);
             return e.exitCode();
+        } catch (ParameterException e) {
+            console.error(message(e));
+            return ExitCode.WRONG_USAGE;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             console.error("interrupted");
--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -18,17 +18,23 @@
      * @param args command line
      */
     public static void main(String[] args) {
-        // Libraries log through tinylog; a command for people shows only what matters. The daemon sets its own level.
-        Configuration.set("level", "warn");
-        Configuration.set("writer", "console");
-        Configuration.set("writer.stream", "err");
-        Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
+        if (args.length == 0 || !args[0].equals("daemon")) {
+            logQuietly();
+        }
         Console console = new Console(stream(FileDescriptor.out), stream(FileDescriptor.err));
         ExitCode code = new CommandLine(commands(new HttpJsonSource()), console).run(args);
         console.out().flush();
         System.exit(code.code());
     }
 
+    /** A command for people shows only what matters of its libraries' log; the daemon sets its own level. */
+    private static void logQuietly() {
+        Configuration.set("level", "warn");
+        Configuration.set("writer", "console");
+        Configuration.set("writer.stream", "err");
+        Configuration.set("writer.format", "{date: HH:mm:ss.SSS} {level} {message}");
+    }
+
     private static PrintStream stream(FileDescriptor descriptor) {
         return new PrintStream(new FileOutputStream(descriptor), true, StandardCharsets.UTF_8);
     }
--- a/cli/src/main/java/io/sesamehead/cli/SampleCollector.java
+++ b/cli/src/main/java/io/sesamehead/cli/SampleCollector.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.sesamehead.cli.operator.FleetReader;
+import io.sesamehead.cli.operator.ReleaseDiff;
 import io.sesamehead.cli.operator.ReleaseWriter;
 import io.sesamehead.cli.operator.ServiceMatch;
 import io.sesamehead.cli.report.FleetCounts;
@@ -58,7 +59,7 @@
         try {
             FleetReader reader = new FleetReader(platform.get());
             ReleaseNote note =
-                    ReleaseChange.note(new ReleaseChange(platform.get()).read()).orElse(ApplyCommand.NOTHING);
+                    ReleaseChange.note(new ReleaseChange(platform.get()).read()).orElse(ReleaseDiff.NOTHING);
             return count(note, reader.assignments(), reader.vms());
         } catch (ReleaseWriter.ReadFailure | CommandFailure e) {
             return FleetCounts.UNKNOWN;
--- a/cli/src/main/java/io/sesamehead/cli/StatusCommand.java
+++ b/cli/src/main/java/io/sesamehead/cli/StatusCommand.java
@@ -9,6 +9,7 @@
 import io.sesamehead.cli.operator.AcceptedState;
 import io.sesamehead.cli.operator.DaemonStatus;
 import io.sesamehead.cli.operator.FleetReader;
+import io.sesamehead.cli.operator.ReleaseDiff;
 import io.sesamehead.cli.operator.ReleaseWriter;
 import io.sesamehead.cli.operator.ServiceMatch;
 import io.sesamehead.daemon.transport.PlatformClient;
@@ -59,7 +60,7 @@
         try (PlatformClient platform = platformOptions.open()) {
             AcceptedState accepted = new ReleaseChange(platform).read();
             List<GroupAssignment> assignments = new FleetReader(platform).assignments();
-            ReleaseNote note = ReleaseChange.note(accepted).orElse(ApplyCommand.NOTHING);
+            ReleaseNote note = ReleaseChange.note(accepted).orElse(ReleaseDiff.NOTHING);
             View view = new View(
                     accepted,
                     ServiceMatch.compare(note, assignments),
--- a/cli/src/main/java/io/sesamehead/cli/operator/ReleaseDiff.java
+++ b/cli/src/main/java/io/sesamehead/cli/operator/ReleaseDiff.java
@@ -1,6 +1,8 @@
 package io.sesamehead.cli.operator;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.sesamehead.state.ClientAccount;
 import io.sesamehead.state.ReleaseNote;
 import io.sesamehead.state.ServiceName;
@@ -45,6 +47,25 @@
         }
     }
 
+    /** The note in force before the first acceptance. */
+    public static final ReleaseNote NOTHING = new ReleaseNote(
+            "", ImmutableMap.of(), ImmutableMap.of(), 0, new ReleaseNote.PolicySettings(0, "", 0), ImmutableSet.of());
+
+    /**
+     * Describes the first note.
+     *
+     * @param next the note
+     * @return everything that it adds
+     */
+    public static ReleaseDiff first(ReleaseNote next) {
+        ImmutableList.Builder<Change> changes = ImmutableList.builder();
+        compareServices(NOTHING, next, changes);
+        compareAccounts(NOTHING, next, changes);
+        changes.add(new Change(Kind.ADDED, "weights", "loads-per-minute " + next.loadsPerMinute()));
+        changes.add(new Change(Kind.ADDED, "policy", fields(next.policy())));
+        return new ReleaseDiff(changes.build());
+    }
+
     /**
      * Compares two notes.
      *
@@ -144,6 +165,14 @@
         return String.join(", ", changed.build());
     }
 
+    private static String fields(Record record) {
+        ImmutableList.Builder<String> all = ImmutableList.builder();
+        for (RecordComponent component : record.getClass().getRecordComponents()) {
+            all.add(settingName(component.getName()) + " " + value(component, record));
+        }
+        return String.join(", ", all.build());
+    }
+
     private static Object value(RecordComponent component, Record holder) {
         try {
             return component.getAccessor().invoke(holder);
--- a/cli/src/test/java/io/sesamehead/cli/CommandLineTest.java
+++ b/cli/src/test/java/io/sesamehead/cli/CommandLineTest.java
@@ -32,6 +32,7 @@
                 "status",
                 "groups",
                 "drain",
+                "report",
                 "load",
                 "stand-in",
                 "stand-in platform",
