--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/PeerMessages.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/PeerMessages.java
@@ -24,8 +24,6 @@
 
 /** Maps the core types to the messages between daemons and back. */
 public final class PeerMessages {
-    private static final EngineState[] STATES = EngineState.values();
-
     private PeerMessages() {}
 
     /**
@@ -159,7 +157,7 @@
         message.setEngine(report.engine().value())
                 .setGroup(report.group().map(GroupId::value).orElse(""))
                 .setEpoch(report.epoch().value())
-                .setState(report.state().ordinal())
+                .setState(wireState(report.state()))
                 .setModel(report.model().orElse(""))
                 .setInFlight(report.inFlight())
                 .setQueued(report.queued())
@@ -178,15 +176,12 @@
         if (message.getUnreachable()) {
             return new AgedEvidence(vm, Optional.empty(), message.getObservedAgeMillis());
         }
-        if (message.getState() < 0 || message.getState() >= STATES.length) {
-            throw new IllegalArgumentException("unknown engine state " + message.getState());
-        }
         MemberReport report = new MemberReport(
                 vm,
                 new Incarnation(message.getEngine()),
                 nonEmpty(message.getGroup()).map(GroupId::new),
                 new Epoch(message.getEpoch()),
-                STATES[message.getState()],
+                state(message.getState()),
                 nonEmpty(message.getModel()),
                 message.getInFlight(),
                 message.getQueued(),
@@ -208,6 +203,25 @@
                 .build();
     }
 
+    private static PeerProtocol.EngineState wireState(EngineState state) {
+        return switch (state) {
+            case IDLE -> PeerProtocol.EngineState.ENGINE_STATE_IDLE;
+            case LOADING -> PeerProtocol.EngineState.ENGINE_STATE_LOADING;
+            case READY -> PeerProtocol.EngineState.ENGINE_STATE_READY;
+            case LEAVING -> PeerProtocol.EngineState.ENGINE_STATE_LEAVING;
+        };
+    }
+
+    private static EngineState state(PeerProtocol.EngineState state) {
+        return switch (state) {
+            case ENGINE_STATE_IDLE -> EngineState.IDLE;
+            case ENGINE_STATE_LOADING -> EngineState.LOADING;
+            case ENGINE_STATE_READY -> EngineState.READY;
+            case ENGINE_STATE_LEAVING -> EngineState.LEAVING;
+            case ENGINE_STATE_UNKNOWN, UNRECOGNIZED -> throw new IllegalArgumentException("unknown engine state");
+        };
+    }
+
     private static Optional<String> nonEmpty(String value) {
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -27,6 +27,7 @@
     private final ServiceStates serviceStates;
     private final ServiceLevels levels;
     private final CallService service;
+    private final ForwardedCalls forwarded;
     private final LongSupplier nowMillis;
 
     /**
@@ -90,10 +91,12 @@
                 nowMillis);
         PlainRunner plains = new PlainRunner(
                 around.services(), serviceStates, router, budgets, live, tables.failureDomain(), nowMillis);
+        AdmissionGate gate = new AdmissionGate(admission, nowMillis);
+        this.forwarded = new ForwardedCalls(completions, gate, levels, nowMillis);
         this.service = new CallService(
                 new Catalogue(tables.config(), admission),
                 inFlight,
-                new AdmissionGate(admission, nowMillis),
+                gate,
                 new KeyedCalls(claims, around.services(), around.tokens(), around.epochMillis()),
                 completions,
                 plains,
@@ -110,6 +113,15 @@
         return service;
     }
 
+    /**
+     * Returns what runs the calls of other failure domains.
+     *
+     * @return the runner
+     */
+    public ForwardedCalls forwarded() {
+        return forwarded;
+    }
+
     /**
      * Returns the requests that crash upstreams, to learn from peers.
      *
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -79,6 +79,7 @@
                 injector.getInstance(FleetNews.class),
                 injector.getInstance(EvidenceExchange.class),
                 injector.getInstance(CallForwarding.class),
+                injector.getInstance(RemoteServing.class),
                 injector.getInstance(MonotonicClock.class)));
         tasks.startPeerTasks(
                 tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), () -> 0),
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -76,7 +77,7 @@
     }
 
     /** A daemon that was absent in two batches is taken out; a single one can be a short silence. */
-    private void merge(long nowMillis, TreeMap<DaemonId, DaemonEntry> entries) {
+    private void merge(long nowMillis, Map<DaemonId, DaemonEntry> entries) {
         Collection<DaemonEntry> live = tables.directory().live(nowMillis, tables.failureDomain());
         live.forEach(daemon -> entries.put(daemon.daemon(), daemon));
         Set<DaemonId> absent = new HashSet<>(entries.keySet());
@@ -86,13 +87,13 @@
     }
 
     private interface Change {
-        void apply(TreeMap<DaemonId, DaemonEntry> entries);
+        void apply(Map<DaemonId, DaemonEntry> entries);
     }
 
     private boolean update(Change change) {
         return switch (platform.read(Kinds.DAEMON_DIRECTORIES, name())) {
             case StoreResult.Ok<PlatformObject>(PlatformObject object) -> {
-                TreeMap<DaemonId, DaemonEntry> entries = decode(object);
+                Map<DaemonId, DaemonEntry> entries = decode(object);
                 entries.values().forEach(tables.directory()::learned);
                 yield write(Optional.of(object.resourceVersion()), entries, change);
             }
@@ -101,7 +102,7 @@
         };
     }
 
-    private boolean write(Optional<String> version, TreeMap<DaemonId, DaemonEntry> entries, Change change) {
+    private boolean write(Optional<String> version, Map<DaemonId, DaemonEntry> entries, Change change) {
         ImmutableList<DaemonEntry> before = ImmutableList.copyOf(entries.values());
         change.apply(entries);
         if (before.equals(ImmutableList.copyOf(entries.values()))) {
@@ -112,8 +113,8 @@
         return outcome instanceof StoreWrites.Outcome.Accepted;
     }
 
-    private static TreeMap<DaemonId, DaemonEntry> decode(PlatformObject object) {
-        TreeMap<DaemonId, DaemonEntry> entries = new TreeMap<>();
+    private static Map<DaemonId, DaemonEntry> decode(PlatformObject object) {
+        Map<DaemonId, DaemonEntry> entries = new TreeMap<>();
         try {
             DirectoryCodec.decode(object.spec()).forEach(entry -> entries.put(entry.daemon(), entry));
         } catch (MalformedMessageException e) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
@@ -7,13 +7,7 @@
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Heartbeat;
 import io.sesamehead.daemon.transport.PeerConnection;
 import io.sesamehead.daemon.transport.PeerListener;
-import io.sesamehead.state.DaemonId;
-import io.sesamehead.state.ServiceName;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.tinylog.Logger;
 
 /** Passes each frame of a peer to the part of the daemon that it concerns. */
@@ -22,8 +16,8 @@
     private final FleetNews news;
     private final EvidenceExchange evidence;
     private final CallFrames calls;
+    private final RemoteServing serving;
     private final LongSupplier clock;
-    private final Map<DaemonId, Set<ServiceName>> serving = new ConcurrentHashMap<>();
 
     /** Takes the frames of forwarded calls and of suspects. */
     public interface CallFrames {
@@ -50,14 +44,21 @@
      * @param news takes releases, assignments and VM lists
      * @param evidence takes evidence
      * @param calls takes frames of calls
+     * @param serving learns what other failure domains serve
      * @param clock monotonic clock, in milliseconds
      */
     public PeerTraffic(
-            DaemonTables tables, FleetNews news, EvidenceExchange evidence, CallFrames calls, LongSupplier clock) {
+            DaemonTables tables,
+            FleetNews news,
+            EvidenceExchange evidence,
+            CallFrames calls,
+            RemoteServing serving,
+            LongSupplier clock) {
         this.tables = tables;
         this.news = news;
         this.evidence = evidence;
         this.calls = calls;
+        this.serving = serving;
         this.clock = clock;
     }
 
@@ -122,24 +123,11 @@
             return;
         }
         if (!peer.failureDomain().equals(tables.failureDomain())) {
-            serving.put(
-                    peer.daemon(),
-                    heartbeat.getServingList().stream().map(ServiceName::new).collect(Collectors.toSet()));
+            serving.record(peer.daemon(), heartbeat);
         }
         news.compare(connection, heartbeat);
     }
 
-    /**
-     * Tells whether a daemon of another failure domain said that it serves a service.
-     *
-     * @param daemon the daemon
-     * @param service the service
-     * @return true when its last heartbeat named the service
-     */
-    public boolean serves(DaemonId daemon, ServiceName service) {
-        return serving.getOrDefault(daemon, Set.of()).contains(service);
-    }
-
     @Override
     public void disconnected(PeerConnection connection) {
         evidence.disconnected(connection);
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/WorkerPool.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/WorkerPool.java
@@ -11,6 +11,8 @@
 import org.tinylog.Logger;
 
 /** Threads that run the control tasks of a daemon, once or at intervals. A task may block in I/O. */
+// Failures of a task are logged where it runs.
+@SuppressWarnings("FutureReturnValueIgnored")
 public final class WorkerPool implements AutoCloseable {
     /** Probes of unreachable engines block for their timeout; above this many threads further tasks are skipped. */
     private static final int MAX_THREADS = 64;
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerConnection.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerConnection.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** One TCP connection to a peer on which Hello was exchanged. */
+// A failed write or close shows as the end of the channel, which the handler reports.
+@SuppressWarnings("FutureReturnValueIgnored")
 public final class PeerConnection {
     private final Channel channel;
     private final Hello peer;
@@ -56,7 +58,7 @@
      * @return false when the frame was dropped and counted
      */
     public boolean send(Frame frame) {
-        if (!channel.isActive() || !channel.isWritable()) {
+        if (!writable()) {
             dropped.set(true);
             counters.dropped(frame);
             return false;
@@ -65,6 +67,15 @@
         return true;
     }
 
+    /**
+     * Tells whether the outbound queue takes a frame now.
+     *
+     * @return true when {@link #send} would not drop a frame
+     */
+    public boolean writable() {
+        return channel.isActive() && channel.isWritable();
+    }
+
     /**
      * Tells once whether a frame was dropped since the last call, so that the sender repeats its whole state.
      *
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerHandler.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerHandler.java
@@ -10,6 +10,8 @@
 import org.tinylog.Logger;
 
 /** Exchanges Hello on one channel and passes later frames to the listener. */
+// A failed write or close shows as the end of the channel.
+@SuppressWarnings("FutureReturnValueIgnored")
 final class PeerHandler extends SimpleChannelInboundHandler<Frame> {
     private final Supplier<Hello> self;
     private final long dialledIncarnation;
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerLink.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerLink.java
@@ -11,6 +11,8 @@
 import org.tinylog.Logger;
 
 /** Keeps one dialled connection to an address and dials again after it breaks. */
+// A failed dial or close shows as the end of the channel, on which the link dials again.
+@SuppressWarnings("FutureReturnValueIgnored")
 final class PeerLink {
     private static final long FIRST_BACKOFF_MILLIS = 100;
 
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
@@ -35,6 +35,8 @@
  * TCP connections between daemons. A daemon dials every peer that it sends to and accepts connections from peers that
  * send to it; answers travel on the connection of the question.
  */
+// A failed close or dial shows as the end of the channel, which the link and the handler report.
+@SuppressWarnings("FutureReturnValueIgnored")
 public final class PeerMesh implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
@@ -21,6 +21,7 @@
 import io.sesamehead.state.GroupAssignment;
 import io.sesamehead.state.Incarnation;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -102,12 +103,12 @@
 
     /** Starts a daemon that does not reach the platform. */
     DaemonProcess cutOffDaemon(String name, String failureDomain, InetSocketAddress... seeds) {
-        return start(name, failureDomain, new InetSocketAddress("127.0.0.1", 1), seeds);
+        return start(name, failureDomain, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), seeds);
     }
 
     private DaemonProcess start(
             String name, String failureDomain, InetSocketAddress store, InetSocketAddress... seeds) {
-        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         DaemonProcess daemon = DaemonProcess.start(new DaemonSettings(
                 new DaemonSettings.Identity(
                         new DaemonId(name), new FailureDomain(failureDomain), "region", any, any, any),
--- a/daemon/src/test/java/io/sesamehead/daemon/transport/PeerMeshTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/transport/PeerMeshTest.java
@@ -7,6 +7,7 @@
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Hello;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Leaving;
 import io.sesamehead.daemon.protocol.generated.PeerProtocol.Suspect;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -87,7 +88,7 @@
     }
 
     private static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress("127.0.0.1", port);
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
     private static final class Peer implements PeerListener, AutoCloseable {
