Serve callers and operators from the daemon process

Cause: the control tasks and the call flow were started apart.

Change: DaemonPorts opens the caller and the admin port with /ready and /status; the stop refuses new calls once the lease is given back and ends the open ones at exit; completions are forwarded to another failure domain that serves them.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -17,6 +17,11 @@
     /** The first source to report that a VM is leaving counts within 3 s, so the list is read more often than that. */
     private static final Duration VM_POLL = Duration.ofSeconds(2);
 
+    /** Work on a broken group moves on within this time after the evidence changed. */
+    private static final Duration BROKEN_CALLS = Duration.ofMillis(100);
+
+    private static final Duration SERVICE_STATES = Duration.ofSeconds(1);
+
     private final DaemonSettings settings;
     private final DaemonTables tables;
     private final FleetNews news;
@@ -75,6 +80,11 @@
         workers.every("controller", ControllerTask.INTERVAL, controller);
     }
 
+    void startCallTasks(CallStack calls) {
+        workers.every("broken calls", BROKEN_CALLS, calls::moveBrokenCalls);
+        workers.every("plain services", SERVICE_STATES, calls::refreshServices);
+    }
+
     HeartbeatTask heartbeat(PeerMesh mesh, Broadcast broadcast, IntSupplier callsInFlight) {
         PeerTargets targets = new PeerTargets(
                 tables.directory(), tables.self(), settings.peers().seeds());
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -19,6 +19,7 @@
 import io.sesamehead.daemon.transport.FrameCounters;
 import io.sesamehead.daemon.transport.PeerMesh;
 import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.AssignmentTable;
 import io.sesamehead.state.EvidenceTable;
 import java.time.Duration;
@@ -145,6 +146,35 @@
         return new ProbeTask(tables, exchange, engines, workers, clock);
     }
 
+    @Provides
+    @Singleton
+    ServiceClient services() {
+        return new ServiceClient(MAX_ENGINE_CONNECTIONS, MAX_CONNECTIONS_PER_ENGINE, ENGINE_CONNECT_TIMEOUT);
+    }
+
+    @Provides
+    @Singleton
+    CallStack calls(
+            DaemonTables tables,
+            PlatformClient platform,
+            EngineClient engines,
+            ServiceClient services,
+            WriteTokens tokens,
+            CallForwarding forwarding) {
+        return new CallStack(new CallStack.Surroundings(
+                settings,
+                tables,
+                platform,
+                engines,
+                services,
+                tokens::next,
+                forwarding,
+                forwarding,
+                metrics,
+                clock,
+                System::currentTimeMillis));
+    }
+
     @Provides
     @Singleton
     LeaseTask lease(DaemonTables tables, FleetNews news, PlatformClient platform, StoreWrites writes) {
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonPorts.java
@@ -0,0 +1,107 @@
+package io.sesamehead.daemon.runtime;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.Inject;
+import io.sesamehead.coordination.config.Readiness;
+import io.sesamehead.coordination.config.ReadinessDecision;
+import io.sesamehead.coordination.drain.StopPhase;
+import io.sesamehead.daemon.protocol.Json;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.CallerResource;
+import io.sesamehead.daemon.transport.HttpPorts;
+import io.sesamehead.daemon.transport.JsonServlet;
+import io.sesamehead.daemon.transport.UncaughtErrors;
+import io.sesamehead.state.RequestId;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.Supplier;
+
+/** The caller port and the admin port of a daemon. */
+public final class DaemonPorts implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final DaemonTables tables;
+    private final FleetNews news;
+    private final HttpPorts ports;
+
+    /**
+     * Creates ports that do not listen yet.
+     *
+     * @param settings settings of the daemon
+     * @param tables the tables of this daemon
+     * @param news knows whether a peer or the store answered
+     * @param calls runs the calls
+     * @param metrics registry that the admin port shows
+     * @param clock monotonic clock
+     */
+    @Inject
+    public DaemonPorts(
+            DaemonSettings settings,
+            DaemonTables tables,
+            FleetNews news,
+            CallStack calls,
+            MetricRegistry metrics,
+            MonotonicClock clock) {
+        this.tables = tables;
+        this.news = news;
+        Supplier<RequestId> requestIds = () -> new RequestId(UUID.randomUUID().toString());
+        StatusReport status = new StatusReport(tables, calls, clock);
+        this.ports = new HttpPorts(
+                settings.daemon().callerAddress(),
+                settings.daemon().adminAddress(),
+                metrics,
+                List.of(
+                        new CallerResource(calls.service(), settings.limits().bodyBytes(), requestIds, clock),
+                        new UncaughtErrors(requestIds)),
+                Map.of(
+                        "/ready",
+                        new JsonServlet(this::ready),
+                        "/status",
+                        new JsonServlet(() -> new JsonServlet.Answer(OK, status.toJson()))));
+    }
+
+    /** Binds both ports. */
+    public void start() {
+        ports.start();
+    }
+
+    /**
+     * Returns the bound port for callers.
+     *
+     * @return the port
+     */
+    public int callerPort() {
+        return ports.callerPort();
+    }
+
+    /**
+     * Returns the bound port for operators.
+     *
+     * @return the port
+     */
+    public int adminPort() {
+        return ports.adminPort();
+    }
+
+    private JsonServlet.Answer ready() {
+        ReadinessDecision decision = Readiness.decide(
+                news.hasAnswer(),
+                tables.config().highestReported(),
+                tables.config().generation(),
+                tables.shutdown().phase() != StopPhase.RUNNING);
+        return switch (decision) {
+            case ReadinessDecision.Ready ready ->
+                new JsonServlet.Answer(OK, Json.object().put("ready", true));
+            case ReadinessDecision.NotReady(ReadinessDecision.Reason reason) ->
+                new JsonServlet.Answer(
+                        UNAVAILABLE, Json.object().put("ready", false).put("reason", reason.name()));
+        };
+    }
+
+    @Override
+    public void close() {
+        ports.close();
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -14,6 +14,7 @@
 import io.sesamehead.daemon.transport.FrameCounters;
 import io.sesamehead.daemon.transport.PeerMesh;
 import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.Incarnation;
 import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -28,6 +29,7 @@
     private final PeerMesh mesh;
     private final ControlTasks tasks;
     private final StopTask stop;
+    private final DaemonPorts ports;
     private final AtomicBoolean closed = new AtomicBoolean();
 
     private DaemonProcess(Injector injector) {
@@ -40,8 +42,10 @@
                 injector.getInstance(Broadcast.class),
                 injector.getInstance(LeaseTask.class),
                 injector.getInstance(ControllerTask.class),
-                () -> 0,
+                injector.getInstance(CallStack.class),
+                injector.getInstance(IncomingForwards.class),
                 injector.getInstance(MonotonicClock.class));
+        this.ports = injector.getInstance(DaemonPorts.class);
     }
 
     /**
@@ -81,11 +85,14 @@
                 injector.getInstance(CallForwarding.class),
                 injector.getInstance(RemoteServing.class),
                 injector.getInstance(MonotonicClock.class)));
+        CallStack calls = injector.getInstance(CallStack.class);
         tasks.startPeerTasks(
-                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), () -> 0),
+                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), calls::openCalls),
                 injector.getInstance(ProbeTask.class),
                 injector.getInstance(ControllerTask.class));
         tasks.startStoreTasks(injector.getInstance(LeaseTask.class));
+        tasks.startCallTasks(calls);
+        ports.start();
     }
 
     /**
@@ -122,6 +129,15 @@
         return tables;
     }
 
+    /**
+     * Returns the ports of the daemon.
+     *
+     * @return the ports
+     */
+    public DaemonPorts ports() {
+        return ports;
+    }
+
     /**
      * Returns the metrics of the daemon.
      *
@@ -146,11 +162,13 @@
         if (closed.getAndSet(true)) {
             return;
         }
+        ports.close();
         tasks.close();
         injector.getInstance(WorkerPool.class).close();
         mesh.close();
         injector.getInstance(PlatformClient.class).close();
         injector.getInstance(EngineClient.class).close();
+        injector.getInstance(ServiceClient.class).close();
         StopPhase phase = tables.shutdown().phase();
         Logger.info("daemon: {} ended in phase {}", tables.self().daemon(), phase);
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/StopTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StopTask.java
@@ -6,7 +6,6 @@
 import io.sesamehead.daemon.transport.Broadcast;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
@@ -14,11 +13,15 @@
 final class StopTask {
     private static final long STEP_MILLIS = 20;
 
+    /** Time for the answers of calls that were ended to reach their callers. */
+    private static final long LAST_ANSWERS_MILLIS = 1_000;
+
     private final DaemonTables tables;
     private final Broadcast broadcast;
     private final LeaseTask lease;
     private final ControllerTask controller;
-    private final IntSupplier callsInFlight;
+    private final CallStack calls;
+    private final IncomingForwards forwards;
     private final LongSupplier clock;
     private final CountDownLatch asked = new CountDownLatch(1);
     private boolean announced;
@@ -29,13 +32,15 @@
             Broadcast broadcast,
             LeaseTask lease,
             ControllerTask controller,
-            IntSupplier callsInFlight,
+            CallStack calls,
+            IncomingForwards forwards,
             LongSupplier clock) {
         this.tables = tables;
         this.broadcast = broadcast;
         this.lease = lease;
         this.controller = controller;
-        this.callsInFlight = callsInFlight;
+        this.calls = calls;
+        this.forwards = forwards;
         this.clock = clock;
     }
 
@@ -53,11 +58,26 @@
                 TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
                 phase = step();
             }
+            endCalls();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void endCalls() throws InterruptedException {
+        calls.stopAccepting();
+        calls.endCalls();
+        long endMillis = clock.getAsLong() + LAST_ANSWERS_MILLIS;
+        while (openCalls() > 0 && clock.getAsLong() < endMillis) {
+            TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
+        }
+        Logger.info("daemon: stopped with {} open calls", openCalls());
+    }
+
+    private int openCalls() {
+        return calls.openCalls() + forwards.open();
+    }
+
     private StopPhase step() {
         switch (tables.shutdown().phase()) {
             case ANNOUNCE -> {
@@ -65,11 +85,12 @@
                 announced = true;
             }
             case LEASE_BACK -> leaseReturned = leaseReturned || lease.giveBack(controller.ordersInFlight());
-            case RUNNING, FINISH_CALLS, EXIT -> {
+            case FINISH_CALLS -> calls.stopAccepting();
+            case RUNNING, EXIT -> {
                 // Nothing is to be done but to wait.
             }
         }
-        StopProgress progress = new StopProgress(announced, leaseReturned, callsInFlight.getAsInt());
+        StopProgress progress = new StopProgress(announced, leaseReturned, openCalls());
         return tables.shutdown().advance(clock.getAsLong(), progress);
     }
 }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonProcessTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonProcessTest.java
@@ -129,4 +129,25 @@
             assertThat(second.tables().evidence().evidence(new VmId("vm-1"))).isPresent();
         }
     }
+
+    /** Guards against calls that end at the borders of a failure domain without groups. */
+    @Test
+    void aCallIsForwardedToTheFailureDomainThatServes() throws Exception {
+        try (TestFleet fleet = new TestFleet()) {
+            fleet.engine("vm-1", "cebu");
+            fleet.engine("vm-2", "cebu");
+            fleet.accept(NOTE);
+            DaemonProcess cebu = fleet.daemon("cebu-1", "cebu");
+            DaemonProcess bohol = fleet.daemon("bohol-1", "bohol");
+            TestFleet.await("a serving group", () -> TestFleet.servingGroups(cebu) == 1);
+            TestFleet.await(
+                    "bohol can serve over cebu", () -> fleet.complete(bohol).contains("event: end"));
+            assertThat(fleet.complete(bohol)).contains("\"count\":5").doesNotContain("event: error");
+            long events = bohol.metrics()
+                    .counter("peer.received.forward-event.messages")
+                    .getCount();
+            assertThat(events).isGreaterThanOrEqualTo(10);
+            assertThat(bohol.metrics().counter("peer.unmatched").getCount()).isZero();
+        }
+    }
 }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
@@ -79,6 +79,22 @@
         Assertions.assertThat(answer.statusCode()).isEqualTo(200);
     }
 
+    /** Sends a completion of five tokens and returns the event stream. */
+    String complete(DaemonProcess daemon) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(
+                        "http://127.0.0.1:" + daemon.ports().callerPort() + "/v1/services/assistant/completions"))
+                .header("X-Client-Account", "shop-1")
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"prompt\":\"a tin lid\",\"max_tokens\":5,\"stream\":true}"))
+                .build();
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Accepts the first release note. */
     void accept(String note) {
         ReleaseObject first = ReleaseObject.first(note, tokens.next());
