--- a/cli/src/main/java/io/sesamehead/cli/HttpJsonSource.java
+++ b/cli/src/main/java/io/sesamehead/cli/HttpJsonSource.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Supplier;
+import com.google.common.base.Suppliers;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
@@ -13,36 +15,36 @@
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 
 /** Reads JSON documents over HTTP. */
-public final class HttpJsonSource implements JsonSource, AutoCloseable {
+public final class HttpJsonSource implements JsonSource {
     /** A daemon that does not answer within this time is reported as not answering. */
     private static final long TIMEOUT_MILLIS = 2000;
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final CloseableHttpClient http = HttpClients.custom()
-            .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                    .setDefaultConnectionConfig(ConnectionConfig.custom()
-                            .setConnectTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                            .build())
-                    .build())
-            .setDefaultRequestConfig(RequestConfig.custom()
-                    .setResponseTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                    .build())
-            .disableAutomaticRetries()
-            .build();
+    /** Opened on first use: the library starts its log then, and the daemon sets the level before. */
+    private final Supplier<CloseableHttpClient> http = Suppliers.memoize(HttpJsonSource::open);
+
+    private static CloseableHttpClient open() {
+        return HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setDefaultConnectionConfig(ConnectionConfig.custom()
+                                .setConnectTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                                .build())
+                        .build())
+                .setDefaultRequestConfig(RequestConfig.custom()
+                        .setResponseTimeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                        .build())
+                .disableAutomaticRetries()
+                .build();
+    }
 
     @Override
     public JsonNode read(String url) throws IOException {
-        return http.execute(new HttpGet(url), response -> {
+        return http.get().execute(new HttpGet(url), response -> {
             if (response.getCode() != 200) {
                 throw new IOException(url + " answered with status " + response.getCode());
             }
             return JSON.readTree(EntityUtils.toByteArray(response.getEntity()));
         });
     }
-
-    @Override
-    public void close() throws IOException {
-        http.close();
-    }
 }
--- a/cli/src/main/java/io/sesamehead/cli/LoadCommand.java
+++ b/cli/src/main/java/io/sesamehead/cli/LoadCommand.java
@@ -65,7 +65,7 @@
     private long deadlineMillis = 20_000;
 
     @Parameter(names = "--stall-millis", description = "Silence after which a caller gives up on a daemon")
-    private long stallMillis = 6000;
+    private long stallMillis = 3000;
 
     @Parameter(names = "--attempts", description = "Most attempts of a call, each at another daemon")
     private int attempts = 6;
