Test late orders in the controller's random fault test

Cause: the fake fleet delivered every order at once, so the rule that a VM gets no order while an earlier one can take effect was not exercised.

--- a/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sesamehead.coordination.lease.HeldLease;
 import io.sesamehead.state.Epoch;
 import io.sesamehead.state.Group;
 import io.sesamehead.state.GroupId;
@@ -57,7 +58,7 @@
     }
 
     @Test
-    void serveAgainWithoutOrdersWhenMemberComesBackUnchanged() {
+    void servesAgainWithoutOrdersWhenMemberComesBackUnchanged() {
         serveTwoGroups(5);
         fleet.engine("vm1").reachable = false;
         fleet.run(2);
@@ -109,7 +110,7 @@
     @Test
     void newControllerOrdersNothingBeforeEveryVmWasRead() {
         addVms(4);
-        fleet.lease = new io.sesamehead.coordination.lease.HeldLease(1, 2 * FakeFleet.STEP_MILLIS);
+        fleet.lease = new HeldLease(1, 2 * fleet.stepMillis);
         fleet.step();
         assertThat(fleet.lastActions).hasSize(4).allMatch(ControllerAction.ReadStatus.class::isInstance);
     }
@@ -120,7 +121,7 @@
         fleet.changeController();
         fleet.step();
         assertThat(fleet.stored.controllerEpoch()).isEqualTo(2);
-        fleet.lease = new io.sesamehead.coordination.lease.HeldLease(1, 0);
+        fleet.lease = new HeldLease(1, 0);
         fleet.engine("vm1").restart();
         fleet.step();
         assertThat(fleet.lastActions).isEmpty();
@@ -138,6 +139,20 @@
                 .hasSize(2);
     }
 
+    @Test
+    void vmIsNotTakenWhileAnEarlierLoadCanStillArrive() {
+        addVms(2);
+        fleet.stepMillis = 100;
+        fleet.replicas = 1;
+        fleet.ordersToDelay = 2;
+        fleet.run(2);
+        fleet.replicas = 0;
+        fleet.step();
+        fleet.replicas = 1;
+        fleet.run(100);
+        assertThat(fleet.serving()).isEqualTo(1);
+    }
+
     @Test
     void loadsStayWithinTheLimitOfEachMinute() {
         fleet.loadsPerMinute = 8;
@@ -174,8 +189,10 @@
             strike(random);
             fleet.step();
         }
+        fleet.stepMillis = 500;
         fleet.storeDown = false;
         fleet.ordersToLose = 0;
+        fleet.ordersToDelay = 0;
         fleet.drained.clear();
         fleet.engines.values().forEach(engine -> {
             engine.reachable = true;
@@ -190,6 +207,7 @@
 
     private void strike(Random random) {
         FakeFleet.Engine engine = fleet.engine("vm" + (1 + random.nextInt(8)));
+        fleet.stepMillis = 100 + random.nextInt(5) * 100;
         switch (random.nextInt(40)) {
             case 0 -> engine.restart();
             case 1, 2 -> engine.reachable = false;
@@ -203,6 +221,7 @@
             case 13 -> fleet.drained.add(engine.vm.id());
             case 14 -> fleet.drained.clear();
             case 15 -> engine.group = engine.group.isEmpty() ? Optional.of(new GroupId("old-1")) : engine.group;
+            case 16, 17 -> fleet.ordersToDelay = random.nextInt(4);
             default -> {}
         }
     }
--- a/core/src/test/java/io/sesamehead/coordination/group/FakeFleet.java
+++ b/core/src/test/java/io/sesamehead/coordination/group/FakeFleet.java
@@ -34,7 +34,6 @@
 /** Engines, a store and a controller in virtual time. Each order is checked against the rules of invariant one-group. */
 final class FakeFleet {
     static final FailureDomain DOMAIN = new FailureDomain("cebu");
-    static final long STEP_MILLIS = 500;
     static final long LONGEST_ORDER_MILLIS = 1_000;
     static final long LOAD_MILLIS = 2_000;
     private static final ControllerSettings SETTINGS = ControllerSettings.of(3_000, LONGEST_ORDER_MILLIS);
@@ -43,10 +42,12 @@
     final List<Long> loadTimes = new ArrayList<>();
     final List<ControllerAction> lastActions = new ArrayList<>();
     final Set<VmId> drained = new HashSet<>();
+    private final List<Delayed> delayed = new ArrayList<>();
     GroupAssignment stored = GroupAssignment.empty(DOMAIN);
     HeldLease lease = new HeldLease(1, 0);
     Controller controller = new Controller(DOMAIN, SETTINGS);
     long nowMillis;
+    long stepMillis = 500;
     int replicas = 2;
     int vmsPerReplica = 2;
     String version = "1";
@@ -55,6 +56,8 @@
     boolean storeDown;
     /** Drops the next orders on the way to the engine without an answer. */
     int ordersToLose;
+    /** Lets the next orders take effect late, without an answer, within the longest order time. */
+    int ordersToDelay;
 
     void add(String id, String fabricDomain, int memoryGb) {
         Vm vm = new Vm(new VmId(id), DOMAIN, new FabricDomain(fabricDomain), 2, memoryGb, id + ":1", false);
@@ -67,6 +70,7 @@
 
     void changeController() {
         nowMillis += 10 * LONGEST_ORDER_MILLIS;
+        deliverDelayed();
         lease = new HeldLease(lease.epoch() + 1, nowMillis);
         controller = new Controller(DOMAIN, SETTINGS);
     }
@@ -78,7 +82,8 @@
     }
 
     void step() {
-        nowMillis += STEP_MILLIS;
+        nowMillis += stepMillis;
+        deliverDelayed();
         lastActions.clear();
         lastActions.addAll(controller.step(nowMillis, view()));
         GroupAssignment before = stored;
@@ -146,12 +151,39 @@
         }
         if (ordersToLose > 0) {
             ordersToLose--;
+        } else if (ordersToDelay > 0) {
+            ordersToDelay--;
+            delayed.add(new Delayed(order, nowMillis + LONGEST_ORDER_MILLIS - 1));
         } else if (engine.reachable) {
             engine.take(order, nowMillis);
             controller.answered(order);
         }
     }
 
+    private void deliverDelayed() {
+        for (Delayed late : List.copyOf(delayed)) {
+            if (nowMillis >= late.dueMillis) {
+                delayed.remove(late);
+                deliverLate(late.order);
+            }
+        }
+    }
+
+    private void deliverLate(ControllerAction.Order order) {
+        Optional<GroupId> assigned = stored.groups().stream()
+                .filter(group -> group.contains(order.vm().id()))
+                .map(Group::id)
+                .findFirst();
+        if (order instanceof ControllerAction.SendLoad load) {
+            assertThat(assigned.filter(id -> !id.equals(load.group().id())))
+                    .as("a late load reaches a VM of another group")
+                    .isEmpty();
+        }
+        engines.get(order.vm().id()).take(order, nowMillis);
+    }
+
+    private record Delayed(ControllerAction.Order order, long dueMillis) {}
+
     /** A model engine that ignores fencing numbers. */
     static final class Engine {
         Vm vm;
