--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/config/ConfigTableTest.java
@@ -0,0 +1,66 @@
+package io.sesamehead.coordination.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.state.AcceptedRelease;
+import io.sesamehead.state.Generation;
+import io.sesamehead.state.ReleaseNote;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a configuration that reverts and against a daemon that is ready without the one in force. */
+final class ConfigTableTest {
+    private final ConfigTable table = new ConfigTable();
+
+    @Test
+    void highestGenerationWinsOnEveryPath() {
+        assertThat(table.offer(release(2, "a"), ConfigSource.PEER)).isEqualTo(new ConfigDecision.Adopt(generation(2)));
+        assertThat(table.offer(release(1, "a"), ConfigSource.PEER)).isEqualTo(new ConfigDecision.Ignore());
+        assertThat(table.offer(release(3, "a"), ConfigSource.STORE)).isEqualTo(new ConfigDecision.Adopt(generation(3)));
+        assertThat(table.generation()).isEqualTo(generation(3));
+    }
+
+    @Test
+    void restoredStoreRaisesAnAlarmAndDoesNotRevert() {
+        table.offer(release(5, "a"), ConfigSource.PEER);
+        assertThat(table.offer(release(4, "a"), ConfigSource.STORE))
+                .isEqualTo(new ConfigDecision.StaleStore(generation(5), generation(4)));
+        assertThat(table.offer(release(5, "b"), ConfigSource.STORE))
+                .isEqualTo(new ConfigDecision.Conflicting(generation(5), ConfigSource.STORE));
+        assertThat(table.inForce()).contains(release(5, "a"));
+    }
+
+    @Test
+    void readyOnlyWithAnAnswerAndTheReleaseInForce() {
+        assertThat(readiness(false)).isEqualTo(notReady(ReadinessDecision.Reason.NO_ANSWER));
+        assertThat(readiness(true)).isEqualTo(new ReadinessDecision.Ready());
+        assertThat(table.reported(generation(1))).isTrue();
+        assertThat(readiness(true)).isEqualTo(notReady(ReadinessDecision.Reason.RELEASE_NOT_IN_FORCE));
+        table.offer(release(1, "a"), ConfigSource.PEER);
+        assertThat(readiness(true)).isEqualTo(new ReadinessDecision.Ready());
+    }
+
+    private ReadinessDecision readiness(boolean answered) {
+        return Readiness.decide(answered, table.highestReported(), table.generation(), false);
+    }
+
+    private static ReadinessDecision notReady(ReadinessDecision.Reason reason) {
+        return new ReadinessDecision.NotReady(reason);
+    }
+
+    private static Generation generation(long value) {
+        return new Generation(value);
+    }
+
+    private static AcceptedRelease release(long value, String text) {
+        ReleaseNote note = new ReleaseNote(
+                text,
+                ImmutableMap.of(),
+                ImmutableMap.of(),
+                60,
+                new ReleaseNote.PolicySettings(0.5, "fixed-timeout", 0),
+                ImmutableSet.of());
+        return new AcceptedRelease(generation(value), note, ImmutableSet.of());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/drain/DrainTest.java
@@ -0,0 +1,59 @@
+package io.sesamehead.coordination.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.state.VmId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against new work for a leaving upstream and against a stop that interrupts calls or does not end. */
+final class DrainTest {
+    private static final VmId VM = new VmId("vm1");
+    private static final StopProgress NOTHING_DONE = new StopProgress(false, false, 3);
+    private static final StopProgress CALLS_OPEN = new StopProgress(true, true, 3);
+
+    private final Drain drain = new Drain();
+    private final Shutdown shutdown = new Shutdown(30_000);
+
+    @Test
+    void firstSourceWinsAndBothMustTakeItBack() {
+        assertThat(drain.observe(10, VM, LeavingSource.UPSTREAM_STATUS, true)).isTrue();
+        assertThat(drain.observe(900, VM, LeavingSource.VM_LIST, true)).isFalse();
+        assertThat(drain.leavingSinceMillis(VM)).hasValue(10);
+        drain.observe(950, VM, LeavingSource.UPSTREAM_STATUS, false);
+        assertThat(drain.isLeaving(VM)).isTrue();
+        drain.observe(990, VM, LeavingSource.VM_LIST, false);
+        assertThat(drain.isLeaving(VM)).isFalse();
+    }
+
+    @Test
+    void lateListDoesNotTakeBackWhatTheUpstreamReports() {
+        drain.observe(10, VM, LeavingSource.UPSTREAM_STATUS, true);
+        drain.observe(20, VM, LeavingSource.VM_LIST, false);
+        assertThat(drain.leaving()).containsExactly(VM);
+    }
+
+    @Test
+    void stopRunsThroughItsPhasesAndWaitsForCalls() {
+        assertThat(shutdown.advance(0, NOTHING_DONE)).isEqualTo(StopPhase.RUNNING);
+        assertThat(shutdown.signal(0)).isEqualTo(StopPhase.ANNOUNCE);
+        assertThat(shutdown.advance(10, NOTHING_DONE)).isEqualTo(StopPhase.ANNOUNCE);
+        assertThat(shutdown.advance(20, new StopProgress(true, false, 3))).isEqualTo(StopPhase.LEASE_BACK);
+        assertThat(shutdown.advance(30, CALLS_OPEN)).isEqualTo(StopPhase.FINISH_CALLS);
+        assertThat(shutdown.advance(20_000, CALLS_OPEN)).isEqualTo(StopPhase.FINISH_CALLS);
+        assertThat(shutdown.advance(20_100, new StopProgress(true, true, 0))).isEqualTo(StopPhase.EXIT);
+    }
+
+    @Test
+    void silentPeersAndStoreDoNotHoldUpTheStop() {
+        shutdown.signal(0);
+        assertThat(shutdown.advance(1_000, NOTHING_DONE)).isEqualTo(StopPhase.LEASE_BACK);
+        assertThat(shutdown.advance(3_000, NOTHING_DONE)).isEqualTo(StopPhase.FINISH_CALLS);
+        assertThat(shutdown.advance(30_000, NOTHING_DONE)).isEqualTo(StopPhase.EXIT);
+    }
+
+    @Test
+    void secondSignalEndsTheStop() {
+        shutdown.signal(0);
+        assertThat(shutdown.signal(100)).isEqualTo(StopPhase.EXIT);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/membership/DaemonDirectoryTest.java
@@ -0,0 +1,102 @@
+package io.sesamehead.coordination.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.coordination.membership.DaemonDirectory.Change;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.VmId;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against dead, replaced or leaving daemons that count as live, and against VMs without probers. */
+final class DaemonDirectoryTest {
+    private static final FailureDomain HERE = new FailureDomain("cebu");
+    private static final FailureDomain THERE = new FailureDomain("bohol");
+
+    private final DaemonDirectory directory = new DaemonDirectory(entry("d0", 1, HERE, false), 3_000, 15_000);
+
+    @Test
+    void silentDaemonIsNotLive() {
+        directory.heard(1_000, entry("d1", 1, HERE, false));
+        directory.heard(1_000, entry("d2", 1, THERE, false));
+        assertThat(directory.liveIds(3_999, HERE)).containsExactly(new DaemonId("d0"), new DaemonId("d1"));
+        assertThat(directory.liveIds(4_000, HERE)).containsExactly(new DaemonId("d0"));
+        assertThat(directory.liveIds(4_000, THERE)).containsExactly(new DaemonId("d2"));
+    }
+
+    @Test
+    void replacedIncarnationDoesNotComeBack() {
+        directory.heard(0, entry("d1", 1, HERE, false));
+        assertThat(directory.heard(10, entry("d1", 2, HERE, false))).isEqualTo(Change.RESTARTED);
+        assertThat(directory.heard(20, entry("d1", 1, HERE, false))).isEqualTo(Change.REPLACED);
+        assertThat(directory.entry(new DaemonId("d1")).orElseThrow().incarnation())
+                .isEqualTo(new Incarnation(2));
+    }
+
+    @Test
+    void lateHeartbeatDoesNotTakeBackThatADaemonLeaves() {
+        directory.heard(0, entry("d1", 1, HERE, true));
+        directory.heard(10, entry("d1", 1, HERE, false));
+        assertThat(directory.liveIds(10, HERE)).containsExactly(new DaemonId("d0"));
+    }
+
+    @Test
+    void entryOfTheStoreGivesAnAddressOnly() {
+        directory.learned(entry("d1", 1, HERE, false));
+        assertThat(directory.live(0)).hasSize(1);
+        assertThat(directory.known()).hasSize(2);
+        directory.heard(0, entry("d1", 2, HERE, false));
+        assertThat(directory.learned(entry("d1", 1, HERE, false))).isEqualTo(Change.REPLACED);
+    }
+
+    @Test
+    void otherProcessUnderOwnNameIsNotTakenOver() {
+        assertThat(directory.heard(0, entry("d0", 2, HERE, false))).isEqualTo(Change.REPLACED);
+        assertThat(directory.known()).containsExactly(entry("d0", 1, HERE, false));
+    }
+
+    @Test
+    void lossOfADaemonMovesOnlyItsOwnProbes() {
+        List<DaemonId> all = ids(0, 6);
+        List<DaemonId> left = ids(1, 6);
+        DaemonId lost = new DaemonId("d0");
+        for (VmId vm : vms()) {
+            ImmutableList<DaemonId> before = ProbeAssignment.probers(vm, all);
+            ImmutableList<DaemonId> after = ProbeAssignment.probers(vm, left);
+            assertThat(after).hasSize(2).doesNotContain(lost);
+            assertThat(after)
+                    .containsAll(before.stream().filter(it -> !it.equals(lost)).toList());
+        }
+        int probes = all.stream()
+                .mapToInt(it -> ProbeAssignment.assignedTo(it, ImmutableSet.copyOf(vms()), all)
+                        .size())
+                .sum();
+        assertThat(probes).isEqualTo(2 * vms().size());
+    }
+
+    @Test
+    void relaysDoNotDependOnTheOrderOfTheList() {
+        List<DaemonId> all = ids(0, 6);
+        assertThat(Relays.relays(HERE, all))
+                .hasSize(2)
+                .isEqualTo(Relays.relays(HERE, ImmutableList.copyOf(all).reverse()));
+        assertThat(Relays.relays(HERE, ids(0, 1))).hasSize(1);
+    }
+
+    private static List<VmId> vms() {
+        return IntStream.range(0, 77).mapToObj(i -> new VmId("vm" + i)).toList();
+    }
+
+    private static List<DaemonId> ids(int from, int to) {
+        return IntStream.range(from, to).mapToObj(i -> new DaemonId("d" + i)).toList();
+    }
+
+    private static DaemonEntry entry(String id, long incarnation, FailureDomain domain, boolean leaving) {
+        return new DaemonEntry(new DaemonId(id), new Incarnation(incarnation), domain, id + ":1", leaving);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/state/EvidenceTableTest.java
@@ -0,0 +1,86 @@
+package io.sesamehead.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards against evidence and assignments that look newer than they are. */
+final class EvidenceTableTest {
+    private static final VmId VM = new VmId("vm1");
+
+    private final EvidenceTable table = new EvidenceTable();
+
+    @Test
+    void newestObservationWins() {
+        table.record(new Evidence.Reported(report(1, 0), 1_000));
+        assertThat(table.merge(2_000, ImmutableList.of(aged(2, 1_500)))).isEmpty();
+        assertThat(table.merge(2_000, ImmutableList.of(aged(2, 500)))).containsExactly(VM);
+        assertThat(table.evidence(VM)).contains(new Evidence.Reported(report(2, 0), 1_500));
+    }
+
+    @Test
+    void evidenceNeverDatesAfterItsReceipt() {
+        table.merge(2_000, ImmutableList.of(aged(1, -5_000)));
+        assertThat(table.evidence(VM).orElseThrow().observedAtMillis()).isEqualTo(2_000);
+    }
+
+    /** A message that waited in the socket buffer while this process was paused tells too small an age. */
+    @Test
+    void evidenceReceivedAfterAPauseIsDatedBack() {
+        table.tick(1_000);
+        table.merge(9_000, ImmutableList.of(aged(1, 0)));
+        assertThat(table.evidence(VM).orElseThrow().observedAtMillis()).isEqualTo(1_000);
+        table.tick(9_000);
+        table.merge(9_100, ImmutableList.of(aged(1, 0)));
+        assertThat(table.evidence(VM).orElseThrow().observedAtMillis()).isEqualTo(1_100);
+        for (long now = 9_100; now <= 11_000; now += 100) {
+            table.tick(now);
+        }
+        table.merge(11_000, ImmutableList.of(aged(1, 0)));
+        assertThat(table.evidence(VM).orElseThrow().observedAtMillis()).isEqualTo(11_000);
+    }
+
+    @Test
+    void onlyChangesOfMembershipArePushed() {
+        assertThat(table.record(new Evidence.Reported(report(1, 0), 1_000))).isTrue();
+        assertThat(table.takeChanged(1_200)).containsExactly(aged(1, 200));
+        assertThat(table.record(new Evidence.Reported(report(1, 7), 2_000))).isFalse();
+        assertThat(table.takeChanged(2_000)).isEmpty();
+        assertThat(table.record(new Evidence.Unreachable(VM, 3_000))).isTrue();
+        assertThat(table.takeChanged(3_000)).containsExactly(new AgedEvidence(VM, Optional.empty(), 0));
+    }
+
+    @Test
+    void olderAssignmentIsNotTakenOver() {
+        AssignmentTable assignments = new AssignmentTable();
+        assertThat(assignments.offer(assignment(2, 5))).isEqualTo(AssignmentTable.Offer.ADOPTED);
+        assertThat(assignments.offer(assignment(1, 9))).isEqualTo(AssignmentTable.Offer.OLDER);
+        assertThat(assignments.offer(assignment(2, 5))).isEqualTo(AssignmentTable.Offer.SAME);
+        assertThat(assignments.offer(assignment(2, 6))).isEqualTo(AssignmentTable.Offer.ADOPTED);
+    }
+
+    private static GroupAssignment assignment(long controllerEpoch, long version) {
+        return new GroupAssignment(
+                new FailureDomain("cebu"), controllerEpoch, version, 1, ImmutableList.of(), ImmutableSet.of());
+    }
+
+    private static AgedEvidence aged(long engine, long ageMillis) {
+        return new AgedEvidence(VM, Optional.of(report(engine, 0)), ageMillis);
+    }
+
+    private static MemberReport report(long engine, int inFlight) {
+        return new MemberReport(
+                VM,
+                new Incarnation(engine),
+                Optional.empty(),
+                Epoch.NONE,
+                EngineState.IDLE,
+                Optional.empty(),
+                inFlight,
+                0,
+                0);
+    }
+}
