Date orders at their send, and keep a VM reported while one prober reaches it

Cause: an order could wait for a worker or a slow store write longer than the controller counts it as in flight, and then reach a VM that was given to another group. A prober with a broken link made the evidence about its VMs alternate with the other prober's reports, so that their groups stopped and started with each probe. Change: Controller.startSend is asked with the lease check and refuses late orders; orders precede the write in a step; EvidenceTable keeps the last observation of each prober, and notices pauses of the process by its tick.

--- a/core/src/main/java/io/sesamehead/coordination/group/Controller.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/Controller.java
@@ -59,6 +59,19 @@
                 nowMillis, view, view.lease().get(), view.release().get());
     }
 
+    /**
+     * Tells whether an order of a step may still be sent, and counts the longest order time from now. A sender asks
+     * immediately before the send: an order that waited for a worker or a slow write can come too late, after the
+     * controller gave its VM to another group.
+     *
+     * @param nowMillis present monotonic time, in milliseconds
+     * @param order the order
+     * @return false when the order must not be sent any more
+     */
+    public synchronized boolean startSend(long nowMillis, ControllerAction.Order order) {
+        return orders.startSend(nowMillis, order);
+    }
+
     /**
      * Records that an order was answered or certainly not sent, so that it has no effect later. Without this call an
      * order counts as in flight for the longest order time.
@@ -91,13 +104,13 @@
         current.epochs.skip(view.assignment());
         GroupAssignment next = plan(seen, current, view.assignment(), release);
         ImmutableList.Builder<ControllerAction> actions = ImmutableList.builder();
-        if (!next.equals(view.assignment())) {
-            actions.add(new ControllerAction.WriteAssignment(next));
-        }
         if (view.assignment().controllerEpoch() == lease.epoch()) {
             actions.addAll(new OrderPlanner(seen, settings, times, current.loads, current.epochs)
                     .orders(view.assignment(), next));
         }
+        if (!next.equals(view.assignment())) {
+            actions.add(new ControllerAction.WriteAssignment(next));
+        }
         ImmutableList<ControllerAction> result = actions.build();
         logOrders(nowMillis, result);
         return result;
--- a/core/src/main/java/io/sesamehead/coordination/group/OrderLog.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/OrderLog.java
@@ -17,6 +17,19 @@
         entries.put(order.vm().id(), new Entry(order.orderId(), nowMillis + longestOrderMillis, false));
     }
 
+    /** Allows the send of the last order to a VM, unless it waited so long that it counts as settled, and dates it. */
+    boolean startSend(long nowMillis, ControllerAction.Order order) {
+        Entry entry = entries.get(order.vm().id());
+        boolean current = entry != null
+                && entry.orderId.equals(order.orderId())
+                && !entry.answered
+                && nowMillis < entry.settledAtMillis;
+        if (current) {
+            sent(nowMillis, order);
+        }
+        return current;
+    }
+
     void answered(ControllerAction.Order order) {
         VmId vm = order.vm().id();
         Entry entry = entries.get(vm);
--- a/core/src/main/java/io/sesamehead/state/EvidenceTable.java
+++ b/core/src/main/java/io/sesamehead/state/EvidenceTable.java
@@ -3,14 +3,19 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Stream;
 
 /**
- * The last evidence about each VM, from this daemon's probes and from its peers. The newest observation wins. Lock: one
+ * The last evidence about each VM, from this daemon's probes and from its peers. The newest observation wins, except that
+ * a VM which one prober does not reach counts as reported while another prober still reaches it. Lock: one
  * {@link ReentrantLock}, place 3 in the lock order of the tables.
  */
 public final class EvidenceTable {
@@ -20,8 +25,19 @@
     /** Time in which a process that resumes reads the messages that waited. */
     private static final long CATCH_UP_MILLIS = 2_000;
 
+    /**
+     * A report counts this much longer than another prober's failure: two probe intervals. Without it, a prober with a
+     * broken link makes the groups of its VMs stop and start with each probe.
+     */
+    private static final long OTHER_PROBER_MILLIS = 2_000;
+
+    /** A prober that said nothing for this long no longer probes the VM. */
+    private static final long FORGET_SOURCE_MILLIS = 30_000;
+
+    private static final DaemonId UNNAMED = new DaemonId("unnamed-peer");
+
     private final ReentrantLock lock = new ReentrantLock();
-    private final TreeMap<VmId, Evidence> entries = new TreeMap<>();
+    private final TreeMap<VmId, Sources> entries = new TreeMap<>();
     private final TreeSet<VmId> unsent = new TreeSet<>();
 
     private OptionalLong lastTickMillis = OptionalLong.empty();
@@ -61,7 +77,9 @@
         lock.lock();
         try {
             VmId vm = vmOf(evidence);
-            boolean changed = put(vm, evidence);
+            Sources sources = entries.computeIfAbsent(vm, unused -> new Sources());
+            boolean changed = isChange(sources.own(), evidence);
+            sources.put(Optional.empty(), evidence);
             if (changed) {
                 unsent.add(vm);
             }
@@ -72,19 +90,34 @@
     }
 
     /**
-     * Merges observations that a peer sent. They are dated back by their age and never date after their receipt.
+     * Merges observations of peers whose names are not known.
      *
      * @param receivedAtMillis time of the receipt on the local monotonic clock, in milliseconds
      * @param received the observations
      * @return the VMs whose content changed
      */
     public ImmutableList<VmId> merge(long receivedAtMillis, Collection<AgedEvidence> received) {
+        return merge(receivedAtMillis, UNNAMED, received);
+    }
+
+    /**
+     * Merges observations that a peer sent. They are dated back by their age and never date after their receipt.
+     *
+     * @param receivedAtMillis time of the receipt on the local monotonic clock, in milliseconds
+     * @param peer the peer
+     * @param received the observations
+     * @return the VMs whose content changed
+     */
+    public ImmutableList<VmId> merge(long receivedAtMillis, DaemonId peer, Collection<AgedEvidence> received) {
         lock.lock();
         try {
             ImmutableList.Builder<VmId> changed = ImmutableList.builder();
             long sentByMillis = receivedAtMillis - waitMillis(receivedAtMillis);
             for (AgedEvidence item : received) {
-                if (put(item.vm(), localEvidence(sentByMillis, item))) {
+                Sources sources = entries.computeIfAbsent(item.vm(), unused -> new Sources());
+                Optional<Evidence> before = sources.effective();
+                sources.put(Optional.of(peer), localEvidence(sentByMillis, item));
+                if (isChange(before, sources.effective().orElseThrow())) {
                     changed.add(item.vm());
                 }
             }
@@ -112,7 +145,7 @@
     }
 
     /**
-     * Returns the evidence about some VMs for a digest.
+     * Returns this daemon's own observations of some VMs for a digest.
      *
      * @param nowMillis present monotonic time, in milliseconds
      * @param vms the VMs that this daemon probes
@@ -136,7 +169,7 @@
     public Optional<Evidence> evidence(VmId vm) {
         lock.lock();
         try {
-            return Optional.ofNullable(entries.get(vm));
+            return Optional.ofNullable(entries.get(vm)).flatMap(Sources::effective);
         } finally {
             lock.unlock();
         }
@@ -150,7 +183,9 @@
     public ImmutableMap<VmId, Evidence> snapshot() {
         lock.lock();
         try {
-            return ImmutableMap.copyOf(entries);
+            ImmutableMap.Builder<VmId, Evidence> copy = ImmutableMap.builder();
+            entries.forEach((vm, sources) -> sources.effective().ifPresent(it -> copy.put(vm, it)));
+            return copy.buildOrThrow();
         } finally {
             lock.unlock();
         }
@@ -182,27 +217,21 @@
         return gapMillis > PAUSE_MILLIS ? gapMillis : 0;
     }
 
-    private boolean put(VmId vm, Evidence evidence) {
-        Evidence current = entries.get(vm);
-        if (current != null && evidence.observedAtMillis() < current.observedAtMillis()) {
-            return false;
-        }
-        entries.put(vm, evidence);
-        return current == null || !membership(current).equals(membership(evidence));
-    }
-
     private ImmutableList<AgedEvidence> aged(long nowMillis, Collection<VmId> vms) {
         ImmutableList.Builder<AgedEvidence> result = ImmutableList.builder();
         for (VmId vm : vms) {
-            Evidence evidence = entries.get(vm);
-            if (evidence != null) {
+            Optional.ofNullable(entries.get(vm)).flatMap(Sources::own).ifPresent(evidence -> {
                 long ageMillis = Math.max(0, nowMillis - evidence.observedAtMillis());
                 result.add(new AgedEvidence(vm, report(evidence), ageMillis));
-            }
+            });
         }
         return result.build();
     }
 
+    private static boolean isChange(Optional<Evidence> before, Evidence after) {
+        return before.isEmpty() || !membership(before.get()).equals(membership(after));
+    }
+
     private static Evidence localEvidence(long sentByMillis, AgedEvidence item) {
         long observedAtMillis = sentByMillis - Math.max(0, item.ageMillis());
         return item.report()
@@ -230,4 +259,33 @@
                 .map(it -> new MemberReport(
                         it.vm(), it.engine(), it.group(), it.epoch(), it.state(), it.model(), 0, 0, 0));
     }
+
+    /** The last observation of each prober of one VM; the empty key is this daemon. */
+    private static final class Sources {
+        private final Map<Optional<DaemonId>, Evidence> last = new HashMap<>();
+
+        void put(Optional<DaemonId> source, Evidence evidence) {
+            last.merge(source, evidence, (a, b) -> b.observedAtMillis() < a.observedAtMillis() ? a : b);
+            long newestMillis = newest(last.values().stream()).orElseThrow().observedAtMillis();
+            last.values().removeIf(it -> newestMillis - it.observedAtMillis() > FORGET_SOURCE_MILLIS);
+        }
+
+        Optional<Evidence> own() {
+            return Optional.ofNullable(last.get(Optional.<DaemonId>empty()));
+        }
+
+        Optional<Evidence> effective() {
+            Optional<Evidence> newest = newest(last.values().stream());
+            Optional<Evidence> reported = newest(last.values().stream().filter(Evidence.Reported.class::isInstance));
+            boolean reachable = reported.isPresent()
+                    && newest.get().observedAtMillis() - reported.get().observedAtMillis() <= OTHER_PROBER_MILLIS;
+            return reachable ? reported : newest;
+        }
+
+        /** Of two observations of the same time, that the VM does not answer counts for more. */
+        private static Optional<Evidence> newest(Stream<Evidence> evidence) {
+            return evidence.max(Comparator.comparingLong(Evidence::observedAtMillis)
+                    .thenComparing(it -> it instanceof Evidence.Unreachable));
+        }
+    }
 }
--- a/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
@@ -127,16 +127,16 @@
         assertThat(fleet.lastActions).isEmpty();
     }
 
+    /** An order that waited for a worker thread must not reach a VM that was given to another group meanwhile. */
     @Test
-    void lostReleaseOrderDelaysReuseOfTheVm() {
-        serveTwoGroups(4);
-        fleet.replicas = 1;
-        fleet.run(8);
-        fleet.ordersToLose = 2;
-        fleet.run(20);
-        assertThat(fleet.stored.groups()).hasSize(1);
-        assertThat(fleet.engines.values().stream().filter(it -> it.group.isPresent()))
-                .hasSize(2);
+    void orderThatWaitedTooLongIsNotSent() {
+        addVms(4);
+        fleet.ordersToLose = 4;
+        fleet.run(2);
+        ControllerAction.Order order = (ControllerAction.Order) fleet.lastActions.get(0);
+        assertThat(fleet.controller.startSend(fleet.nowMillis + 900, order)).isTrue();
+        assertThat(fleet.controller.startSend(fleet.nowMillis + 1_800, order)).isTrue();
+        assertThat(fleet.controller.startSend(fleet.nowMillis + 2_800, order)).isFalse();
     }
 
     @Test
--- a/core/src/test/java/io/sesamehead/state/EvidenceTableTest.java
+++ b/core/src/test/java/io/sesamehead/state/EvidenceTableTest.java
@@ -43,6 +43,21 @@
         assertThat(table.evidence(VM).orElseThrow().observedAtMillis()).isEqualTo(11_000);
     }
 
+    /** A prober with a broken link must not make groups stop and start with each of its probes. */
+    @Test
+    void vmCountsAsReportedWhileOneOfTwoProbersReachesIt() {
+        DaemonId first = new DaemonId("d1");
+        DaemonId second = new DaemonId("d2");
+        AgedEvidence failure = new AgedEvidence(VM, Optional.empty(), 0);
+        table.merge(1_000, first, ImmutableList.of(aged(1, 0)));
+        assertThat(table.merge(1_500, second, ImmutableList.of(failure))).isEmpty();
+        assertThat(table.evidence(VM)).contains(new Evidence.Reported(report(1, 0), 1_000));
+        assertThat(table.merge(2_000, first, ImmutableList.of(failure))).containsExactly(VM);
+        table.merge(2_500, first, ImmutableList.of(aged(1, 0)));
+        table.merge(4_501, second, ImmutableList.of(failure));
+        assertThat(table.evidence(VM)).contains(new Evidence.Unreachable(VM, 4_501));
+    }
+
     @Test
     void onlyChangesOfMembershipArePushed() {
         assertThat(table.record(new Evidence.Reported(report(1, 0), 1_000))).isTrue();
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -11,6 +11,9 @@
 
 /** Starts the control tasks of a daemon on the worker pool. */
 final class ControlTasks implements AutoCloseable {
+    /** Interval that {@code EvidenceTable.tick} expects. */
+    private static final Duration PAUSE_CHECK = Duration.ofMillis(100);
+
     private static final Duration SAFETY_POLL = Duration.ofSeconds(60);
     private static final Duration POLL_UNTIL_ANSWERED = Duration.ofSeconds(1);
 
@@ -72,6 +75,7 @@
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
         workers.every("heartbeat", settings.peers().heartbeat(), heartbeat);
         workers.every("probes", ProbeTask.INTERVAL, probes);
+        workers.every("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.getAsLong()));
         workers.every("controller", ControllerTask.INTERVAL, controller);
     }
 
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControllerTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControllerTask.java
@@ -138,7 +138,7 @@
         };
     }
 
-    /** Orders that follow a write rest on it, so a write that is not clearly accepted ends the step. */
+    /** After a write that is not clearly accepted the next step reads the assignment again. */
     private boolean write(GroupAssignment assignment) {
         if (!tables.lease().maySend(clock.getAsLong())) {
             return false;
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -154,24 +154,31 @@
 
     @Provides
     @Singleton
-    OrderSender orders(DaemonTables tables, EngineClient engines, ProbeTask probes, WorkerPool workers) {
+    OrderSender orders(
+            DaemonTables tables, Controller controller, EngineClient engines, ProbeTask probes, WorkerPool workers) {
         return new OrderSender(
-                tables, engines, probes, workers, settings.lease().longestOrder(), clock);
+                tables, controller, engines, probes, workers, settings.lease().longestOrder(), clock);
     }
 
     @Provides
     @Singleton
-    ControllerTask controller(
+    Controller controller() {
+        ControllerSettings times = ControllerSettings.of(
+                settings.evidence().maxAge().toMillis(),
+                settings.lease().longestOrder().toMillis());
+        return new Controller(self.failureDomain(), times);
+    }
+
+    @Provides
+    @Singleton
+    ControllerTask controllerTask(
             DaemonTables tables,
+            Controller controller,
             FleetNews news,
             PlatformClient platform,
             StoreWrites writes,
             OrderSender orders,
             ProbeTask probes) {
-        ControllerSettings times = ControllerSettings.of(
-                settings.evidence().maxAge().toMillis(),
-                settings.lease().longestOrder().toMillis());
-        Controller controller = new Controller(self.failureDomain(), times);
         return new ControllerTask(tables, controller, news, platform, writes, orders, probes, clock);
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
@@ -10,6 +10,7 @@
 import io.sesamehead.daemon.transport.Broadcast;
 import io.sesamehead.daemon.transport.PeerConnection;
 import io.sesamehead.state.AgedEvidence;
+import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.EngineState;
 import io.sesamehead.state.EvidenceTable;
 import io.sesamehead.state.MemberReport;
@@ -151,7 +152,7 @@
             }
         });
         ImmutableList<AgedEvidence> evidence = items.build();
-        table.merge(nowMillis, evidence);
+        table.merge(nowMillis, new DaemonId(connection.peer().getDaemon()), evidence);
         evidence.forEach(item -> item.report().ifPresent(report -> observeLeaving(nowMillis, report)));
     }
 
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderSender.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderSender.java
@@ -1,6 +1,7 @@
 package io.sesamehead.daemon.runtime;
 
 import com.google.common.collect.ImmutableList;
+import io.sesamehead.coordination.group.Controller;
 import io.sesamehead.coordination.group.ControllerAction;
 import io.sesamehead.daemon.protocol.EngineOrder;
 import io.sesamehead.daemon.transport.EngineClient;
@@ -17,6 +18,7 @@
 /** Sends control orders to engines, each only while the lease allows it at the moment of the send. */
 public final class OrderSender {
     private final DaemonTables tables;
+    private final Controller controller;
     private final EngineClient engines;
     private final ProbeTask probes;
     private final WorkerPool workers;
@@ -28,6 +30,7 @@
      * Creates the sender.
      *
      * @param tables the tables of this daemon
+     * @param controller allows each send
      * @param engines client of the engines
      * @param probes records the status that answers an order
      * @param workers run the sends
@@ -36,12 +39,14 @@
      */
     public OrderSender(
             DaemonTables tables,
+            Controller controller,
             EngineClient engines,
             ProbeTask probes,
             WorkerPool workers,
             Duration longestOrder,
             LongSupplier clock) {
         this.tables = tables;
+        this.controller = controller;
         this.engines = engines;
         this.probes = probes;
         this.workers = workers;
@@ -78,7 +83,7 @@
                 order.vm().engineAddress(),
                 message,
                 longestOrder,
-                () -> tables.lease().maySend(clock.getAsLong()));
+                () -> tables.lease().maySend(clock.getAsLong()) && controller.startSend(clock.getAsLong(), order));
         switch (result) {
             case OrderResult.Accepted(var status) -> {
                 Logger.info("group: {} took order {}", order.vm().id(), order.orderId());
