--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -213,7 +213,10 @@
             case UpstreamResult.Finished(int count, String finish) -> finished(task, attempt, count, finish);
             case UpstreamResult.Answered ignored ->
                 ended(task, attempt, new AttemptEnd.Failed("the engine sent no stream"));
-            case UpstreamResult.NotSent(String detail) -> ended(task, attempt, new AttemptEnd.Lost(detail));
+            case UpstreamResult.NotSent(String detail) ->
+                nowMillis.getAsLong() < task.deadlineMillis()
+                        ? ended(task, attempt, new AttemptEnd.Lost(detail))
+                        : Optional.of(task.run().close(ErrorKind.DEADLINE_DURING_RUN, detail));
             case UpstreamResult.Refused(String detail) -> ended(task, attempt, new AttemptEnd.Refused(detail));
             case UpstreamResult.Failed(int status, String detail) ->
                 ended(task, attempt, new AttemptEnd.Failed(detail));
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PlainRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PlainRunner.java
@@ -139,7 +139,10 @@
         return switch (result) {
             case UpstreamResult.Answered answered ->
                 ended(run, call, attempt, new AttemptEnd.Completed(), Optional.of(answered));
-            case UpstreamResult.NotSent(String detail) -> lost(run, call, attempt, detail);
+            case UpstreamResult.NotSent(String detail) ->
+                nowMillis.getAsLong() < call.deadlineMillis()
+                        ? lost(run, call, attempt, detail)
+                        : closed(run, ErrorKind.DEADLINE_DURING_RUN, detail);
             case UpstreamResult.Lost(String detail) -> lost(run, call, attempt, detail);
             case UpstreamResult.Refused(String detail) ->
                 ended(run, call, attempt, new AttemptEnd.Refused(detail), Optional.empty());
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/TokenDelivery.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/TokenDelivery.java
@@ -6,6 +6,7 @@
 import io.sesamehead.daemon.transport.TokenSink;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 /** Hands the tokens of all attempts of one completion to its caller, each once and in order. Used by one thread. */
@@ -15,7 +16,7 @@
     private final TokenSink caller;
     private final boolean keep;
     private final boolean endWithCaller;
-    private final ServiceLevel level;
+    private final Optional<ServiceLevel> level;
     private final long arrivedMillis;
     private final LongSupplier nowMillis;
     private final List<String> kept = new ArrayList<>();
@@ -32,7 +33,7 @@
      * @param sequence positions of the stream
      * @param caller the caller
      * @param options how the caller wants the answer
-     * @param level takes the latencies
+     * @param level takes the latencies; empty when another failure domain measures them
      * @param arrivedMillis arrival of the call, in milliseconds
      * @param nowMillis monotonic clock, in milliseconds
      */
@@ -41,7 +42,7 @@
             StreamSequence sequence,
             TokenSink caller,
             Options options,
-            ServiceLevel level,
+            Optional<ServiceLevel> level,
             long arrivedMillis,
             LongSupplier nowMillis) {
         this.run = run;
@@ -111,9 +112,10 @@
     private void measure() {
         long now = nowMillis.getAsLong();
         if (lastMillis < 0) {
-            level.firstToken(now - arrivedMillis);
+            level.ifPresent(present -> present.firstToken(now - arrivedMillis));
         } else {
-            level.betweenTokens(now - lastMillis);
+            long sinceLast = now - lastMillis;
+            level.ifPresent(present -> present.betweenTokens(sinceLast));
         }
         if (attemptTokens == 0) {
             attemptFirstMillis = now;
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
@@ -105,7 +105,7 @@
                 new ByteArrayEntity(Json.bytes(EngineCodec.encode(completion)), ContentType.APPLICATION_JSON));
         Exchange<UpstreamResult> exchange = http.exchange(
                 request, deadline, cancellation, gate, response -> readCompletion(response, cancellation, sink));
-        return Attempted.result(exchange);
+        return Attempted.result(exchange, address);
     }
 
     /**
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -107,8 +108,12 @@
         context.setAttribute(GATE, gate);
         request.setConfig(config(deadline));
         Runnable abort = request::cancel;
-        ScheduledFuture<?> timer =
-                timers.schedule(() -> expire(request, expired), deadline.toMillis(), TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> timer;
+        try {
+            timer = timers.schedule(() -> expire(request, expired), deadline.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            return new Exchange.NotSent<>("the client is closed", false);
+        }
         cancellation.onCancel(abort);
         try {
             return new Exchange.Answered<>(client.execute(request, context, handler));
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/ServiceClient.java
@@ -53,8 +53,9 @@
             request.setEntity(new ByteArrayEntity(call.body(), null));
             request.setHeader(HttpHeaders.CONTENT_TYPE, contentType(call));
         }
-        return Attempted.result(
-                http.exchange(request, deadline, cancellation, gate, response -> answer(HttpAnswer.read(response))));
+        Exchange<UpstreamResult> exchange =
+                http.exchange(request, deadline, cancellation, gate, response -> answer(HttpAnswer.read(response)));
+        return Attempted.result(exchange, address);
     }
 
     /**
