--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -14,10 +14,13 @@
 import io.sesamehead.daemon.transport.FrameCounters;
 import io.sesamehead.daemon.transport.PeerMesh;
 import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.Incarnation;
 import java.security.SecureRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
 
 /** One running daemon, from its settings to its graceful stop. */
 public final class DaemonProcess implements AutoCloseable {
@@ -26,6 +29,8 @@
     private final PeerMesh mesh;
     private final ControlTasks tasks;
     private final StopTask stop;
+    private final DaemonPorts ports;
+    private final AtomicBoolean closed = new AtomicBoolean();
 
     private DaemonProcess(Injector injector) {
         this.injector = injector;
@@ -37,8 +42,10 @@
                 injector.getInstance(Broadcast.class),
                 injector.getInstance(LeaseTask.class),
                 injector.getInstance(ControllerTask.class),
-                () -> 0,
+                injector.getInstance(CallStack.class),
+                injector.getInstance(IncomingForwards.class),
                 injector.getInstance(MonotonicClock.class));
+        this.ports = injector.getInstance(DaemonPorts.class);
     }
 
     /**
@@ -76,12 +83,16 @@
                 injector.getInstance(FleetNews.class),
                 injector.getInstance(EvidenceExchange.class),
                 injector.getInstance(CallForwarding.class),
+                injector.getInstance(RemoteServing.class),
                 injector.getInstance(MonotonicClock.class)));
+        CallStack calls = injector.getInstance(CallStack.class);
         tasks.startPeerTasks(
-                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), () -> 0),
+                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), calls::openCalls),
                 injector.getInstance(ProbeTask.class),
                 injector.getInstance(ControllerTask.class));
         tasks.startStoreTasks(injector.getInstance(LeaseTask.class));
+        tasks.startCallTasks(calls);
+        ports.start();
     }
 
     /**
@@ -91,6 +102,7 @@
      * @return exit code of the process
      */
     public static int run(DaemonSettings settings) {
+        Configuration.set("level", settings.log().level());
         DaemonProcess process = start(settings);
         StopSignals.install(process::signal);
         process.awaitStop();
@@ -117,6 +129,15 @@
         return tables;
     }
 
+    /**
+     * Returns the ports of the daemon.
+     *
+     * @return the ports
+     */
+    public DaemonPorts ports() {
+        return ports;
+    }
+
     /**
      * Returns the metrics of the daemon.
      *
@@ -126,14 +147,28 @@
         return injector.getInstance(MetricRegistry.class);
     }
 
+    /**
+     * Returns the time of the daemon's clock.
+     *
+     * @return monotonic milliseconds
+     */
+    public long nowMillis() {
+        return injector.getInstance(MonotonicClock.class).getAsLong();
+    }
+
     /** Ends the process without a graceful stop, as a crash would, or after one. */
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
+        ports.close();
         tasks.close();
         injector.getInstance(WorkerPool.class).close();
         mesh.close();
         injector.getInstance(PlatformClient.class).close();
         injector.getInstance(EngineClient.class).close();
+        injector.getInstance(ServiceClient.class).close();
         StopPhase phase = tables.shutdown().phase();
         Logger.info("daemon: {} ended in phase {}", tables.self().daemon(), phase);
     }
