--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -92,7 +92,7 @@
         PlainRunner plains = new PlainRunner(
                 around.services(), serviceStates, router, budgets, live, tables.failureDomain(), nowMillis);
         AdmissionGate gate = new AdmissionGate(admission, nowMillis);
-        this.forwarded = new ForwardedCalls(completions, gate, levels, nowMillis);
+        this.forwarded = new ForwardedCalls(completions, gate, nowMillis);
         this.service = new CallService(
                 new Catalogue(tables.config(), admission),
                 inFlight,
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
@@ -17,7 +17,6 @@
 
     private final CompletionRunner completions;
     private final AdmissionGate gate;
-    private final ServiceLevels levels;
     private final LongSupplier nowMillis;
 
     /**
@@ -34,14 +33,11 @@
      *
      * @param completions attempts of completions
      * @param gate admission
-     * @param levels service-level burn
      * @param nowMillis monotonic clock, in milliseconds
      */
-    public ForwardedCalls(
-            CompletionRunner completions, AdmissionGate gate, ServiceLevels levels, LongSupplier nowMillis) {
+    public ForwardedCalls(CompletionRunner completions, AdmissionGate gate, LongSupplier nowMillis) {
         this.completions = completions;
         this.gate = gate;
-        this.levels = levels;
         this.nowMillis = nowMillis;
     }
 
@@ -79,7 +75,7 @@
                 sequence,
                 sink,
                 new TokenDelivery.Options(false, true),
-                levels.of(call.service(), call.account()),
+                Optional.empty(),
                 nowMillis.getAsLong(),
                 nowMillis);
         CompletionTask task = new CompletionTask(call, deadlineMillis, Optional.of(forwarder), run, sequence, delivery);
