Run forwarded calls in one place and count them as open

Change: ForwardedCalls stays, CallService.runForwarded goes; forwarded calls count as open, so that a graceful stop waits for them; a second call with an id that waits is refused instead of failing. Conclusion: one path for forwarded calls.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/AdmissionGate.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/AdmissionGate.java
@@ -3,6 +3,7 @@
 import io.sesamehead.coordination.admission.Admission;
 import io.sesamehead.coordination.admission.AdmissionCall;
 import io.sesamehead.coordination.admission.AdmissionDecision;
+import io.sesamehead.state.ErrorKind;
 import io.sesamehead.state.RequestId;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -43,7 +44,7 @@
     public Optional<AdmissionDecision.Refuse> enter(AdmissionCall call) {
         CompletableFuture<Optional<AdmissionDecision.Refuse>> turn = new CompletableFuture<>();
         if (waiting.putIfAbsent(call.request(), turn) != null) {
-            throw new IllegalStateException("call waits already: " + call.request());
+            return Optional.of(new AdmissionDecision.Refuse(ErrorKind.BAD_HEADER, 0));
         }
         try {
             return switch (admission.offer(call, nowMillis.getAsLong())) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallService.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallService.java
@@ -1,6 +1,5 @@
 package io.sesamehead.daemon.runtime;
 
-import com.google.common.collect.ImmutableList;
 import io.sesamehead.coordination.admission.AdmissionCall;
 import io.sesamehead.coordination.admission.AdmissionDecision;
 import io.sesamehead.coordination.order.KeyAnswer;
@@ -13,16 +12,13 @@
 import io.sesamehead.daemon.transport.CallAnswer;
 import io.sesamehead.daemon.transport.CallContext;
 import io.sesamehead.daemon.transport.CallHandler;
-import io.sesamehead.daemon.transport.Cancellation;
 import io.sesamehead.daemon.transport.PlainCall;
 import io.sesamehead.daemon.transport.TokenSink;
-import io.sesamehead.daemon.transport.UpstreamResult;
 import io.sesamehead.state.ErrorKind;
 import io.sesamehead.state.Outcome;
 import io.sesamehead.state.RequestId;
 import io.sesamehead.state.RetryAdvice;
 import io.sesamehead.state.ServiceSpec;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -138,55 +134,6 @@
                 () -> dispatch(call, plain, spec, repeatable)));
     }
 
-    /**
-     * Runs a completion that another failure domain forwarded, on a group of this one. Blocks until it has ended.
-     *
-     * @param call the completion
-     * @param deadline time left
-     * @param cancellation ends the completion when the forwarder cancels it
-     * @param sink takes the tokens from {@link ForwardedCompletion#resumeFrom()} on
-     * @return how it ended, as an attempt of the forwarder
-     */
-    public UpstreamResult runForwarded(
-            ForwardedCompletion call, Duration deadline, Cancellation cancellation, TokenSink sink) {
-        long now = nowMillis.getAsLong();
-        CallContext context = new CallContext(
-                call.request(),
-                call.service(),
-                call.account(),
-                Optional.empty(),
-                Optional.of(!call.repeatable()),
-                now,
-                now + deadline.toMillis(),
-                call.priority(),
-                call.fingerprint());
-        Supplier<CallAnswer> dispatch =
-                () -> dispatch(call, context, sink, Optional.of(cancellation), new TokenDelivery.Options(false, true));
-        long cost = cost(call.prompt(), call.maxTokens());
-        CallAnswer answer = open(new Job(
-                context, cost, call.repeatable(), COMPLETION_ORDERS, key -> new KeyAnswer.Unavailable(), dispatch));
-        return switch (answer) {
-            case CallAnswer.Completed(int count, String finish, ImmutableList<String> tokens) ->
-                new UpstreamResult.Finished(count, finish);
-            case CallAnswer.Body ignored -> throw new IllegalStateException("a completion has no plain answer");
-            case CallAnswer.Failed(ErrorKind kind, String detail, OptionalLong retry) -> forwardedEnd(kind, detail);
-        };
-    }
-
-    private static UpstreamResult forwardedEnd(ErrorKind kind, String detail) {
-        if (kind == ErrorKind.CLIENT_GONE) {
-            return new UpstreamResult.Cancelled();
-        }
-        if (kind == ErrorKind.DEADLINE_DURING_RUN) {
-            return new UpstreamResult.DeadlinePassed(detail);
-        }
-        return switch (kind.runState()) {
-            case NOT_RUN -> new UpstreamResult.Refused(detail);
-            case RAN -> new UpstreamResult.Failed(kind.status(), detail);
-            case MAY_HAVE_RUN -> new UpstreamResult.Lost(detail);
-        };
-    }
-
     private CallAnswer serve(Job job) {
         ServiceLevel level = levels.of(job.call().service(), job.call().account());
         CallAnswer answer = new CallAnswer.Failed(ErrorKind.INTERNAL, "internal error", OptionalLong.empty());
@@ -298,23 +245,18 @@
                 call.priority(),
                 repeatable);
         boolean keyedCall = call.key().isPresent();
-        TokenDelivery.Options options = new TokenDelivery.Options(!completion.stream() || keyedCall, !keyedCall);
-        return dispatch(content, call, caller, Optional.empty(), options);
-    }
-
-    private CallAnswer dispatch(
-            ForwardedCompletion content,
-            CallContext call,
-            TokenSink caller,
-            Optional<Cancellation> forwarder,
-            TokenDelivery.Options options) {
-        RequestRun run = new RequestRun(call.request(), content.repeatable(), call.deadlineMillis());
-        StreamSequence sequence = sequenceFrom(content.resumeFrom());
-        Optional<ServiceLevel> level =
-                forwarder.isPresent() ? Optional.empty() : Optional.of(levels.of(call.service(), call.account()));
-        TokenDelivery delivery =
-                new TokenDelivery(run, sequence, caller, options, level, call.arrivedMillis(), nowMillis);
-        CompletionTask task = new CompletionTask(content, call.deadlineMillis(), forwarder, run, sequence, delivery);
+        RequestRun run = new RequestRun(call.request(), repeatable, call.deadlineMillis());
+        StreamSequence sequence = new StreamSequence();
+        TokenDelivery delivery = new TokenDelivery(
+                run,
+                sequence,
+                caller,
+                new TokenDelivery.Options(!completion.stream() || keyedCall, !keyedCall),
+                Optional.of(levels.of(call.service(), call.account())),
+                call.arrivedMillis(),
+                nowMillis);
+        CompletionTask task =
+                new CompletionTask(content, call.deadlineMillis(), Optional.empty(), run, sequence, delivery);
         Outcome outcome = completions.run(task);
         return outcome instanceof Outcome.Ran
                 ? new CallAnswer.Completed(sequence.nextIndex(), task.finish(), delivery.kept())
@@ -331,15 +273,6 @@
                 : failure(result.outcome(), OptionalLong.empty());
     }
 
-    /** The tokens before the position were delivered in the failure domain that forwarded the call. */
-    private static StreamSequence sequenceFrom(int position) {
-        StreamSequence sequence = new StreamSequence();
-        for (int index = 0; index < position; index++) {
-            sequence.accept(index);
-        }
-        return sequence;
-    }
-
     private static CallAnswer failure(Outcome outcome, OptionalLong retryAfterMillis) {
         return switch (outcome) {
             case Outcome.NotRun(ErrorKind kind, String detail) -> new CallAnswer.Failed(kind, detail, retryAfterMillis);
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -92,7 +92,7 @@
         PlainRunner plains = new PlainRunner(
                 around.services(), serviceStates, router, budgets, live, tables.failureDomain(), nowMillis);
         AdmissionGate gate = new AdmissionGate(admission, nowMillis);
-        this.forwarded = new ForwardedCalls(completions, gate, levels, nowMillis);
+        this.forwarded = new ForwardedCalls(completions, gate, nowMillis);
         this.service = new CallService(
                 new Catalogue(tables.config(), admission),
                 inFlight,
@@ -150,12 +150,12 @@
     }
 
     /**
-     * Returns how many calls are open.
+     * Returns how many calls are open, with those that other failure domains forwarded.
      *
      * @return the number of calls
      */
     public int openCalls() {
-        return inFlight.size();
+        return Math.max(inFlight.size(), admission.running() + admission.waiting());
     }
 
     /**
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
@@ -10,14 +10,16 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
-/** Runs completions that another failure domain forwarded, on the groups of this one only. */
+/**
+ * Runs completions that another failure domain forwarded, on the groups of this one only. The forwarder counts the call
+ * and its latency.
+ */
 public final class ForwardedCalls {
     /** Rough size of a token; only the ratio of costs between calls matters. */
     private static final int CHARACTERS_PER_TOKEN = 4;
 
     private final CompletionRunner completions;
     private final AdmissionGate gate;
-    private final ServiceLevels levels;
     private final LongSupplier nowMillis;
 
     /**
@@ -34,14 +36,11 @@
      *
      * @param completions attempts of completions
      * @param gate admission
-     * @param levels service-level burn
      * @param nowMillis monotonic clock, in milliseconds
      */
-    public ForwardedCalls(
-            CompletionRunner completions, AdmissionGate gate, ServiceLevels levels, LongSupplier nowMillis) {
+    public ForwardedCalls(CompletionRunner completions, AdmissionGate gate, LongSupplier nowMillis) {
         this.completions = completions;
         this.gate = gate;
-        this.levels = levels;
         this.nowMillis = nowMillis;
     }
 
@@ -79,7 +78,7 @@
                 sequence,
                 sink,
                 new TokenDelivery.Options(false, true),
-                levels.of(call.service(), call.account()),
+                Optional.empty(),
                 nowMillis.getAsLong(),
                 nowMillis);
         CompletionTask task = new CompletionTask(call, deadlineMillis, Optional.of(forwarder), run, sequence, delivery);
