--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -150,12 +150,12 @@
     }
 
     /**
-     * Returns how many calls are open.
+     * Returns how many calls are open, with those that other failure domains forwarded.
      *
      * @return the number of calls
      */
     public int openCalls() {
-        return inFlight.size();
+        return Math.max(inFlight.size(), admission.running() + admission.waiting());
     }
 
     /**
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ForwardedCalls.java
@@ -10,7 +10,10 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
-/** Runs completions that another failure domain forwarded, on the groups of this one only. */
+/**
+ * Runs completions that another failure domain forwarded, on the groups of this one only. The forwarder counts the call
+ * and its latency.
+ */
 public final class ForwardedCalls {
     /** Rough size of a token; only the ratio of costs between calls matters. */
     private static final int CHARACTERS_PER_TOKEN = 4;
