--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -75,6 +75,10 @@
         workers.repeat("assignment watch", assignmentWatch, assignmentWatch::waitMillis);
         workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock));
         workers.repeat("lease", lease, lease::waitMillis);
+        workers.every(
+                "order retention",
+                OrderRetention.INTERVAL,
+                new OrderRetention(tables, platform, clock, System::currentTimeMillis));
     }
 
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -17,6 +17,7 @@
 import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.Incarnation;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
@@ -53,6 +54,7 @@
      *
      * @param settings validated settings
      * @return the running daemon
+     * @throws IllegalStateException if an address cannot be bound
      */
     public static DaemonProcess start(DaemonSettings settings) {
         MetricRegistry metrics = new MetricRegistry();
@@ -68,7 +70,12 @@
                 false));
         DaemonModule module = new DaemonModule(settings, self.get(), mesh, counters, metrics, new MonotonicClock());
         DaemonProcess process = new DaemonProcess(Guice.createInjector(Stage.PRODUCTION, module));
-        process.startTasks();
+        try {
+            process.startTasks();
+        } catch (RuntimeException e) {
+            process.close();
+            throw e;
+        }
         Logger.info(
                 "daemon: {} of {} started with incarnation {}",
                 self.get().daemon(),
@@ -100,6 +107,7 @@
      *
      * @param settings validated settings
      * @return exit code of the process
+     * @throws IllegalStateException if an address cannot be bound
      */
     public static int run(DaemonSettings settings) {
         Configuration.set("level", settings.log().level());
@@ -162,14 +170,25 @@
         if (closed.getAndSet(true)) {
             return;
         }
-        ports.close();
-        tasks.close();
-        injector.getInstance(WorkerPool.class).close();
-        mesh.close();
-        injector.getInstance(PlatformClient.class).close();
-        injector.getInstance(EngineClient.class).close();
-        injector.getInstance(ServiceClient.class).close();
+        List.<AutoCloseable>of(
+                        ports,
+                        tasks,
+                        injector.getInstance(WorkerPool.class),
+                        mesh,
+                        injector.getInstance(PlatformClient.class),
+                        injector.getInstance(EngineClient.class),
+                        injector.getInstance(ServiceClient.class))
+                .forEach(DaemonProcess::closePart);
         StopPhase phase = tables.shutdown().phase();
         Logger.info("daemon: {} ended in phase {}", tables.self().daemon(), phase);
     }
+
+    /** A part that cannot be closed must not keep the process from ending. */
+    private static void closePart(AutoCloseable part) {
+        try {
+            part.close();
+        } catch (Exception e) {
+            Logger.error(e, "daemon: {} could not be closed", part.getClass().getSimpleName());
+        }
+    }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DirectoryTask.java
@@ -30,6 +30,9 @@
     /** The lease holder writes at most this often. */
     private static final long BATCH_MILLIS = 10_000;
 
+    /** A store that was restored from an old copy can have lost the entry, so it is looked for this often. */
+    private static final long VERIFY_MILLIS = 60_000;
+
     /** Tries of one run when several daemons register at the same time. */
     private static final int TRIES = 5;
 
@@ -38,6 +41,7 @@
     private final StoreWrites writes;
     private final LongSupplier clock;
     private boolean registered;
+    private long verifyDueMillis;
     private long batchDueMillis;
     private Set<DaemonId> absentBefore = Set.of();
 
@@ -59,12 +63,14 @@
     @Override
     public void run() {
         long nowMillis = clock.getAsLong();
-        if (!registered) {
+        if (!registered || nowMillis >= verifyDueMillis) {
+            verifyDueMillis = nowMillis + VERIFY_MILLIS;
+            registered = false;
             for (int attempt = 0; attempt < TRIES && !registered; attempt++) {
                 registered = update(entries -> entries.put(tables.self().daemon(), tables.self()));
             }
             if (registered) {
-                Logger.info("daemon: registered in the directory of {}", name());
+                Logger.debug("daemon: registered in the directory of {}", name());
             } else {
                 Logger.debug("daemon: registration in the directory is to be tried again");
             }
--- /dev/null
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderRetention.java
@@ -0,0 +1,81 @@
+package io.sesamehead.daemon.runtime;
+
+import com.google.common.collect.ImmutableList;
+import io.sesamehead.coordination.membership.DaemonEntry;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.MalformedMessageException;
+import io.sesamehead.daemon.protocol.OrderCodec;
+import io.sesamehead.daemon.protocol.PlatformObject;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.StoreResult;
+import io.sesamehead.state.FailureDomain;
+import java.time.Duration;
+import java.util.function.LongSupplier;
+import org.tinylog.Logger;
+
+/**
+ * Deletes the recorded results of keyed calls after their retention. Claims without a result stay. Of all lease holders
+ * only the one of the first live failure domain does it, because the objects belong to no failure domain.
+ */
+public final class OrderRetention implements Runnable {
+    /** Interval of the runs; each lists all objects, so they are rare. */
+    static final Duration INTERVAL = Duration.ofMinutes(10);
+
+    private static final long RETENTION_MILLIS = Duration.ofHours(24).toMillis();
+
+    private final DaemonTables tables;
+    private final PlatformClient platform;
+    private final LongSupplier nowMillis;
+    private final LongSupplier epochMillis;
+
+    /**
+     * Creates the task.
+     *
+     * @param tables the tables of this daemon
+     * @param platform the store
+     * @param nowMillis monotonic clock, in milliseconds
+     * @param epochMillis wall clock, in milliseconds since 1970
+     */
+    public OrderRetention(
+            DaemonTables tables, PlatformClient platform, LongSupplier nowMillis, LongSupplier epochMillis) {
+        this.tables = tables;
+        this.platform = platform;
+        this.nowMillis = nowMillis;
+        this.epochMillis = epochMillis;
+    }
+
+    @Override
+    public void run() {
+        if (!isResponsible()
+                || !(platform.list(Kinds.ORDERS)
+                        instanceof StoreResult.Ok<ImmutableList<PlatformObject>>(var objects))) {
+            return;
+        }
+        long deleted = objects.stream()
+                .filter(this::isExpired)
+                .filter(object -> platform.delete(Kinds.ORDERS, object.name()) instanceof StoreResult.Ok)
+                .count();
+        Logger.info("order: deleted {} of {} recorded results", deleted, objects.size());
+    }
+
+    private boolean isResponsible() {
+        long now = nowMillis.getAsLong();
+        FailureDomain first = tables.directory().live(now).stream()
+                .map(DaemonEntry::failureDomain)
+                .min(FailureDomain::compareTo)
+                .orElse(tables.failureDomain());
+        return first.equals(tables.failureDomain()) && tables.lease().maySend(now);
+    }
+
+    private boolean isExpired(PlatformObject object) {
+        try {
+            return OrderCodec.decode(object.spec())
+                    .result()
+                    .map(result -> epochMillis.getAsLong() - result.recordedEpochMillis() > RETENTION_MILLIS)
+                    .orElse(false);
+        } catch (MalformedMessageException e) {
+            Logger.warn("order: {} is unreadable and is kept: {}", object.name(), e.getMessage());
+            return false;
+        }
+    }
+}
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/StopTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StopTask.java
@@ -81,7 +81,7 @@
     private StopPhase step() {
         switch (tables.shutdown().phase()) {
             case ANNOUNCE -> {
-                broadcast.toAll(PeerMessages.leaving(tables.self()));
+                broadcast.toEveryone(PeerMessages.leaving(tables.self()));
                 announced = true;
             }
             case LEASE_BACK -> leaseReturned = leaseReturned || lease.giveBack(controller.ordersInFlight());
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Broadcast.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Broadcast.java
@@ -67,6 +67,16 @@
         mesh.dialled().forEach(connection -> connection.send(frame));
     }
 
+    /**
+     * Sends a frame on every connection, dialled or accepted.
+     *
+     * @param frame the frame
+     */
+    public void toEveryone(Frame frame) {
+        toAll(frame);
+        mesh.accepted().forEach(connection -> connection.send(frame));
+    }
+
     private List<PeerConnection> select(Predicate<PeerConnection> condition) {
         return mesh.dialled().stream().filter(condition).toList();
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PeerMesh.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -90,9 +91,10 @@
      *
      * @param address where to listen; port 0 picks a free port
      * @return the bound address
+     * @throws IllegalStateException if the address cannot be bound
      */
     public InetSocketAddress listen(InetSocketAddress address) {
-        server = new ServerBootstrap()
+        ChannelFuture bound = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -100,8 +102,15 @@
                 .childOption(ChannelOption.MESSAGE_SIZE_ESTIMATOR, FRAME_SIZES)
                 .childHandler(initializer(false, connection -> accepted.add(connection)))
                 .bind(address)
-                .syncUninterruptibly()
-                .channel();
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            close();
+            throw new IllegalStateException(
+                    "the peer address " + Addresses.text(address) + " cannot be bound: "
+                            + bound.cause().getMessage(),
+                    bound.cause());
+        }
+        server = bound.channel();
         return (InetSocketAddress) server.localAddress();
     }
 
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonProcessTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonProcessTest.java
@@ -11,7 +11,7 @@
 
 @Timeout(90)
 class DaemonProcessTest {
-    private static final String NOTE = """
+    static final String NOTE = """
             [release]
             note = Forms the assistant service
             [service assistant]
