--- a/core/src/main/java/io/sesamehead/coordination/group/GroupHealth.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/GroupHealth.java
@@ -58,6 +58,18 @@
         return ready ? new Complete() : new Loading();
     }
 
+    /** Returns the members that are not ready; the head only where all others are, because it waits for them. */
+    static ImmutableSet<VmId> unready(Group group, Observations seen) {
+        ImmutableSet<VmId> unready = group.members().stream()
+                .filter(member -> !isReady(group, member, seen.report(member.vm())))
+                .map(Group.Member::vm)
+                .collect(ImmutableSet.toImmutableSet());
+        VmId head = group.head().vm();
+        return unready.size() == 1
+                ? unready
+                : unready.stream().filter(vm -> !vm.equals(head)).collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Tells whether an engine reports the group in its present epoch. */
     static boolean holdsPlace(Group group, MemberReport report) {
         return report.group().equals(Optional.of(group.id())) && report.epoch().equals(group.epoch());
--- a/core/src/main/java/io/sesamehead/coordination/group/GroupTimes.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/GroupTimes.java
@@ -1,5 +1,6 @@
 package io.sesamehead.coordination.group;
 
+import io.sesamehead.state.Epoch;
 import io.sesamehead.state.Group;
 import io.sesamehead.state.GroupId;
 import io.sesamehead.state.GroupState;
@@ -7,16 +8,24 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
-/** Since when the controller has seen each group broken or being released. */
+/** Since when the controller has seen each group forming, broken or being released. */
 final class GroupTimes {
+    private final Map<Epoch, Long> formingSince = new HashMap<>();
     private final Map<GroupId, Long> brokenSince = new HashMap<>();
     private final Map<GroupId, Long> releasingSince = new HashMap<>();
 
     void observe(long nowMillis, Collection<Group> groups) {
-        update(brokenSince, nowMillis, ids(groups, GroupState.BROKEN));
-        update(releasingSince, nowMillis, ids(groups, GroupState.RELEASING));
+        update(formingSince, nowMillis, keys(groups, GroupState.FORMING, Group::epoch));
+        update(brokenSince, nowMillis, keys(groups, GroupState.BROKEN, Group::id));
+        update(releasingSince, nowMillis, keys(groups, GroupState.RELEASING, Group::id));
+    }
+
+    /** Returns how long a group has been forming in one epoch; a repair starts anew. */
+    long formingMillis(long nowMillis, Epoch epoch) {
+        return nowMillis - formingSince.getOrDefault(epoch, nowMillis);
     }
 
     long brokenMillis(long nowMillis, GroupId group) {
@@ -27,14 +36,11 @@
         return releasingSince.getOrDefault(group, nowMillis);
     }
 
-    private static Set<GroupId> ids(Collection<Group> groups, GroupState state) {
-        return groups.stream()
-                .filter(group -> group.state() == state)
-                .map(Group::id)
-                .collect(Collectors.toSet());
+    private static <K> Set<K> keys(Collection<Group> groups, GroupState state, Function<Group, K> key) {
+        return groups.stream().filter(group -> group.state() == state).map(key).collect(Collectors.toSet());
     }
 
-    private static void update(Map<GroupId, Long> since, long nowMillis, Set<GroupId> present) {
+    private static <K> void update(Map<K, Long> since, long nowMillis, Set<K> present) {
         since.keySet().retainAll(present);
         present.forEach(id -> since.putIfAbsent(id, nowMillis));
     }
--- a/core/src/main/java/io/sesamehead/coordination/group/RepairPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/RepairPlanner.java
@@ -16,6 +16,9 @@
 final class RepairPlanner {
     private static final long MINUTE_MILLIS = 60_000;
 
+    /** A member that took this many times the expected time to load is replaced; slow hardware stays far below it. */
+    private static final int STUCK_FACTOR = 5;
+
     private final Observations seen;
     private final GroupTimes times;
     private final EpochCounter epochs;
@@ -55,6 +58,7 @@
                 group.members().stream().anyMatch(member -> member.engine().isEmpty());
         if (group.state() == GroupState.FORMING || neverLoaded) {
             setState(draft, group, GroupState.FORMING);
+            replaceStuck(draft, group, service);
         } else if (isDue(draft, group, service, group.members().size())) {
             reload(draft, group);
         } else {
@@ -62,6 +66,19 @@
         }
     }
 
+    private void replaceStuck(Draft draft, Group group, ModelService service) {
+        long limitMillis =
+                STUCK_FACTOR * reloadMillis(draft, service, group.members().size());
+        ImmutableSet<VmId> stuck = GroupHealth.unready(group, seen);
+        if (stuck.isEmpty() || times.formingMillis(seen.nowMillis(), group.epoch()) < limitMillis) {
+            return;
+        }
+        fabricDomain(group, ImmutableSet.of())
+                .flatMap(domain -> packing.replacements(
+                        seen.free(draft.groups()), domain, stuck.size(), service.acceleratorMemoryGb()))
+                .ifPresent(replacements -> replaceMembers(draft, group, stuck, replacements));
+    }
+
     /** A serving group finishes its work before it dissolves; another one only loses the members that leave. */
     private void planLeaving(Draft draft, Group group, ModelService service, GroupHealth.Leaving leaving) {
         if (group.state() == GroupState.SERVING) {
@@ -130,11 +147,14 @@
         draft.reform(group, epochs.next(), members);
     }
 
-    /** The weight store's limit adds to the time of a reload, which matters when many groups wait for it. */
     private boolean isDue(Draft draft, Group group, ModelService service, int loads) {
-        if (group.state() != GroupState.BROKEN) {
-            return false;
-        }
+        return group.state() == GroupState.BROKEN
+                && policy.repairNow(
+                        times.brokenMillis(seen.nowMillis(), group.id()), reloadMillis(draft, service, loads));
+    }
+
+    /** The weight store's limit adds to the time of a reload, which matters when many groups wait for it. */
+    private long reloadMillis(Draft draft, ModelService service, int loads) {
         long waiting = draft.groups().stream()
                 .filter(other -> other.state() == GroupState.FORMING)
                 .mapToLong(other -> other.members().stream()
@@ -142,8 +162,7 @@
                         .count())
                 .sum();
         long limitMillis = (waiting + loads) * MINUTE_MILLIS / Math.max(1, note.loadsPerMinute());
-        long reloadMillis = Math.max(service.loadMillis(), limitMillis);
-        return policy.repairNow(times.brokenMillis(seen.nowMillis(), group.id()), reloadMillis);
+        return Math.max(service.loadMillis(), limitMillis);
     }
 
     private Optional<FabricDomain> fabricDomain(Group group, ImmutableSet<VmId> except) {
