--- /dev/null
+++ b/cli/src/test/java/io/sesamehead/cli/operator/ReleaseWriterTest.java
@@ -0,0 +1,119 @@
+package io.sesamehead.cli.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.daemon.protocol.ReleaseObject;
+import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.standin.platform.PlatformSettings;
+import io.sesamehead.standin.platform.PlatformStandIn;
+import io.sesamehead.state.Generation;
+import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.WriteToken;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the one conditional write of an operator's change against racing operators and lost answers. */
+class ReleaseWriterTest {
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(300);
+
+    private PlatformStandIn platform;
+    private PlatformClient client;
+    private long sequence;
+
+    @BeforeEach
+    void startPlatform() throws Exception {
+        platform = new PlatformStandIn(PlatformSettings.at("127.0.0.1", 0));
+        platform.start();
+        client = new PlatformClient(
+                new DaemonSettings.Platform(platform.address(), CALL_TIMEOUT, 1000), ReleaseWriterTest::nowMillis);
+    }
+
+    @AfterEach
+    void stopPlatform() {
+        client.close();
+        platform.close();
+    }
+
+    @Test
+    void secondOfTwoRacingOperatorsGetsBothGenerations() throws Exception {
+        ReleaseWriter writer = writer(1000);
+        AcceptedState none = writer.read();
+        assertThat(writer.write(none, next(none))).isEqualTo(accepted(1));
+        assertThat(writer.write(none, next(none))).isEqualTo(conflict(0, 1));
+        AcceptedState first = writer.read();
+        assertThat(writer.write(first, next(first))).isEqualTo(accepted(2));
+        assertThat(writer.write(first, next(first))).isEqualTo(conflict(1, 2));
+    }
+
+    /** With a full list of writers an absent token proves nothing, but the platform's own refusal does. */
+    @Test
+    void conflictIsCertainAlsoAfterManyOtherWriters() throws Exception {
+        ReleaseWriter writer = writer(1000);
+        AcceptedState stale = advance(writer, 1);
+        advance(writer, ReleaseObject.WRITERS_KEPT + 4);
+        assertThat(writer.write(stale, next(stale))).isInstanceOf(WriteEnd.Conflict.class);
+    }
+
+    /** The write takes effect after its caller gave up: neither "accepted" nor "not accepted" may be claimed. */
+    @Test
+    void writeThatCannotBeReadBackIsNotKnown() throws Exception {
+        ReleaseWriter writer = writer(100);
+        AcceptedState base = advance(writer, 1);
+        ReleaseObject late = next(base);
+        slow(3 * CALL_TIMEOUT.toMillis());
+        assertThat(writer.write(base, late)).isInstanceOf(WriteEnd.NotKnown.class);
+        slow(0);
+        assertThat(writer(20_000).write(base, late)).isEqualTo(accepted(2));
+    }
+
+    private ReleaseWriter writer(long timeoutMillis) {
+        return new ReleaseWriter(client, ReleaseWriterTest::nowMillis, timeoutMillis);
+    }
+
+    private AcceptedState advance(ReleaseWriter writer, int times) throws Exception {
+        for (int time = 0; time < times; time++) {
+            AcceptedState base = writer.read();
+            assertThat(writer.write(base, next(base))).isInstanceOf(WriteEnd.Accepted.class);
+        }
+        return writer.read();
+    }
+
+    private ReleaseObject next(AcceptedState base) {
+        sequence++;
+        WriteToken token = new WriteToken(new Incarnation(7), sequence);
+        return base.release()
+                .map(release -> release.next("note " + sequence, release.drained(), token))
+                .orElseGet(() -> ReleaseObject.first("note", token));
+    }
+
+    private static WriteEnd accepted(long generation) {
+        return new WriteEnd.Accepted(new Generation(generation), new Generation(generation));
+    }
+
+    private static WriteEnd conflict(long base, long current) {
+        return new WriteEnd.Conflict(new Generation(base), Optional.of(new Generation(current)));
+    }
+
+    private void slow(long millis) throws Exception {
+        URI uri = URI.create("http://127.0.0.1:" + platform.address().getPort() + "/admin/faults");
+        try (HttpClient http = HttpClient.newHttpClient()) {
+            HttpRequest request = HttpRequest.newBuilder(uri)
+                    .POST(HttpRequest.BodyPublishers.ofString("{\"slowMillis\":" + millis + "}"))
+                    .build();
+            http.send(request, HttpResponse.BodyHandlers.discarding());
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
