--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -10,9 +11,11 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import javax.net.ssl.SSLSocket;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.cookie.CookieSpecFactory;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
@@ -21,6 +24,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Lookup;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.http.io.HttpClientResponseHandler;
@@ -38,6 +42,9 @@
     /** A pooled connection that was idle this long is checked before use, so that fewer requests meet a dead peer. */
     private static final TimeValue CHECK_AFTER_IDLE = TimeValue.ofMilliseconds(100);
 
+    /** The default list of cookie domains and the default TLS trust store take several MB of heap and are not used. */
+    private static final Lookup<CookieSpecFactory> NO_COOKIES = name -> null;
+
     private static final String MAY_BE_SENT = "sesamehead.may-be-sent";
     private static final String GATE = "sesamehead.gate";
 
@@ -55,6 +62,7 @@
         PoolingHttpClientConnectionManager pool = PoolingHttpClientConnectionManagerBuilder.create()
                 .setMaxConnTotal(maxConnections)
                 .setMaxConnPerRoute(maxPerAddress)
+                .setTlsSocketStrategy(HttpExchanges::refuseTls)
                 .setDefaultConnectionConfig(ConnectionConfig.custom()
                         .setConnectTimeout(Timeout.of(connectTimeout))
                         .setValidateAfterInactivity(CHECK_AFTER_IDLE)
@@ -63,6 +71,7 @@
         this.client = HttpClients.custom()
                 .setConnectionManager(pool)
                 .setRequestExecutor(new SendRecordingExecutor())
+                .setDefaultCookieSpecRegistry(NO_COOKIES)
                 .disableAutomaticRetries()
                 .disableRedirectHandling()
                 .disableCookieManagement()
@@ -73,6 +82,11 @@
                 Thread.ofPlatform().daemon().name("http-deadlines").factory());
     }
 
+    private static SSLSocket refuseTls(Socket socket, String target, int port, Object attachment, HttpContext context)
+            throws IOException {
+        throw new IOException("TLS is not used towards " + target);
+    }
+
     /**
      * Sends a request that needs no gate and cannot be cancelled.
      *
