--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -234,7 +234,7 @@
      * @param connection connection of the peer
      */
     public void sendSnapshot(PeerConnection connection) {
-        connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
+        sendDirectory(connection);
         releaseFrame.ifPresent(connection::send);
         if (broadcast.isNear(connection)) {
             tables.assignments()
@@ -247,6 +247,15 @@
         }
     }
 
+    /**
+     * Sends the live daemons to a peer that may know only this one.
+     *
+     * @param connection connection of the peer
+     */
+    public void sendDirectory(PeerConnection connection) {
+        connection.send(PeerMessages.directory(tables.directory().live(clock.getAsLong())));
+    }
+
     /**
      * Compares a peer's heartbeat with the tables and sends what the peer lacks.
      *
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/LeaseTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/LeaseTask.java
@@ -20,12 +20,18 @@
 public final class LeaseTask implements Runnable {
     private static final int CHECKS_PER_TTL = 3;
 
+    /** Two rounds of probes and a digest of each peer fit into this time. */
+    private static final long LOOK_MILLIS = 5_000;
+
+    private static final long LOOK_STEP_MILLIS = 100;
+
     private final DaemonTables tables;
     private final FleetNews news;
     private final PlatformClient platform;
     private final StoreWrites writes;
     private final long ttlMillis;
     private final LongSupplier clock;
+    private final long firstRunMillis;
     private boolean wasHolder;
     private long nextMillis;
 
@@ -52,13 +58,14 @@
         this.writes = writes;
         this.ttlMillis = ttlMillis;
         this.clock = clock;
+        this.firstRunMillis = clock.getAsLong();
     }
 
     @Override
     public synchronized void run() {
         long nowMillis = clock.getAsLong();
         nextMillis = nowMillis + ttlMillis / CHECKS_PER_TTL;
-        if (wasHolder || tables.isRelay(nowMillis)) {
+        if (wasHolder || (tables.isRelay(nowMillis) && hasLooked(nowMillis))) {
             check();
         }
         boolean holder = tables.lease().view(clock.getAsLong()).isPresent();
@@ -157,6 +164,23 @@
         }
     }
 
+    /**
+     * Tells whether this daemon has seen every engine once or has tried for long enough. Before that it could take an
+     * epoch below one that engines already obey.
+     */
+    private boolean hasLooked(long nowMillis) {
+        boolean seen = tables.vms().known()
+                && tables.evidence()
+                        .snapshot()
+                        .keySet()
+                        .containsAll(tables.vms().ids());
+        if (!seen && nowMillis < firstRunMillis + LOOK_MILLIS) {
+            nextMillis = nowMillis + LOOK_STEP_MILLIS;
+            return false;
+        }
+        return true;
+    }
+
     /** Engines and assignments can know a higher epoch than a store that was restored from an old copy. */
     private long highestEpoch() {
         long fromEngines = tables.evidence().snapshot().values().stream()
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PeerTraffic.java
@@ -72,8 +72,10 @@
             return;
         }
         news.answered();
-        if (tables.isRelay(clock.getAsLong()) || !connection.dialled()) {
+        if (tables.isRelay(clock.getAsLong())) {
             news.sendSnapshot(connection);
+        } else if (!connection.dialled()) {
+            news.sendDirectory(connection);
         }
     }
 
