Move streams free of the retry budget and contain crashing requests

Cause: in the crash test with 4 engines, streams that had to leave a crashed engine were torn, because the retry budget (a tenth of calls, floor 3) was used up by the 4 moves. A path with a character outside URI syntax was answered 500 may-have-run although nothing was sent. Change: started streams, work whose upstream is gone, and attempts that sent nothing are not charged as retries; attempts per request stay bounded at 4. A crash is told from a slow engine by refused connections or another incarnation. The group is checked again immediately before the first byte. Recorded results are deleted after 24 h by the lease holder. Paths that are no URI, and HEAD, are answered UNKNOWN_PATH. Conclusion: at most two groups are lost to one request in this test.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -5,6 +5,7 @@
 import io.sesamehead.coordination.request.AttemptEnd;
 import io.sesamehead.coordination.request.Fingerprint;
 import io.sesamehead.coordination.request.NextStep;
+import io.sesamehead.coordination.request.RetryBudget;
 import io.sesamehead.coordination.request.SuspectDecision;
 import io.sesamehead.coordination.request.Suspects;
 import io.sesamehead.coordination.routing.RouteRequest;
@@ -14,14 +15,17 @@
 import io.sesamehead.daemon.protocol.CompletionRequest;
 import io.sesamehead.daemon.runtime.ServingGroups.ServingGroup;
 import io.sesamehead.daemon.transport.EngineClient;
+import io.sesamehead.daemon.transport.ProcessState;
 import io.sesamehead.daemon.transport.UpstreamResult;
 import io.sesamehead.state.AttemptId;
 import io.sesamehead.state.ErrorKind;
 import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.Outcome;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
@@ -37,6 +41,7 @@
     private static final long RESUME_WAIT_MILLIS = 5_000;
 
     private static final Duration STATUS_TIMEOUT = Duration.ofMillis(300);
+    private static final int CRASH_CHECKS = 3;
 
     private final ServingGroups groups;
     private final EngineClient engines;
@@ -155,9 +160,13 @@
                     request(task, serving),
                     remaining(task),
                     handle.cancellation(),
-                    () -> task.run().sending(attempt.get()),
+                    () -> groups.mayTakeWork(serving.group(), nowMillis.getAsLong())
+                            && task.run().sending(attempt.get()),
                     task.delivery());
             observeLatency(task, upstream);
+            if (result instanceof UpstreamResult.DeadlinePassed || result instanceof UpstreamResult.Cancelled) {
+                stopEngine(task, serving);
+            }
             Optional<Outcome> end = after(task, attempt.get(), handle, result, () -> onLoss(upstream, serving));
             if (end.isPresent() && end.get() instanceof Outcome.Ran) {
                 suspects.completed(attempt.get());
@@ -167,9 +176,6 @@
             task.forwarder().ifPresent(forwarder -> forwarder.remove(stop));
             live.remove(handle);
             suspects.abandoned(attempt.get());
-            if (handle.cancellation().cancelled()) {
-                stopEngine(task, serving);
-            }
         }
     }
 
@@ -188,7 +194,7 @@
                     handle.cancellation(),
                     () -> task.run().sending(attempt.get()),
                     task.delivery());
-            return after(task, attempt.get(), handle, result, () -> {});
+            return after(task, attempt.get(), handle, result, () -> false);
         } finally {
             live.remove(handle);
         }
@@ -208,22 +214,23 @@
     }
 
     private Optional<Outcome> after(
-            CompletionTask task, AttemptId attempt, LiveAttempts.Live handle, UpstreamResult result, Runnable onLoss) {
+            CompletionTask task,
+            AttemptId attempt,
+            LiveAttempts.Live handle,
+            UpstreamResult result,
+            BooleanSupplier onLoss) {
         return switch (result) {
             case UpstreamResult.Finished(int count, String finish) -> finished(task, attempt, count, finish);
             case UpstreamResult.Answered ignored ->
                 ended(task, attempt, new AttemptEnd.Failed("the engine sent no stream"));
             case UpstreamResult.NotSent(String detail) ->
                 nowMillis.getAsLong() < task.deadlineMillis()
-                        ? ended(task, attempt, new AttemptEnd.Lost(detail))
+                        ? lost(task, attempt, detail, true)
                         : Optional.of(task.run().close(ErrorKind.DEADLINE_DURING_RUN, detail));
             case UpstreamResult.Refused(String detail) -> ended(task, attempt, new AttemptEnd.Refused(detail));
             case UpstreamResult.Failed(int status, String detail) ->
                 ended(task, attempt, new AttemptEnd.Failed(detail));
-            case UpstreamResult.Lost(String detail) -> {
-                onLoss.run();
-                yield ended(task, attempt, new AttemptEnd.Lost(detail));
-            }
+            case UpstreamResult.Lost(String detail) -> lost(task, attempt, detail, onLoss.getAsBoolean());
             case UpstreamResult.DeadlinePassed(String detail) ->
                 Optional.of(task.run().close(ErrorKind.DEADLINE_DURING_RUN, "the deadline passed"));
             case UpstreamResult.Cancelled ignored -> cancelled(task, attempt, handle, onLoss);
@@ -233,35 +240,47 @@
     /** An engine that was told by someone else to stop ends the stream early; that answer is not whole. */
     private Optional<Outcome> finished(CompletionTask task, AttemptId attempt, int count, String finish) {
         if (finish.equals(CompletionTask.CANCELLED)) {
-            return ended(task, attempt, new AttemptEnd.Lost("the engine stopped the request"));
+            return lost(task, attempt, "the engine stopped the request", false);
         }
         return switch (task.sequence().end(count)) {
             case COMPLETE -> {
                 task.finish(finish);
                 yield ended(task, attempt, new AttemptEnd.Completed());
             }
-            case MISSING -> ended(task, attempt, new AttemptEnd.Lost("the stream ended before its last token"));
+            case MISSING -> lost(task, attempt, "the stream ended before its last token", false);
             case CONTRADICTION -> Optional.of(task.run().close(ErrorKind.STREAM_TORN, "the resumed answer is shorter"));
         };
     }
 
     private Optional<Outcome> cancelled(
-            CompletionTask task, AttemptId attempt, LiveAttempts.Live handle, Runnable onLoss) {
+            CompletionTask task, AttemptId attempt, LiveAttempts.Live handle, BooleanSupplier onLoss) {
         if (handle.reason().equals(Optional.of(LiveAttempts.Reason.GROUP_BROKEN))) {
-            onLoss.run();
-            return ended(task, attempt, new AttemptEnd.Lost("the group is no longer complete"));
+            boolean ended = onLoss.getAsBoolean();
+            Logger.debug("route: request {} leaves a broken group, head ended: {}", task.request(), ended);
+            return lost(task, attempt, "the group is no longer complete", true);
         }
         if (handle.reason().equals(Optional.of(LiveAttempts.Reason.SHUTDOWN))) {
             return Optional.of(task.run().close(ErrorKind.SHUTTING_DOWN, "the daemon exits"));
         }
         if (task.delivery().gap()) {
-            return ended(task, attempt, new AttemptEnd.Lost("tokens are missing in the stream"));
+            return lost(task, attempt, "tokens are missing in the stream", false);
         }
         return Optional.of(task.run().close(ErrorKind.CLIENT_GONE, "the caller closed its connection"));
     }
 
+    private Optional<Outcome> lost(CompletionTask task, AttemptId attempt, String detail, boolean free) {
+        return ended(task, attempt, new AttemptEnd.Lost(detail), free);
+    }
+
     private Optional<Outcome> ended(CompletionTask task, AttemptId attempt, AttemptEnd end) {
-        NextStep next = task.run().ended(attempt, end, budgets.of(task.service()), nowMillis.getAsLong());
+        return ended(task, attempt, end, false);
+    }
+
+    /** Started streams are moved free of charge, and so is work whose upstream is gone or got nothing. */
+    private Optional<Outcome> ended(CompletionTask task, AttemptId attempt, AttemptEnd end, boolean free) {
+        boolean moved = free || task.sequence().nextIndex() > 0;
+        RetryBudget budget = moved ? budgets.unlimited() : budgets.of(task.service());
+        NextStep next = task.run().ended(attempt, end, budget, nowMillis.getAsLong());
         return switch (next) {
             case NextStep.Finish(Outcome outcome) -> Optional.of(outcome);
             case NextStep.Retry ignored -> {
@@ -271,20 +290,33 @@
         };
     }
 
-    private void onLoss(UpstreamId upstream, ServingGroup serving) {
-        boolean ended = serving.group()
-                .head()
-                .engine()
-                .map(engine -> engines.processEnded(serving.headAddress(), engine, STATUS_TIMEOUT))
-                .orElse(false);
-        if (!ended) {
-            return;
+    /** Returns true when the process that ran the attempt has ended. */
+    private boolean onLoss(UpstreamId upstream, ServingGroup serving) {
+        if (!headEnded(serving)) {
+            return false;
         }
         ImmutableMap<Fingerprint, Integer> counts = suspects.crashed(upstream, nowMillis.getAsLong());
         if (!counts.isEmpty()) {
             Logger.warn("route: {} crashed with {} requests in flight", upstream, counts.size());
             crashes.send(counts);
         }
+        return true;
+    }
+
+    /** A dying process can break its streams shortly before its address refuses connections. */
+    private boolean headEnded(ServingGroup serving) {
+        Optional<Incarnation> engine = serving.group().head().engine();
+        if (engine.isEmpty()) {
+            return false;
+        }
+        for (int check = 0; check < CRASH_CHECKS; check++) {
+            ProcessState state = engines.processState(serving.headAddress(), engine.get(), STATUS_TIMEOUT);
+            if (state != ProcessState.UNKNOWN) {
+                return state == ProcessState.ENDED;
+            }
+            pause(GROUP_POLL_MILLIS);
+        }
+        return false;
     }
 
     private void observeLatency(CompletionTask task, UpstreamId upstream) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -75,6 +75,9 @@
         workers.repeat("assignment watch", assignmentWatch, assignmentWatch::waitMillis);
         workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock));
         workers.repeat("lease", lease, lease::waitMillis);
+        OrderRetention retention = new OrderRetention(
+                platform, () -> tables.lease().maySend(clock.getAsLong()), System::currentTimeMillis);
+        workers.every("order retention", OrderRetention.INTERVAL, retention);
     }
 
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/LiveAttempts.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/LiveAttempts.java
@@ -10,6 +10,7 @@
 /** The attempts in flight of this daemon, so that they can be ended from outside. */
 public final class LiveAttempts {
     private final Set<Live> attempts = ConcurrentHashMap.newKeySet();
+    private volatile boolean ended;
 
     /** Why an attempt was ended from outside. */
     public enum Reason {
@@ -65,6 +66,9 @@
     public Live add(Optional<Group> group) {
         Live live = new Live(group);
         attempts.add(live);
+        if (ended) {
+            live.end(Reason.SHUTDOWN);
+        }
         return live;
     }
 
@@ -90,8 +94,9 @@
         }
     }
 
-    /** Ends all attempts because the daemon exits. */
+    /** Ends all attempts, also those that begin later, because the daemon exits. */
     public void endAll() {
+        ended = true;
         attempts.forEach(live -> live.end(Reason.SHUTDOWN));
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/PlainRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/PlainRunner.java
@@ -5,6 +5,7 @@
 import io.sesamehead.coordination.request.AttemptEnd;
 import io.sesamehead.coordination.request.NextStep;
 import io.sesamehead.coordination.request.RequestRun;
+import io.sesamehead.coordination.request.RetryBudget;
 import io.sesamehead.coordination.routing.RouteRequest;
 import io.sesamehead.coordination.routing.Router;
 import io.sesamehead.coordination.routing.UpstreamId;
@@ -128,7 +129,11 @@
                     call.key());
             Duration remaining = Duration.ofMillis(Math.max(1, call.deadlineMillis() - nowMillis.getAsLong()));
             UpstreamResult result = services.call(
-                    upstream.value(), request, remaining, handle.cancellation(), () -> run.sending(attempt.get()));
+                    upstream.value(),
+                    request,
+                    remaining,
+                    handle.cancellation(),
+                    () -> !states.isLeaving(upstream.value()) && run.sending(attempt.get()));
             return after(run, call, attempt.get(), result);
         } finally {
             live.remove(handle);
@@ -136,18 +141,18 @@
     }
 
     private Optional<Result> after(RequestRun run, CallContext call, AttemptId attempt, UpstreamResult result) {
+        RetryBudget budget = budgets.of(call.service());
         return switch (result) {
             case UpstreamResult.Answered answered ->
-                ended(run, call, attempt, new AttemptEnd.Completed(), Optional.of(answered));
+                Optional.of(new Result(completed(run, call, attempt), Optional.of(answered)));
             case UpstreamResult.NotSent(String detail) ->
                 nowMillis.getAsLong() < call.deadlineMillis()
-                        ? lost(run, call, attempt, detail)
+                        ? ended(run, attempt, new AttemptEnd.Lost(detail), budgets.unlimited())
                         : closed(run, ErrorKind.DEADLINE_DURING_RUN, detail);
-            case UpstreamResult.Lost(String detail) -> lost(run, call, attempt, detail);
-            case UpstreamResult.Refused(String detail) ->
-                ended(run, call, attempt, new AttemptEnd.Refused(detail), Optional.empty());
+            case UpstreamResult.Lost(String detail) -> ended(run, attempt, new AttemptEnd.Lost(detail), budget);
+            case UpstreamResult.Refused(String detail) -> ended(run, attempt, new AttemptEnd.Refused(detail), budget);
             case UpstreamResult.Failed(int status, String detail) ->
-                ended(run, call, attempt, new AttemptEnd.Failed(detail), Optional.empty());
+                ended(run, attempt, new AttemptEnd.Failed(detail), budget);
             case UpstreamResult.Finished ignored -> throw new IllegalStateException("a plain call has no stream");
             case UpstreamResult.DeadlinePassed ignored ->
                 closed(run, ErrorKind.DEADLINE_DURING_RUN, "the deadline passed");
@@ -155,23 +160,19 @@
         };
     }
 
-    private Optional<Result> lost(RequestRun run, CallContext call, AttemptId attempt, String detail) {
-        return ended(run, call, attempt, new AttemptEnd.Lost(detail), Optional.empty());
+    private Outcome completed(RequestRun run, CallContext call, AttemptId attempt) {
+        run.ended(attempt, new AttemptEnd.Completed(), budgets.of(call.service()), nowMillis.getAsLong());
+        return run.outcome().orElseThrow();
     }
 
     private static Optional<Result> closed(RequestRun run, ErrorKind kind, String detail) {
         return Optional.of(new Result(run.close(kind, detail), Optional.empty()));
     }
 
-    private Optional<Result> ended(
-            RequestRun run,
-            CallContext call,
-            AttemptId attempt,
-            AttemptEnd end,
-            Optional<UpstreamResult.Answered> answer) {
-        NextStep next = run.ended(attempt, end, budgets.of(call.service()), nowMillis.getAsLong());
+    private Optional<Result> ended(RequestRun run, AttemptId attempt, AttemptEnd end, RetryBudget budget) {
+        NextStep next = run.ended(attempt, end, budget, nowMillis.getAsLong());
         return next instanceof NextStep.Finish(Outcome outcome)
-                ? Optional.of(new Result(outcome, answer))
+                ? Optional.of(new Result(outcome, Optional.empty()))
                 : Optional.empty();
     }
 
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/RetryBudgets.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/RetryBudgets.java
@@ -9,6 +9,12 @@
 public final class RetryBudgets {
     private final ConcurrentMap<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
 
+    /**
+     * For work that is moved: it replaces an attempt that is over or sent nothing, so it does not multiply the load, and
+     * the attempts of one request stay bounded.
+     */
+    private final RetryBudget unlimited = new RetryBudget(0, Double.MAX_VALUE, RetryBudget.DEFAULT_HALF_LIFE_MILLIS);
+
     /** Creates full budgets. */
     public RetryBudgets() {}
 
@@ -21,4 +27,13 @@
     public RetryBudget of(ServiceName service) {
         return budgets.computeIfAbsent(service, ignored -> new RetryBudget());
     }
+
+    /**
+     * Returns the budget of work that is moved and not repeated.
+     *
+     * @return a budget that never ends
+     */
+    public RetryBudget unlimited() {
+        return unlimited;
+    }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ServingGroups.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ServingGroups.java
@@ -78,7 +78,15 @@
         };
     }
 
-    private boolean mayTakeWork(Group group, long nowMillis) {
+    /**
+     * Tells whether a group may take new work. Asked again immediately before a request is sent, because the process may
+     * have been paused since the group was chosen.
+     *
+     * @param group the group
+     * @param nowMillis present monotonic time, in milliseconds
+     * @return true while it may
+     */
+    public boolean mayTakeWork(Group group, long nowMillis) {
         return decide(group, nowMillis) instanceof ServeDecision.Serve
                 && group.members().stream().noneMatch(member -> isLeaving(member.vm()));
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
@@ -12,6 +12,7 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HttpMethod;
 import jakarta.ws.rs.POST;
 import jakarta.ws.rs.PUT;
 import jakarta.ws.rs.Path;
@@ -22,6 +23,8 @@
 import jakarta.ws.rs.core.Response;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -141,6 +144,9 @@
         RequestId request = requestIds.get();
         try {
             request = CallHeaders.requestId(http, requestIds);
+            if (http.getMethod().equals(HttpMethod.HEAD) || !isUri(path(http))) {
+                return error(request, ErrorKind.UNKNOWN_PATH, "no call has this path and method");
+            }
             CallHeaders headers = CallHeaders.read(http, request);
             byte[] content = content(body);
             CallContext call = context(http, headers, service, content);
@@ -235,6 +241,15 @@
         return http.getQueryString() == null ? path : path + "?" + http.getQueryString();
     }
 
+    /** The server accepts characters in a path that the client for the upstream does not. */
+    private static boolean isUri(String path) {
+        try {
+            return !new URI("/" + path).isOpaque();
+        } catch (URISyntaxException e) {
+            return false;
+        }
+    }
+
     private byte[] content(InputStream body) throws IOException, BodyTooLargeException {
         byte[] content = body.readNBytes(maxBodyBytes + 1);
         if (content.length > maxBodyBytes) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/EngineClient.java
@@ -116,30 +116,28 @@
      * @param timeout longest time of the call
      */
     public void cancel(String address, RequestId request, Duration timeout) {
-        String id = URLEncoder.encode(request.value(), StandardCharsets.UTF_8);
+        String id = URLEncoder.encode(request.value(), StandardCharsets.UTF_8).replace("+", "%20");
         http.exchange(new HttpDelete("http://" + address + "/v1/requests/" + id), timeout, HttpAnswer::read);
     }
 
     /**
-     * Tells whether the process of an engine has ended: nothing listens at its address, or another incarnation does. An
-     * engine that is only slow or cut off has not ended as far as is known.
+     * Finds out whether the process of an engine has ended.
      *
      * @param address {@code ip:port} of the engine
      * @param incarnation the incarnation that was there before
      * @param timeout longest time of the call
-     * @return true when it is certain that the process has ended
+     * @return what is known of that process
      */
-    public boolean processEnded(String address, Incarnation incarnation, Duration timeout) {
+    public ProcessState processState(String address, Incarnation incarnation, Duration timeout) {
         Exchange<HttpAnswer> exchange =
                 http.exchange(new HttpGet("http://" + address + "/control/status"), timeout, HttpAnswer::read);
-        return switch (exchange) {
-            case Exchange.Answered<HttpAnswer>(HttpAnswer answer) ->
-                statusOf(answer) instanceof StatusResult.Answered(EngineStatus status)
-                        && !status.report().engine().equals(incarnation);
-            case Exchange.NotSent<HttpAnswer> notSent -> notSent.connectionRefused();
-            case Exchange.Broken<HttpAnswer> ignored -> false;
-            case Exchange.Cancelled<HttpAnswer> ignored -> false;
-        };
+        if (exchange instanceof Exchange.Answered<HttpAnswer>(HttpAnswer answer)
+                && statusOf(answer) instanceof StatusResult.Answered(EngineStatus status)) {
+            boolean same = status.report().engine().equals(incarnation);
+            return same ? ProcessState.RUNS : ProcessState.ENDED;
+        }
+        boolean refused = exchange instanceof Exchange.NotSent<HttpAnswer> notSent && notSent.connectionRefused();
+        return refused ? ProcessState.ENDED : ProcessState.UNKNOWN;
     }
 
     @Override
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -132,10 +132,10 @@
 
     private static <T> Exchange<T> failure(
             Exception cause, HttpContext context, boolean expired, Cancellation cancellation) {
-        boolean mayBeSent = context.getAttribute(MAY_BE_SENT) != null;
-        if (cancellation.cancelled() && mayBeSent) {
+        if (cancellation.cancelled()) {
             return new Exchange.Cancelled<>();
         }
+        boolean mayBeSent = context.getAttribute(MAY_BE_SENT) != null;
         String detail = cause.getClass().getSimpleName() + ": " + cause.getMessage();
         return mayBeSent
                 ? new Exchange.Broken<>(detail, expired)
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
@@ -15,6 +15,8 @@
 import io.sesamehead.daemon.protocol.EngineOrder;
 import io.sesamehead.daemon.protocol.EngineStatus;
 import io.sesamehead.daemon.protocol.Json;
+import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.PlatformObject;
 import io.sesamehead.daemon.settings.DaemonSettings;
 import io.sesamehead.daemon.settings.ReadResult;
 import io.sesamehead.daemon.settings.ReleaseNoteReader;
@@ -27,6 +29,7 @@
 import io.sesamehead.daemon.transport.SendGate;
 import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.daemon.transport.StatusResult;
+import io.sesamehead.daemon.transport.StoreResult;
 import io.sesamehead.daemon.transport.UncaughtErrors;
 import io.sesamehead.standin.engine.EngineSettings;
 import io.sesamehead.standin.engine.EngineStandIn;
@@ -57,6 +60,7 @@
 import io.sesamehead.state.WriteToken;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -86,7 +90,7 @@
     final CallStack calls;
     private final EngineClient engineClient = new EngineClient(100, 100, Duration.ofMillis(500));
     private final ServiceClient serviceClient = new ServiceClient(100, 100, Duration.ofMillis(500));
-    private final PlatformClient platformClient;
+    final PlatformClient platformClient;
     private final HttpPorts ports;
     private final Thread prober;
 
@@ -179,6 +183,21 @@
                 .POST(HttpRequest.BodyPublishers.ofString(body)));
     }
 
+    int storedOrders() {
+        return platformClient.list(Kinds.ORDERS) instanceof StoreResult.Ok<ImmutableList<PlatformObject>>(var all)
+                ? all.size()
+                : -1;
+    }
+
+    boolean listens(EngineStandIn engine) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(HOST, engine.address().getPort()), 500);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     static void await(BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + TIMEOUT.toNanos();
         while (!condition.getAsBoolean()) {
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CallerErrorsTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CallerErrorsTest.java
@@ -4,6 +4,7 @@
 
 import io.sesamehead.coordination.request.Fingerprint;
 import io.sesamehead.standin.service.ServiceSettings;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -62,6 +63,20 @@
         }
     }
 
+    /** Guards against an internal error for a path that the server accepts and the upstream's client does not. */
+    @Test
+    void pathThatIsNoUri() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(0);
+                Socket caller = new Socket(CallFixture.HOST, daemon.callerPort())) {
+            String request =
+                    "GET /v1/services/orders/calls/a?b=|%zz HTTP/1.1\r\nHost: a\r\nX-Client-Account: shop-1\r\nConnection: close\r\n\r\n";
+            caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(answer).startsWith("HTTP/1.1 404").contains("urn:sesamehead:error:unknown-path");
+        }
+    }
+
     @Test
     void callsToPlainService() throws Exception {
         try (CallFixture daemon = CallFixture.withEngines(0)) {
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CompletionCallsTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CompletionCallsTest.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -105,6 +107,56 @@
         }
     }
 
+    /** Guards against a stream that ends without a final event when no group can go on with it. */
+    @Test
+    void tornStreamEndsWithErrorEvent() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(1)) {
+            CompletableFuture<HttpResponse<String>> answer = daemon.http.sendAsync(
+                    daemon.completion("{\"prompt\":\"tin 6\",\"max_tokens\":4000,\"stream\":true}")
+                            .header("X-Deadline-Millis", "1000")
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            CallFixture.await(() -> hasSentTokens(daemon.engines.get(0)));
+            daemon.engines.get(0).crash();
+
+            String body = answer.get(10, TimeUnit.SECONDS).body();
+            String last = body.substring(body.lastIndexOf("event: "));
+            assertThat(last).startsWith("event: error").contains("\"run\":\"may-have-run\"");
+            assertThat(daemon.calls.runningCalls()).isZero();
+        }
+    }
+
+    /** Guards against a request that crashes every engine in turn, and against innocent requests that suffer for it. */
+    @Test
+    void crashingRequestStopsAfterTwoGroups() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(4)) {
+            for (EngineStandIn engine : daemon.engines) {
+                daemon.faults(engine.address(), "{\"crashOnPrompt\":\"poison\"}");
+            }
+            List<CompletableFuture<HttpResponse<String>>> innocent = new ArrayList<>();
+            for (int index = 0; index < 8; index++) {
+                innocent.add(daemon.http.sendAsync(
+                        daemon.completion("{\"prompt\":\"tin " + index + "\",\"max_tokens\":40,\"stream\":true}")
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString()));
+            }
+            String poison = "{\"prompt\":\"poison\",\"max_tokens\":4}";
+            List<Integer> statuses = new ArrayList<>();
+            for (int index = 0; index < 3; index++) {
+                statuses.add(daemon.send(daemon.completion(poison)).statusCode());
+            }
+
+            assertThat(statuses).containsExactly(502, 422, 422);
+            for (int index = 0; index < innocent.size(); index++) {
+                assertThat(innocent.get(index).get(20, TimeUnit.SECONDS).body()).isEqualTo(events("tin " + index));
+            }
+            long crashed = daemon.engines.stream()
+                    .filter(engine -> !daemon.listens(engine))
+                    .count();
+            assertThat(crashed).isEqualTo(2);
+        }
+    }
+
     private static boolean hasSentTokens(EngineStandIn engine) {
         return engine.executions().stream().anyMatch(run -> run.tokensSent() > 2);
     }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/PlainCallsTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/PlainCallsTest.java
@@ -6,6 +6,7 @@
 import io.sesamehead.daemon.protocol.Json;
 import io.sesamehead.standin.service.ServiceSettings;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -99,6 +100,37 @@
         }
     }
 
+    /** Guards against results that are kept for ever, and against the loss of a claim or of a young result. */
+    @Test
+    void deletesOldResultsOnly() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(0)) {
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "ran"));
+            daemon.faults(daemon.service.address(), "{\"loseAnswers\":1}");
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "claimed"));
+            long day = Duration.ofHours(24).toMillis();
+
+            new OrderRetention(daemon.platformClient, () -> true, System::currentTimeMillis).run();
+            assertThat(daemon.storedOrders()).isEqualTo(2);
+            new OrderRetention(daemon.platformClient, () -> true, () -> System.currentTimeMillis() + 2 * day).run();
+            assertThat(daemon.storedOrders()).isEqualTo(1);
+            assertThat(daemon.send(daemon.order("{}").header("Idempotency-Key", "claimed"))
+                            .statusCode())
+                    .isEqualTo(409);
+        }
+    }
+
+    /** Guards against a growing number of store calls for each keyed call: the store's rate limit is shared. */
+    @Test
+    void keyedCallMakesThreeStoreCalls() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(0)) {
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "k1"));
+            daemon.send(daemon.order("{}"));
+
+            JsonNode counts = daemon.get(daemon.platform.address(), "/admin/counts");
+            assertThat(counts.path("calls").toString()).isEqualTo("{\"create\":1,\"get\":1,\"update\":1}");
+        }
+    }
+
     /** Guards against new work for a service that reported that it is leaving. */
     @Test
     void leavingServiceGetsNoNewCalls() throws Exception {
