Keep records that state not-run when results are deleted

Cause: a result that states not-run can be claimed again between the list and the delete of the retention task; the delete would then remove a live claim. Change: only results that ran are deleted. Conclusion: a deletion can no longer free a claimed key.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderRetention.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/OrderRetention.java
@@ -9,12 +9,14 @@
 import io.sesamehead.daemon.transport.PlatformClient;
 import io.sesamehead.daemon.transport.StoreResult;
 import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.RunState;
 import java.time.Duration;
 import java.util.function.LongSupplier;
 import org.tinylog.Logger;
 
 /**
- * Deletes the recorded results of keyed calls after their retention. Claims without a result stay. Of all lease holders
+ * Deletes the recorded results of keyed calls after their retention. Claims without a result stay, and so do results that
+ * state not-run, because they can become a claim between the list and the delete. Of all lease holders
  * only the one of the first live failure domain does it, because the objects belong to no failure domain.
  */
 public final class OrderRetention implements Runnable {
@@ -71,6 +73,7 @@
         try {
             return OrderCodec.decode(object.spec())
                     .result()
+                    .filter(result -> result.runState() == RunState.RAN)
                     .map(result -> epochMillis.getAsLong() - result.recordedEpochMillis() > RETENTION_MILLIS)
                     .orElse(false);
         } catch (MalformedMessageException e) {
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
@@ -8,6 +8,7 @@
 import io.sesamehead.coordination.config.ConfigTable;
 import io.sesamehead.coordination.drain.Drain;
 import io.sesamehead.coordination.drain.Shutdown;
+import io.sesamehead.coordination.lease.LeaseDecision;
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.membership.DaemonDirectory;
@@ -183,6 +184,13 @@
                 .POST(HttpRequest.BodyPublishers.ofString(body)));
     }
 
+    void holdLease() {
+        long now = clock.getAsLong();
+        if (tables.lease().decide(now, Optional.empty(), 0) instanceof LeaseDecision.Write write) {
+            tables.lease().accepted(now, write.lease());
+        }
+    }
+
     int storedOrders() {
         return platformClient.list(Kinds.ORDERS) instanceof StoreResult.Ok<ImmutableList<PlatformObject>>(var all)
                 ? all.size()
