--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/PlainCallsTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/PlainCallsTest.java
@@ -6,9 +6,11 @@
 import io.sesamehead.daemon.protocol.Json;
 import io.sesamehead.standin.service.ServiceSettings;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 
 final class PlainCallsTest {
@@ -99,6 +101,44 @@
         }
     }
 
+    /**
+     * Guards against results that are kept for ever, and against the loss of a record that can still become a claim:
+     * its deletion could hit the claim of a call that is running.
+     */
+    @Test
+    void deletesOnlyOldResultsThatRan() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(0)) {
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "ran"));
+            daemon.faults(daemon.service.address(), "{\"loseAnswers\":1}");
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "claimed"));
+            daemon.faults(daemon.service.address(), "{\"refuse\":1}");
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "not-run"));
+            daemon.holdLease();
+            LongSupplier inTwoDays =
+                    () -> System.currentTimeMillis() + Duration.ofDays(2).toMillis();
+
+            new OrderRetention(daemon.tables, daemon.platformClient, daemon.clock, System::currentTimeMillis).run();
+            assertThat(daemon.storedOrders()).isEqualTo(3);
+            new OrderRetention(daemon.tables, daemon.platformClient, daemon.clock, inTwoDays).run();
+            assertThat(daemon.storedOrders()).isEqualTo(2);
+            assertThat(daemon.send(daemon.order("{}").header("Idempotency-Key", "claimed"))
+                            .statusCode())
+                    .isEqualTo(409);
+        }
+    }
+
+    /** Guards against a growing number of store calls for each keyed call: the store's rate limit is shared. */
+    @Test
+    void keyedCallMakesThreeStoreCalls() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(0)) {
+            daemon.send(daemon.order("{}").header("Idempotency-Key", "k1"));
+            daemon.send(daemon.order("{}"));
+
+            JsonNode counts = daemon.get(daemon.platform.address(), "/admin/counts");
+            assertThat(counts.path("calls").toString()).isEqualTo("{\"create\":1,\"get\":1,\"update\":1}");
+        }
+    }
+
     /** Guards against new work for a service that reported that it is leaving. */
     @Test
     void leavingServiceGetsNoNewCalls() throws Exception {
