--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/calls/Once.java
@@ -0,0 +1,21 @@
+package io.sesamehead.proof.calls;
+
+import java.util.function.Consumer;
+
+/** Passes the first value on and drops the others. */
+final class Once<T> implements Consumer<T> {
+    private final Consumer<T> target;
+    private boolean used;
+
+    Once(Consumer<T> target) {
+        this.target = target;
+    }
+
+    @Override
+    public void accept(T value) {
+        if (!used) {
+            used = true;
+            target.accept(value);
+        }
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/calls/Process.java
@@ -0,0 +1,106 @@
+package io.sesamehead.proof.calls;
+
+import io.sesamehead.proof.EventQueue;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/**
+ * Life and clock of one process. Its steps are dropped once it is killed and wait while it is frozen; its monotonic
+ * clock runs at its own rate, also while it is frozen.
+ */
+final class Process {
+    private final EventQueue queue;
+    private final double clockRate;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private long incarnation;
+    private boolean alive = true;
+    private boolean frozen;
+
+    Process(EventQueue queue, double clockRate) {
+        this.queue = queue;
+        this.clockRate = clockRate;
+    }
+
+    long nowMillis() {
+        return (long) (queue.nowMillis() * clockRate);
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    boolean running() {
+        return alive && !frozen;
+    }
+
+    /** Number of the present incarnation, from 0. */
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** Binds a step to the present incarnation. */
+    Runnable step(Runnable action) {
+        long bound = incarnation;
+        return () -> run(bound, action);
+    }
+
+    /** Binds the receiver of an answer to the present incarnation. */
+    <T> Consumer<T> receiver(Consumer<T> action) {
+        long bound = incarnation;
+        return value -> run(bound, () -> action.accept(value));
+    }
+
+    /** Schedules a step after a time on this process's clock. */
+    void after(long millis, Runnable action) {
+        queue.after((long) Math.ceil(millis / clockRate), step(action));
+    }
+
+    void every(long millis, Runnable action) {
+        after(millis, () -> {
+            action.run();
+            every(millis, action);
+        });
+    }
+
+    void kill() {
+        alive = false;
+        frozen = false;
+        incarnation++;
+        waiting.clear();
+    }
+
+    void start() {
+        alive = true;
+    }
+
+    void freeze(long millis) {
+        if (!running()) {
+            return;
+        }
+        frozen = true;
+        long bound = incarnation;
+        queue.after(millis, () -> thaw(bound));
+    }
+
+    private void run(long bound, Runnable action) {
+        if (!alive || bound != incarnation) {
+            return;
+        }
+        if (frozen) {
+            waiting.add(action);
+            return;
+        }
+        action.run();
+    }
+
+    private void thaw(long bound) {
+        if (bound != incarnation) {
+            return;
+        }
+        frozen = false;
+        while (running() && bound == incarnation && !waiting.isEmpty()) {
+            waiting.poll().run();
+        }
+    }
+}
