--- a/proof/src/main/java/io/sesamehead/proof/calls/Checks.java
+++ b/proof/src/main/java/io/sesamehead/proof/calls/Checks.java
@@ -27,6 +27,7 @@
     private final Map<Call, Integer> executions = new HashMap<>();
     private final Map<CallsDaemon, Set<Call>> openAtSignal = new HashMap<>();
     private int stopsWithAllOpen;
+    private int uninterruptedExits;
 
     Checks(World world, RunRecord record, Invariant invariant) {
         this.world = world;
@@ -72,6 +73,7 @@
     /** Called before the open calls are answered. */
     void exiting(CallsDaemon daemon, boolean mayInterrupt) {
         if (invariant == Invariant.GRACEFUL_STOP && !mayInterrupt) {
+            uninterruptedExits++;
             for (Call call : openAtSignal.getOrDefault(daemon, Set.of())) {
                 check(call.reply().isPresent(), daemon.name() + " interrupts " + call + " by its exit");
                 boolean refused = call.reply()
@@ -91,20 +93,25 @@
         openAtSignal.remove(daemon);
     }
 
+    /** Stop signals that met a watch, a lease renewal, an order and a stream, all open. */
     int stopsWithAllOpen() {
         return stopsWithAllOpen;
     }
 
-    long wholeCalls() {
+    /** Exits that had to wait for the calls in flight. */
+    int uninterruptedExits() {
+        return uninterruptedExits;
+    }
+
+    /** Whole answers of streams that took more than one attempt. */
+    long resumedWholeStreams() {
         return calls.stream()
+                .filter(call -> call.operation().service().model())
                 .filter(call -> call.reply().map(Reply::whole).orElse(false))
+                .filter(call -> executions.getOrDefault(call, 0) > 1)
                 .count();
     }
 
-    int sentCalls() {
-        return calls.size();
-    }
-
     /** Checks the whole run after all deadlines have passed. */
     void atEnd(boolean quiet) {
         for (Call call : calls) {
