Keep late frames of a request from a later one with the same identifier

Callers choose X-Request-Id, and each request numbered its attempts from 1. Two requests with one identifier, one after the other on the same shared connection, therefore had the same attempt, and Attempts accepted a late frame of the first for the second.

RequestRun can now take its first attempt number from AttemptNumbers, which are unique in the process. Connections that carry a single attempt keep the numbers from 1.

--- a/core/src/main/java/io/sesamehead/coordination/request/RequestRun.java
+++ b/core/src/main/java/io/sesamehead/coordination/request/RequestRun.java
@@ -19,6 +19,7 @@
     private final RequestId request;
     private final boolean repeatable;
     private final long deadlineMillis;
+    private final int firstAttempt;
     private int attempts;
     private boolean live;
     private boolean sent;
@@ -27,16 +28,30 @@
     private Optional<Outcome> outcome = Optional.empty();
 
     /**
-     * Creates a request without attempts.
+     * Creates a request without attempts whose attempts are numbered from 1. For connections that carry one attempt only;
+     * on a shared connection the numbers come from {@link AttemptNumbers}.
      *
      * @param request the request
      * @param repeatable true when a second execution does no harm; false for non-idempotent and for keyed calls
      * @param deadlineMillis deadline on the monotonic clock, in milliseconds
      */
     public RequestRun(RequestId request, boolean repeatable, long deadlineMillis) {
+        this(request, repeatable, deadlineMillis, 1);
+    }
+
+    /**
+     * Creates a request without attempts.
+     *
+     * @param request the request
+     * @param repeatable true when a second execution does no harm; false for non-idempotent and for keyed calls
+     * @param deadlineMillis deadline on the monotonic clock, in milliseconds
+     * @param firstAttempt number of the first attempt, from {@link AttemptNumbers#reserve}
+     */
+    public RequestRun(RequestId request, boolean repeatable, long deadlineMillis, int firstAttempt) {
         this.request = request;
         this.repeatable = repeatable;
         this.deadlineMillis = deadlineMillis;
+        this.firstAttempt = firstAttempt;
     }
 
     /**
@@ -55,7 +70,7 @@
         live = true;
         sent = false;
         attempts++;
-        return Optional.of(new AttemptId(request, attempts));
+        return Optional.of(new AttemptId(request, firstAttempt + attempts - 1));
     }
 
     /**
@@ -134,7 +149,7 @@
     private boolean isLive(AttemptId attempt) {
         return live
                 && outcome.isEmpty()
-                && attempt.number() == attempts
+                && attempt.number() == firstAttempt + attempts - 1
                 && attempt.request().equals(request);
     }
 
--- a/core/src/main/java/io/sesamehead/state/AttemptId.java
+++ b/core/src/main/java/io/sesamehead/state/AttemptId.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 
 /**
- * One attempt to run a request on an upstream. Attempts of a request are numbered from 1.
+ * One attempt to run a request on an upstream. The attempts of a request are numbered consecutively.
  *
  * @param request the caller's request
- * @param number the attempt number, from 1
+ * @param number the attempt number, at least 1
  */
 public record AttemptId(RequestId request, int number) {
     /** Rejects a missing request and numbers below 1. */
