--- a/proof/src/main/java/io/sesamehead/proof/calls/Callers.java
+++ b/proof/src/main/java/io/sesamehead/proof/calls/Callers.java
@@ -19,6 +19,8 @@
     private static final int REPEAT_MILLIS = 50;
     private static final int REPEAT_SPREAD_MILLIS = 400;
     private static final int AT_ONCE_MILLIS = 6;
+    private static final int COMMON_IDS = 3;
+    private static final int COMMON_ID_ONE_IN = 4;
     private static final double TWINS_CHANCE = 0.4;
     private static final double KEY_REUSE_CHANCE = 0.15;
     private static final double NON_IDEMPOTENT_CHANCE = 0.5;
@@ -86,14 +88,22 @@
         }
         CallsDaemon daemon = ready.get(random.nextInt(ready.size()));
         int number = calls++;
-        boolean ownId = repeats == 0 || random.nextBoolean();
-        RequestId request = new RequestId(ownId ? "call-" + number : "operation-" + operation.number());
+        RequestId request = requestId(number, operation, repeats);
         long deadlineMillis = MIN_DEADLINE_MILLIS + random.nextInt(DEADLINE_SPREAD_MILLIS);
         Call call = new Call(number, operation, request, deadlineMillis, ended -> afterEnd(ended, repeats));
         world.checks().sent(call, daemon);
         daemon.process().step(() -> daemon.arrive(call)).run();
     }
 
+    /** Callers choose identifiers: a repeat may have that of the first call, and other requests may have it too. */
+    private RequestId requestId(int number, Operation operation, int repeats) {
+        if (repeats > 0 && random.nextBoolean()) {
+            return new RequestId("operation-" + operation.number());
+        }
+        boolean common = random.nextInt(COMMON_ID_ONE_IN) == 0;
+        return new RequestId(common ? "common-" + random.nextInt(COMMON_IDS) : "call-" + number);
+    }
+
     private void afterEnd(Call call, int repeats) {
         world.checks().ended(call);
         boolean comesBack = call.reply().map(Callers::worthRepeating).orElse(true);
--- a/proof/src/main/java/io/sesamehead/proof/calls/DaemonTables.java
+++ b/proof/src/main/java/io/sesamehead/proof/calls/DaemonTables.java
@@ -6,6 +6,7 @@
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.order.OrderLedger;
+import io.sesamehead.coordination.request.AttemptNumbers;
 import io.sesamehead.coordination.request.Attempts;
 import io.sesamehead.coordination.request.InFlightTable;
 import io.sesamehead.coordination.request.RetryBudget;
@@ -32,6 +33,7 @@
     final Admission admission = new Admission(LIMITS);
     final InFlightTable inFlight = new InFlightTable();
     final Attempts attempts = new Attempts();
+    final AttemptNumbers attemptNumbers = new AttemptNumbers();
     final Shutdown shutdown = new Shutdown(GRACE_MILLIS);
     final Router router;
     final OrderLedger orders;
--- a/proof/src/main/java/io/sesamehead/proof/calls/Dispatch.java
+++ b/proof/src/main/java/io/sesamehead/proof/calls/Dispatch.java
@@ -42,7 +42,11 @@
         this.call = call;
         this.deadlineMillis = deadlineMillis;
         this.onEnd = onEnd;
-        this.run = new RequestRun(call.request(), call.operation().repeatable(), deadlineMillis);
+        this.run = new RequestRun(
+                call.request(),
+                call.operation().repeatable(),
+                deadlineMillis,
+                daemon.tables().attemptNumbers.reserve());
     }
 
     void start() {
@@ -87,8 +91,10 @@
                 run.delivered();
                 call.token(text);
             }
-            case DUPLICATE -> {}
             case GAP -> ended(new AttemptEnd.Lost("tokens are missing"), "");
+            default -> {
+                // A duplicate was delivered before.
+            }
         }
     }
 
@@ -98,7 +104,7 @@
         switch (verdict) {
             case COMPLETE -> ended(new AttemptEnd.Completed(), "");
             case MISSING -> ended(new AttemptEnd.Lost("the stream ended early"), "");
-            case CONTRADICTION -> close(ErrorKind.STREAM_TORN);
+            default -> close(ErrorKind.STREAM_TORN);
         }
     }
 
--- a/proof/src/main/java/io/sesamehead/proof/calls/StopFlow.java
+++ b/proof/src/main/java/io/sesamehead/proof/calls/StopFlow.java
@@ -46,7 +46,9 @@
         switch (shutdown.phase()) {
             case ANNOUNCE -> announced = true;
             case LEASE_BACK -> leaseReturned = leaseReturned || control.giveBack();
-            case RUNNING, FINISH_CALLS, EXIT -> {}
+            default -> {
+                // Nothing is to be done but to wait.
+            }
         }
         int open = daemon.uses(Mechanism.WAIT_FOR_IN_FLIGHT)
                 ? daemon.tables().inFlight.size()
