--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallService.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallService.java
@@ -234,18 +234,6 @@
     }
 
     private CallAnswer dispatch(CallContext call, CompletionBody completion, TokenSink caller, boolean repeatable) {
-        RequestRun run = new RequestRun(call.request(), repeatable, call.deadlineMillis());
-        StreamSequence sequence = new StreamSequence();
-        TokenDelivery delivery = new TokenDelivery(
-                run,
-                sequence,
-                caller,
-                new TokenDelivery.Options(
-                        !completion.stream() || call.key().isPresent(),
-                        call.key().isEmpty()),
-                levels.of(call.service(), call.account()),
-                call.arrivedMillis(),
-                nowMillis);
         ForwardedCompletion content = new ForwardedCompletion(
                 call.request(),
                 call.service(),
@@ -256,6 +244,17 @@
                 0,
                 call.priority(),
                 repeatable);
+        boolean keyedCall = call.key().isPresent();
+        RequestRun run = new RequestRun(call.request(), repeatable, call.deadlineMillis());
+        StreamSequence sequence = new StreamSequence();
+        TokenDelivery delivery = new TokenDelivery(
+                run,
+                sequence,
+                caller,
+                new TokenDelivery.Options(!completion.stream() || keyedCall, !keyedCall),
+                Optional.of(levels.of(call.service(), call.account())),
+                call.arrivedMillis(),
+                nowMillis);
         CompletionTask task =
                 new CompletionTask(content, call.deadlineMillis(), Optional.empty(), run, sequence, delivery);
         Outcome outcome = completions.run(task);
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -11,12 +11,20 @@
 
 /** Starts the control tasks of a daemon on the worker pool. */
 final class ControlTasks implements AutoCloseable {
+    /** Interval that {@code EvidenceTable.tick} expects. */
+    private static final Duration PAUSE_CHECK = Duration.ofMillis(100);
+
     private static final Duration SAFETY_POLL = Duration.ofSeconds(60);
     private static final Duration POLL_UNTIL_ANSWERED = Duration.ofSeconds(1);
 
     /** The first source to report that a VM is leaving counts within 3 s, so the list is read more often than that. */
     private static final Duration VM_POLL = Duration.ofSeconds(2);
 
+    /** Work on a broken group moves on within this time after the evidence changed. */
+    private static final Duration BROKEN_CALLS = Duration.ofMillis(100);
+
+    private static final Duration SERVICE_STATES = Duration.ofSeconds(1);
+
     private final DaemonSettings settings;
     private final DaemonTables tables;
     private final FleetNews news;
@@ -67,14 +75,24 @@
         workers.repeat("assignment watch", assignmentWatch, assignmentWatch::waitMillis);
         workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock));
         workers.repeat("lease", lease, lease::waitMillis);
+        workers.every(
+                "order retention",
+                OrderRetention.INTERVAL,
+                new OrderRetention(tables, platform, clock, System::currentTimeMillis));
     }
 
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
         workers.every("heartbeat", settings.peers().heartbeat(), heartbeat);
         workers.every("probes", ProbeTask.INTERVAL, probes);
+        workers.every("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.getAsLong()));
         workers.every("controller", ControllerTask.INTERVAL, controller);
     }
 
+    void startCallTasks(CallStack calls) {
+        workers.every("broken calls", BROKEN_CALLS, calls::moveBrokenCalls);
+        workers.every("plain services", SERVICE_STATES, calls::refreshServices);
+    }
+
     HeartbeatTask heartbeat(PeerMesh mesh, Broadcast broadcast, IntSupplier callsInFlight) {
         PeerTargets targets = new PeerTargets(
                 tables.directory(), tables.self(), settings.peers().seeds());
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -19,6 +19,7 @@
 import io.sesamehead.daemon.transport.FrameCounters;
 import io.sesamehead.daemon.transport.PeerMesh;
 import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.AssignmentTable;
 import io.sesamehead.state.EvidenceTable;
 import java.time.Duration;
@@ -145,6 +146,35 @@
         return new ProbeTask(tables, exchange, engines, workers, clock);
     }
 
+    @Provides
+    @Singleton
+    ServiceClient services() {
+        return new ServiceClient(MAX_ENGINE_CONNECTIONS, MAX_CONNECTIONS_PER_ENGINE, ENGINE_CONNECT_TIMEOUT);
+    }
+
+    @Provides
+    @Singleton
+    CallStack calls(
+            DaemonTables tables,
+            PlatformClient platform,
+            EngineClient engines,
+            ServiceClient services,
+            WriteTokens tokens,
+            CallForwarding forwarding) {
+        return new CallStack(new CallStack.Surroundings(
+                settings,
+                tables,
+                platform,
+                engines,
+                services,
+                tokens::next,
+                forwarding,
+                forwarding,
+                metrics,
+                clock,
+                System::currentTimeMillis));
+    }
+
     @Provides
     @Singleton
     LeaseTask lease(DaemonTables tables, FleetNews news, PlatformClient platform, StoreWrites writes) {
@@ -154,24 +184,31 @@
 
     @Provides
     @Singleton
-    OrderSender orders(DaemonTables tables, EngineClient engines, ProbeTask probes, WorkerPool workers) {
+    OrderSender orders(
+            DaemonTables tables, Controller controller, EngineClient engines, ProbeTask probes, WorkerPool workers) {
         return new OrderSender(
-                tables, engines, probes, workers, settings.lease().longestOrder(), clock);
+                tables, controller, engines, probes, workers, settings.lease().longestOrder(), clock);
     }
 
     @Provides
     @Singleton
-    ControllerTask controller(
+    Controller controller() {
+        ControllerSettings times = ControllerSettings.of(
+                settings.evidence().maxAge().toMillis(),
+                settings.lease().longestOrder().toMillis());
+        return new Controller(self.failureDomain(), times);
+    }
+
+    @Provides
+    @Singleton
+    ControllerTask controllerTask(
             DaemonTables tables,
+            Controller controller,
             FleetNews news,
             PlatformClient platform,
             StoreWrites writes,
             OrderSender orders,
             ProbeTask probes) {
-        ControllerSettings times = ControllerSettings.of(
-                settings.evidence().maxAge().toMillis(),
-                settings.lease().longestOrder().toMillis());
-        Controller controller = new Controller(self.failureDomain(), times);
         return new ControllerTask(tables, controller, news, platform, writes, orders, probes, clock);
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -14,8 +14,10 @@
 import io.sesamehead.daemon.transport.FrameCounters;
 import io.sesamehead.daemon.transport.PeerMesh;
 import io.sesamehead.daemon.transport.PlatformClient;
+import io.sesamehead.daemon.transport.ServiceClient;
 import io.sesamehead.state.Incarnation;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.Logger;
@@ -28,6 +30,7 @@
     private final PeerMesh mesh;
     private final ControlTasks tasks;
     private final StopTask stop;
+    private final DaemonPorts ports;
     private final AtomicBoolean closed = new AtomicBoolean();
 
     private DaemonProcess(Injector injector) {
@@ -40,8 +43,10 @@
                 injector.getInstance(Broadcast.class),
                 injector.getInstance(LeaseTask.class),
                 injector.getInstance(ControllerTask.class),
-                () -> 0,
+                injector.getInstance(CallStack.class),
+                injector.getInstance(IncomingForwards.class),
                 injector.getInstance(MonotonicClock.class));
+        this.ports = injector.getInstance(DaemonPorts.class);
     }
 
     /**
@@ -49,6 +54,7 @@
      *
      * @param settings validated settings
      * @return the running daemon
+     * @throws IllegalStateException if an address cannot be bound
      */
     public static DaemonProcess start(DaemonSettings settings) {
         MetricRegistry metrics = new MetricRegistry();
@@ -64,7 +70,12 @@
                 false));
         DaemonModule module = new DaemonModule(settings, self.get(), mesh, counters, metrics, new MonotonicClock());
         DaemonProcess process = new DaemonProcess(Guice.createInjector(Stage.PRODUCTION, module));
-        process.startTasks();
+        try {
+            process.startTasks();
+        } catch (RuntimeException e) {
+            process.close();
+            throw e;
+        }
         Logger.info(
                 "daemon: {} of {} started with incarnation {}",
                 self.get().daemon(),
@@ -79,12 +90,16 @@
                 injector.getInstance(FleetNews.class),
                 injector.getInstance(EvidenceExchange.class),
                 injector.getInstance(CallForwarding.class),
+                injector.getInstance(RemoteServing.class),
                 injector.getInstance(MonotonicClock.class)));
+        CallStack calls = injector.getInstance(CallStack.class);
         tasks.startPeerTasks(
-                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), () -> 0),
+                tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), calls::openCalls),
                 injector.getInstance(ProbeTask.class),
                 injector.getInstance(ControllerTask.class));
         tasks.startStoreTasks(injector.getInstance(LeaseTask.class));
+        tasks.startCallTasks(calls);
+        ports.start();
     }
 
     /**
@@ -92,6 +107,7 @@
      *
      * @param settings validated settings
      * @return exit code of the process
+     * @throws IllegalStateException if an address cannot be bound
      */
     public static int run(DaemonSettings settings) {
         Configuration.set("level", settings.log().level());
@@ -121,6 +137,15 @@
         return tables;
     }
 
+    /**
+     * Returns the ports of the daemon.
+     *
+     * @return the ports
+     */
+    public DaemonPorts ports() {
+        return ports;
+    }
+
     /**
      * Returns the metrics of the daemon.
      *
@@ -145,12 +170,25 @@
         if (closed.getAndSet(true)) {
             return;
         }
-        tasks.close();
-        injector.getInstance(WorkerPool.class).close();
-        mesh.close();
-        injector.getInstance(PlatformClient.class).close();
-        injector.getInstance(EngineClient.class).close();
+        List.<AutoCloseable>of(
+                        ports,
+                        tasks,
+                        injector.getInstance(WorkerPool.class),
+                        mesh,
+                        injector.getInstance(PlatformClient.class),
+                        injector.getInstance(EngineClient.class),
+                        injector.getInstance(ServiceClient.class))
+                .forEach(DaemonProcess::closePart);
         StopPhase phase = tables.shutdown().phase();
         Logger.info("daemon: {} ended in phase {}", tables.self().daemon(), phase);
     }
+
+    /** A part that cannot be closed must not keep the process from ending. */
+    private static void closePart(AutoCloseable part) {
+        try {
+            part.close();
+        } catch (Exception e) {
+            Logger.error(e, "daemon: {} could not be closed", part.getClass().getSimpleName());
+        }
+    }
 }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
@@ -21,6 +21,7 @@
 import io.sesamehead.state.GroupAssignment;
 import io.sesamehead.state.Incarnation;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -78,6 +79,22 @@
         Assertions.assertThat(answer.statusCode()).isEqualTo(200);
     }
 
+    /** Sends a completion of five tokens and returns the event stream. */
+    String complete(DaemonProcess daemon) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(
+                        "http://127.0.0.1:" + daemon.ports().callerPort() + "/v1/services/assistant/completions"))
+                .header("X-Client-Account", "shop-1")
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"prompt\":\"a tin lid\",\"max_tokens\":5,\"stream\":true}"))
+                .build();
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Accepts the first release note. */
     void accept(String note) {
         ReleaseObject first = ReleaseObject.first(note, tokens.next());
@@ -102,12 +119,12 @@
 
     /** Starts a daemon that does not reach the platform. */
     DaemonProcess cutOffDaemon(String name, String failureDomain, InetSocketAddress... seeds) {
-        return start(name, failureDomain, new InetSocketAddress("127.0.0.1", 1), seeds);
+        return start(name, failureDomain, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), seeds);
     }
 
     private DaemonProcess start(
             String name, String failureDomain, InetSocketAddress store, InetSocketAddress... seeds) {
-        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         DaemonProcess daemon = DaemonProcess.start(new DaemonSettings(
                 new DaemonSettings.Identity(
                         new DaemonId(name), new FailureDomain(failureDomain), "region", any, any, any),
