--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -4,6 +4,7 @@
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -132,7 +133,9 @@
         try {
             return new Exchange.Answered<>(client.execute(request, context, handler));
         } catch (IOException | RuntimeException e) {
-            return failure(e, context, expired.get(), cancellation);
+            // The response timeout equals the deadline and can fire just before the timer does.
+            boolean late = expired.get() || e instanceof SocketTimeoutException;
+            return failure(e, context, late, cancellation);
         } finally {
             timer.cancel(false);
             cancellation.remove(abort);
