--- a/cli/src/main/java/io/sesamehead/cli/ReportCommand.java
+++ b/cli/src/main/java/io/sesamehead/cli/ReportCommand.java
@@ -99,20 +99,23 @@
         if (!history.isEmpty()) {
             samples.addAll(SampleHistory.read(Path.of(history), System.currentTimeMillis()));
         }
-        int rounds = 1 + forSeconds / everySeconds;
-        for (int round = 0; round < rounds; round++) {
-            if (round > 0) {
-                Thread.sleep(everySeconds * 1000L);
-            }
-            Sample sample = collector.collect(System.currentTimeMillis());
-            samples.add(sample);
-            if (!history.isEmpty()) {
-                SampleHistory.append(Path.of(history), sample);
-            }
+        long endMillis = PlatformOptions.nowMillis() + forSeconds * 1000L;
+        addSample(collector, samples);
+        while (PlatformOptions.nowMillis() + everySeconds * 1000L <= endMillis) {
+            Thread.sleep(everySeconds * 1000L);
+            addSample(collector, samples);
         }
         return samples;
     }
 
+    private void addSample(SampleCollector collector, List<Sample> samples) throws IOException, InterruptedException {
+        Sample sample = collector.collect(System.currentTimeMillis());
+        samples.add(sample);
+        if (!history.isEmpty()) {
+            SampleHistory.append(Path.of(history), sample);
+        }
+    }
+
     private void print(BurnReport report, List<Sample> samples, Console console) throws IOException {
         if (!html.isEmpty()) {
             Files.writeString(Path.of(html), ReportPage.render(report, samples));
--- a/cli/src/main/java/io/sesamehead/cli/report/ReportPage.java
+++ b/cli/src/main/java/io/sesamehead/cli/report/ReportPage.java
@@ -165,7 +165,7 @@
                 .yAxisTitle(axis)
                 .theme(Styler.ChartTheme.XChart)
                 .build();
-        chart.getStyler().setXAxisLabelRotation(30);
+        chart.getStyler().setXAxisLabelRotation(30).setYAxisDecimalPattern("0.0");
         return chart;
     }
 
