Read the body before an error is answered; name timeouts at the deadline

Change: the body is read first; answers to unread bodies say Connection: close; a socket timeout counts as the deadline.

--- a/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
@@ -78,8 +78,8 @@
         RequestId request = requestIds.get();
         try {
             request = CallHeaders.requestId(http, requestIds);
-            CallHeaders headers = CallHeaders.read(http, request);
             byte[] content = content(body);
+            CallHeaders headers = CallHeaders.read(http, request);
             CallContext call = context(http, headers, service, content);
             CompletionBody completion = CompletionBody.decode(content);
             return completion.stream()
@@ -88,7 +88,7 @@
         } catch (CallHeaders.InvalidHeaderException e) {
             return error(request, e.kind(), e.getMessage());
         } catch (BodyTooLargeException e) {
-            return error(request, ErrorKind.BODY_TOO_LARGE, e.getMessage());
+            return Problems.closing(new Problem(ErrorKind.BODY_TOO_LARGE, e.getMessage(), request));
         } catch (MalformedMessageException e) {
             return error(request, ErrorKind.BAD_JSON, e.getMessage());
         }
@@ -144,11 +144,11 @@
         RequestId request = requestIds.get();
         try {
             request = CallHeaders.requestId(http, requestIds);
+            byte[] content = content(body);
             if (http.getMethod().equals(HttpMethod.HEAD) || !isUri(path(http))) {
                 return error(request, ErrorKind.UNKNOWN_PATH, "no call has this path and method");
             }
             CallHeaders headers = CallHeaders.read(http, request);
-            byte[] content = content(body);
             CallContext call = context(http, headers, service, content);
             PlainCall plain = new PlainCall(
                     http.getMethod(),
@@ -159,7 +159,7 @@
         } catch (CallHeaders.InvalidHeaderException e) {
             return error(request, e.kind(), e.getMessage());
         } catch (BodyTooLargeException e) {
-            return error(request, ErrorKind.BODY_TOO_LARGE, e.getMessage());
+            return Problems.closing(new Problem(ErrorKind.BODY_TOO_LARGE, e.getMessage(), request));
         }
     }
 
@@ -250,6 +250,7 @@
         }
     }
 
+    /** Read before anything is answered: the server closes a connection whose request was not read to its end. */
     private byte[] content(InputStream body) throws IOException, BodyTooLargeException {
         byte[] content = body.readNBytes(maxBodyBytes + 1);
         if (content.length > maxBodyBytes) {
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -118,7 +119,9 @@
         try {
             return new Exchange.Answered<>(client.execute(request, context, handler));
         } catch (IOException | RuntimeException e) {
-            return failure(e, context, expired.get(), cancellation);
+            // The socket times out at the deadline too, sometimes just before the timer.
+            boolean deadlinePassed = expired.get() || e instanceof SocketTimeoutException;
+            return failure(e, context, deadlinePassed, cancellation);
         } finally {
             timer.cancel(false);
             cancellation.remove(abort);
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/Problems.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/Problems.java
@@ -21,6 +21,13 @@
         return builder.build();
     }
 
+    /** Answers a request whose body was not read to its end; the connection cannot be used again, and says so. */
+    static Response closing(Problem problem) {
+        return Response.fromResponse(response(problem, OptionalLong.empty()))
+                .header("Connection", "close")
+                .build();
+    }
+
     /** Rounds up, so that nobody comes back too early. */
     private static long seconds(long millis) {
         return Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/UncaughtErrors.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/UncaughtErrors.java
@@ -6,7 +6,6 @@
 import jakarta.ws.rs.WebApplicationException;
 import jakarta.ws.rs.core.Response;
 import jakarta.ws.rs.ext.ExceptionMapper;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -27,11 +26,9 @@
     public Response toResponse(Throwable failure) {
         RequestId request = requestIds.get();
         if (failure instanceof WebApplicationException web && web.getResponse().getStatus() < 500) {
-            return Problems.response(
-                    new Problem(ErrorKind.UNKNOWN_PATH, "no call has this path and method", request),
-                    OptionalLong.empty());
+            return Problems.closing(new Problem(ErrorKind.UNKNOWN_PATH, "no call has this path and method", request));
         }
         Logger.error(failure, "daemon: request {} failed", request);
-        return Problems.response(new Problem(ErrorKind.INTERNAL, "internal error", request), OptionalLong.empty());
+        return Problems.closing(new Problem(ErrorKind.INTERNAL, "internal error", request));
     }
 }
