--- a/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/HttpExchanges.java
@@ -133,9 +133,9 @@
         try {
             return new Exchange.Answered<>(client.execute(request, context, handler));
         } catch (IOException | RuntimeException e) {
-            // The socket times out at the deadline too, sometimes just before the timer.
-            boolean deadlinePassed = expired.get() || e instanceof SocketTimeoutException;
-            return failure(e, context, deadlinePassed, cancellation);
+            // The response timeout equals the deadline and can fire just before the timer does.
+            boolean late = expired.get() || e instanceof SocketTimeoutException;
+            return failure(e, context, late, cancellation);
         } finally {
             timer.cancel(false);
             cancellation.remove(abort);
