Name each attempt of a completion towards the engine

Cause: callers choose X-Request-Id, and the daemon passed it to the engine unchanged. Two requests with the same identifier on one engine, from one or two daemons, could end each other by DELETE /v1/requests/{id}.

Change: each attempt gets a name of its own from the caller's identifier, the daemon's incarnation and a counter.

Figures: the new test failed with two equal identifiers before, and passes now; CompletionCallsTest passes.

Conclusion: a cancellation reaches only its own attempt.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -88,6 +88,7 @@
                 around.crashes(),
                 budgets,
                 live,
+                new EngineRequestIds(tables.self().incarnation()),
                 nowMillis);
         PlainRunner plains = new PlainRunner(
                 around.services(), serviceStates, router, budgets, live, tables.failureDomain(), nowMillis);
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -22,6 +22,7 @@
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.Outcome;
+import io.sesamehead.state.RequestId;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -52,6 +53,7 @@
     private final CrashNotices crashes;
     private final RetryBudgets budgets;
     private final LiveAttempts live;
+    private final EngineRequestIds engineRequests;
     private final LongSupplier nowMillis;
 
     /**
@@ -65,6 +67,7 @@
      * @param crashes tells the peers of crashes
      * @param budgets retry budgets
      * @param live attempts in flight
+     * @param engineRequests names of attempts towards engines
      * @param nowMillis monotonic clock, in milliseconds
      */
     public CompletionRunner(
@@ -76,6 +79,7 @@
             CrashNotices crashes,
             RetryBudgets budgets,
             LiveAttempts live,
+            EngineRequestIds engineRequests,
             LongSupplier nowMillis) {
         this.groups = groups;
         this.engines = engines;
@@ -86,6 +90,7 @@
         this.crashes = crashes;
         this.budgets = budgets;
         this.live = live;
+        this.engineRequests = engineRequests;
         this.nowMillis = nowMillis;
     }
 
@@ -152,12 +157,13 @@
         }
         task.tried(upstream);
         LiveAttempts.Live handle = live.add(Optional.of(serving.group()));
+        RequestId engineRequest = engineRequests.next(task.request());
         Runnable stop = handle.cancellation()::cancel;
         task.forwarder().ifPresent(forwarder -> forwarder.onCancel(stop));
         try {
             UpstreamResult result = engines.complete(
                     serving.headAddress(),
-                    request(task, serving),
+                    request(engineRequest, task, serving),
                     remaining(task),
                     handle.cancellation(),
                     () -> groups.mayTakeWork(serving.group(), nowMillis.getAsLong())
@@ -165,7 +171,7 @@
                     task.delivery());
             observeLatency(task, upstream);
             if (result instanceof UpstreamResult.DeadlinePassed || result instanceof UpstreamResult.Cancelled) {
-                stopEngine(task, serving);
+                stopEngine(engineRequest, serving);
             }
             Optional<Outcome> end = after(task, attempt.get(), handle, result, () -> onLoss(upstream, serving));
             if (end.isPresent() && end.get() instanceof Outcome.Ran) {
@@ -326,13 +332,13 @@
         }
     }
 
-    private void stopEngine(CompletionTask task, ServingGroup serving) {
-        Thread.startVirtualThread(() -> engines.cancel(serving.headAddress(), task.request(), STATUS_TIMEOUT));
+    private void stopEngine(RequestId engineRequest, ServingGroup serving) {
+        Thread.startVirtualThread(() -> engines.cancel(serving.headAddress(), engineRequest, STATUS_TIMEOUT));
     }
 
-    private static CompletionRequest request(CompletionTask task, ServingGroup serving) {
+    private static CompletionRequest request(RequestId engineRequest, CompletionTask task, ServingGroup serving) {
         return new CompletionRequest(
-                task.request(),
+                engineRequest,
                 task.account(),
                 serving.group().model(),
                 task.prompt(),
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CompletionCallsTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CompletionCallsTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.sesamehead.daemon.protocol.Json;
 import io.sesamehead.standin.engine.EngineStandIn;
+import io.sesamehead.standin.engine.Execution;
 import io.sesamehead.standin.engine.TokenSource;
 import java.net.Socket;
 import java.net.http.HttpResponse;
@@ -73,6 +74,21 @@
         }
     }
 
+    /** Guards against a late cancellation that ends another request with the same identifier. */
+    @Test
+    void namesEachAttemptTowardsTheEngine() throws Exception {
+        try (CallFixture daemon = CallFixture.withEngines(1)) {
+            String body = "{\"prompt\":\"tin 8\",\"max_tokens\":2}";
+            daemon.send(daemon.completion(body).header("X-Request-Id", "same"));
+            daemon.send(daemon.completion(body).header("X-Request-Id", "same"));
+
+            assertThat(daemon.engines.get(0).executions())
+                    .extracting(Execution::requestId)
+                    .hasSize(2)
+                    .doesNotHaveDuplicates();
+        }
+    }
+
     /** Guards against a second execution, or another answer, of a completion that is repeated with its key. */
     @Test
     void replaysKeyedCompletion() throws Exception {
