Check invariant config in randomised runs

Two failure domains of three daemons follow the changes of two racing operators while daemons, network and store fail.

--- a/proof/src/main/java/io/sesamehead/proof/Scenarios.java
+++ b/proof/src/main/java/io/sesamehead/proof/Scenarios.java
@@ -1,5 +1,6 @@
 package io.sesamehead.proof;
 
+import io.sesamehead.proof.fleet.ConfigScenario;
 import java.util.List;
 
 /** The scenarios that {@code bin/prove} runs. */
@@ -12,6 +13,6 @@
      * @return the scenarios in the order of the design
      */
     public static List<Scenario> all() {
-        return List.of();
+        return List.of(new ConfigScenario());
     }
 }
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/Node.java
@@ -0,0 +1,222 @@
+package io.sesamehead.proof.fleet;
+
+import io.sesamehead.coordination.config.ConfigDecision;
+import io.sesamehead.coordination.config.ConfigSource;
+import io.sesamehead.coordination.config.ConfigTable;
+import io.sesamehead.coordination.membership.DaemonDirectory;
+import io.sesamehead.coordination.membership.DaemonEntry;
+import io.sesamehead.coordination.membership.Relays;
+import io.sesamehead.proof.FakeStore.StoreAnswer;
+import io.sesamehead.proof.Mechanism;
+import io.sesamehead.state.AcceptedRelease;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.Generation;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** One life of a daemon: what it knows of its peers and of the release, and how it passes releases on. */
+final class Node {
+    private static final long HEARTBEAT_MILLIS = 1_000;
+    private static final long FAR_HEARTBEAT_MILLIS = 5_000;
+    private static final long WATCH_MILLIS = 500;
+    private static final long POLL_UNTIL_ANSWERED_MILLIS = 1_000;
+    private static final long SAFETY_POLL_MILLIS = 60_000;
+    /** A daemon that dialled this one is answered for two far heartbeats and some delay. */
+    private static final long DIALLED_MILLIS = 12_000;
+
+    private final Simulation sim;
+    private final DaemonEntry self;
+    private final SimProcess process;
+    private final Map<DaemonId, Node> nodes;
+    private final DaemonDirectory directory;
+    private final ConfigTable config = new ConfigTable();
+    private final StoreClient store;
+    private final Map<DaemonId, Long> dialled = new TreeMap<>();
+    private Optional<AcceptedRelease> ungated = Optional.empty();
+    private Generation highestHeard = Generation.NONE;
+    private boolean answered;
+
+    Node(Simulation sim, DaemonEntry self, SimProcess process, Map<DaemonId, Node> nodes, List<DaemonEntry> listed) {
+        this.sim = sim;
+        this.self = self;
+        this.process = process;
+        this.nodes = nodes;
+        this.store = new StoreClient(sim, process, self.daemon().value(), self.incarnation());
+        this.directory =
+                new DaemonDirectory(self, FleetTimes.SUSPECT_AFTER_MILLIS, FleetTimes.REMOTE_SUSPECT_AFTER_MILLIS);
+        listed.forEach(directory::learned);
+    }
+
+    void start() {
+        pollUntilAnswered();
+        process.every(SAFETY_POLL_MILLIS + sim.between(0, HEARTBEAT_MILLIS), this::readRelease);
+        process.every(WATCH_MILLIS, this::watchRelease);
+        process.every(HEARTBEAT_MILLIS, () -> near().forEach(this::heartbeatTo));
+        process.every(FAR_HEARTBEAT_MILLIS, () -> far().forEach(this::heartbeatTo));
+    }
+
+    SimProcess process() {
+        return process;
+    }
+
+    DaemonEntry self() {
+        return self;
+    }
+
+    StoreClient store() {
+        return store;
+    }
+
+    DaemonDirectory directory() {
+        return directory;
+    }
+
+    ConfigTable config() {
+        return config;
+    }
+
+    boolean answered() {
+        return answered;
+    }
+
+    /** Highest generation that the store or a peer held when it answered. */
+    Generation highestHeard() {
+        return highestHeard;
+    }
+
+    Optional<AcceptedRelease> inForce() {
+        return sim.off(Mechanism.HIGHEST_GENERATION) ? ungated : config.inForce();
+    }
+
+    Generation generation() {
+        return inForce().map(AcceptedRelease::generation).orElse(Generation.NONE);
+    }
+
+    boolean isRelay() {
+        FailureDomain domain = self.failureDomain();
+        return Relays.relays(domain, directory.liveIds(process.clock(), domain)).contains(self.daemon());
+    }
+
+    /** Sends to the process that runs under a name when the message arrives. */
+    void send(DaemonId to, Consumer<Node> atReceiver) {
+        sim.network().send(self.daemon().value(), to.value(), () -> {
+            Node receiver = nodes.get(to);
+            receiver.process.run(() -> atReceiver.accept(receiver));
+        });
+    }
+
+    /** Returns the other daemons of the failure domain. */
+    List<DaemonId> near() {
+        return nodes.values().stream()
+                .map(node -> node.self)
+                .filter(entry -> entry.failureDomain().equals(self.failureDomain()))
+                .map(DaemonEntry::daemon)
+                .filter(daemon -> !daemon.equals(self.daemon()))
+                .toList();
+    }
+
+    private List<DaemonId> far() {
+        long nowMillis = process.clock();
+        Map<FailureDomain, List<DaemonId>> known = directory.known().stream()
+                .filter(entry -> !entry.failureDomain().equals(self.failureDomain()))
+                .collect(Collectors.groupingBy(
+                        DaemonEntry::failureDomain,
+                        () -> new TreeMap<>((a, b) -> a.value().compareTo(b.value())),
+                        Collectors.mapping(DaemonEntry::daemon, Collectors.toList())));
+        dialled.values().removeIf(since -> nowMillis - since > DIALLED_MILLIS);
+        return Stream.concat(
+                        known.entrySet().stream().flatMap(it -> relays(nowMillis, it.getKey(), it.getValue())),
+                        dialled.keySet().stream())
+                .distinct()
+                .toList();
+    }
+
+    private Stream<DaemonId> relays(long nowMillis, FailureDomain domain, Collection<DaemonId> known) {
+        List<DaemonId> live = directory.liveIds(nowMillis, domain);
+        return Relays.relays(domain, live.isEmpty() ? known : live).stream();
+    }
+
+    private void heartbeatTo(DaemonId peer) {
+        Generation held = generation();
+        send(peer, receiver -> receiver.heartbeat(self, held));
+    }
+
+    private void heartbeat(DaemonEntry peer, Generation held) {
+        long nowMillis = process.clock();
+        if (directory.heard(nowMillis, peer) == DaemonDirectory.Change.REPLACED) {
+            return;
+        }
+        if (!peer.failureDomain().equals(self.failureDomain())) {
+            dialled.put(peer.daemon(), nowMillis);
+        }
+        heard(held);
+        config.reported(held);
+        if (isRelay() && held.compareTo(generation()) < 0) {
+            inForce().ifPresent(release -> sendRelease(peer.daemon(), release));
+        }
+    }
+
+    private void sendRelease(DaemonId peer, AcceptedRelease release) {
+        send(peer, receiver -> receiver.releaseFromPeer(self, release));
+    }
+
+    private void releaseFromPeer(DaemonEntry peer, AcceptedRelease release) {
+        boolean isFar = !peer.failureDomain().equals(self.failureDomain());
+        if (offer(release, ConfigSource.PEER) && isFar) {
+            near().forEach(daemon -> sendRelease(daemon, release));
+        }
+    }
+
+    private boolean offer(AcceptedRelease release, ConfigSource source) {
+        if (sim.off(Mechanism.HIGHEST_GENERATION)) {
+            boolean changed = !ungated.equals(Optional.of(release));
+            ungated = Optional.of(release);
+            return changed;
+        }
+        return config.offer(release, source) instanceof ConfigDecision.Adopt;
+    }
+
+    private void pollUntilAnswered() {
+        readRelease();
+        process.after(POLL_UNTIL_ANSWERED_MILLIS, () -> {
+            if (!answered) {
+                pollUntilAnswered();
+            }
+        });
+    }
+
+    private void watchRelease() {
+        if (isRelay()) {
+            readRelease();
+        }
+    }
+
+    private void readRelease() {
+        store.read(Releases.OBJECT, answer -> {
+            if (answer instanceof StoreAnswer.Found found) {
+                AcceptedRelease release =
+                        (AcceptedRelease) StoredObject.in(found.object()).content();
+                heard(release.generation());
+                if (offer(release, ConfigSource.STORE)) {
+                    nodes.keySet().stream()
+                            .filter(daemon -> near().contains(daemon) || far().contains(daemon))
+                            .forEach(daemon -> sendRelease(daemon, release));
+                }
+            } else if (answer instanceof StoreAnswer.Missing) {
+                heard(Generation.NONE);
+            }
+        });
+    }
+
+    private void heard(Generation generation) {
+        answered = true;
+        highestHeard = generation.compareTo(highestHeard) > 0 ? generation : highestHeard;
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/StoreClient.java
@@ -0,0 +1,98 @@
+package io.sesamehead.proof.fleet;
+
+import io.sesamehead.coordination.store.ReadBack;
+import io.sesamehead.coordination.store.WriteResolution;
+import io.sesamehead.coordination.store.WriteResolver;
+import io.sesamehead.proof.FakeStore.StoreAnswer;
+import io.sesamehead.proof.FakeStore.Versioned;
+import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.WriteToken;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** One process's calls to the store. An answer that does not come in time is lost, and a lost write is read back. */
+final class StoreClient {
+    static final String STORE = "store";
+
+    private static final long TIMEOUT_MILLIS = 700;
+    private static final int READ_BACKS = 3;
+    private static final long READ_BACK_PAUSE_MILLIS = 100;
+
+    private final Simulation sim;
+    private final SimProcess process;
+    private final String self;
+    private final Incarnation incarnation;
+    private long sequence;
+
+    StoreClient(Simulation sim, SimProcess process, String self, Incarnation incarnation) {
+        this.sim = sim;
+        this.process = process;
+        this.self = self;
+        this.incarnation = incarnation;
+    }
+
+    WriteToken nextToken() {
+        sequence++;
+        return new WriteToken(incarnation, sequence);
+    }
+
+    void read(String name, Consumer<StoreAnswer> answer) {
+        call(reply -> sim.store().read(name, reply), new StoreAnswer.Unavailable(), answer);
+    }
+
+    /** Sends a conditional write once; 0 as the base version creates the object. */
+    void write(String name, long base, StoredObject value, Consumer<WriteOutcome> outcome) {
+        call(reply -> sim.store().write(name, base, value, reply), new StoreAnswer.Lost(), answer -> {
+            switch (answer) {
+                case StoreAnswer.Found found ->
+                    outcome.accept(new WriteOutcome.Accepted(found.object().version()));
+                case StoreAnswer.Conflict conflict -> outcome.accept(new WriteOutcome.Overtaken());
+                case StoreAnswer.Missing missing -> outcome.accept(new WriteOutcome.Overtaken());
+                case StoreAnswer.Unavailable unavailable -> outcome.accept(new WriteOutcome.NotWritten());
+                case StoreAnswer.Lost lost ->
+                    resolve(name, base, value.token(), READ_BACKS, end -> outcome.accept(outcomeOf(end)));
+            }
+        });
+    }
+
+    /** What a read-back told, with the version that was read. */
+    private record Resolved(WriteResolution resolution, long version) {}
+
+    private void resolve(String name, long base, WriteToken token, int triesLeft, Consumer<Resolved> end) {
+        read(name, answer -> {
+            Optional<String> baseVersion = base == 0 ? Optional.empty() : Optional.of(Long.toString(base));
+            if (answer instanceof StoreAnswer.Found found) {
+                Versioned object = found.object();
+                Optional<ReadBack> read = Optional.of(StoredObject.readBack(object));
+                end.accept(new Resolved(WriteResolver.resolve(token, baseVersion, read), object.version()));
+            } else if (answer instanceof StoreAnswer.Missing) {
+                end.accept(new Resolved(WriteResolver.resolve(token, baseVersion, Optional.empty()), 0));
+            } else if (triesLeft > 1) {
+                process.after(READ_BACK_PAUSE_MILLIS, () -> resolve(name, base, token, triesLeft - 1, end));
+            } else {
+                end.accept(new Resolved(new WriteResolution.Unknown(), 0));
+            }
+        });
+    }
+
+    private static WriteOutcome outcomeOf(Resolved resolved) {
+        return switch (resolved.resolution()) {
+            case WriteResolution.Accepted accepted -> new WriteOutcome.Accepted(resolved.version());
+            case WriteResolution.SupersededAfterAcceptance superseded -> new WriteOutcome.Accepted(resolved.version());
+            case WriteResolution.Refused refused -> new WriteOutcome.Overtaken();
+            case WriteResolution.NotApplied notApplied -> new WriteOutcome.Unknown();
+            case WriteResolution.Unknown unknown -> new WriteOutcome.Unknown();
+        };
+    }
+
+    private void call(Consumer<Consumer<StoreAnswer>> request, StoreAnswer onTimeout, Consumer<StoreAnswer> answer) {
+        Once<StoreAnswer> once = new Once<>(answer);
+        sim.wire()
+                .send(
+                        self,
+                        STORE,
+                        () -> request.accept(result ->
+                                sim.wire().send(STORE, self, () -> process.run(() -> once.accept(result)))));
+        process.after(TIMEOUT_MILLIS, () -> once.accept(onTimeout));
+    }
+}
