Keep a starting daemon unready while a newer release was reported to it

Cause: readiness asked only whether any release was in force. A restarted daemon that first read an older release, from a restored store or a late message, became ready with it although a peer had reported a newer one.

Change: a starting daemon is ready once the highest reported generation is in force. A daemon that was ready stays ready while a change is on its way, because each change would otherwise take all daemons out of service at once. The test was seen to fail before the change.

--- a/core/src/main/java/io/sesamehead/coordination/config/ReadinessDecision.java
+++ b/core/src/main/java/io/sesamehead/coordination/config/ReadinessDecision.java
@@ -16,7 +16,7 @@
     enum Reason {
         /** Neither a peer nor the store answered yet. */
         NO_ANSWER,
-        /** A release exists and none is in force here. */
+        /** A release exists and none is in force here, or an older one in a daemon that is starting. */
         RELEASE_NOT_IN_FORCE,
         /** The daemon is stopping. */
         STOPPING
--- a/core/src/test/java/io/sesamehead/coordination/config/ConfigTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/config/ConfigTableTest.java
@@ -41,8 +41,19 @@
         assertThat(readiness(true)).isEqualTo(new ReadinessDecision.Ready());
     }
 
+    /** Guards against a restarted daemon that serves with an older release than its peers, from a restored store. */
+    @Test
+    void startingDaemonIsNotReadyWithAnOlderGenerationThanReported() {
+        table.offer(release(3, "a"), ConfigSource.STORE);
+        table.reported(generation(5));
+        assertThat(readiness(true)).isEqualTo(notReady(ReadinessDecision.Reason.RELEASE_NOT_IN_FORCE));
+        assertThat(Readiness.decide(true, table.highestReported(), table.generation(), true, false))
+                .as("a daemon that serves goes on while a change is on its way")
+                .isEqualTo(new ReadinessDecision.Ready());
+    }
+
     private ReadinessDecision readiness(boolean answered) {
-        return Readiness.decide(answered, table.highestReported(), table.generation(), false);
+        return Readiness.decide(answered, table.highestReported(), table.generation(), false, false);
     }
 
     private static ReadinessDecision notReady(ReadinessDecision.Reason reason) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonPorts.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonPorts.java
@@ -25,6 +25,7 @@
     private final DaemonTables tables;
     private final FleetNews news;
     private final HttpPorts ports;
+    private volatile boolean wasReady;
 
     /**
      * Creates ports that do not listen yet.
@@ -90,10 +91,13 @@
                 news.hasAnswer(),
                 tables.config().highestReported(),
                 tables.config().generation(),
+                wasReady,
                 tables.shutdown().phase() != StopPhase.RUNNING);
         return switch (decision) {
-            case ReadinessDecision.Ready ready ->
-                new JsonServlet.Answer(OK, Json.object().put("ready", true));
+            case ReadinessDecision.Ready ready -> {
+                wasReady = true;
+                yield new JsonServlet.Answer(OK, Json.object().put("ready", true));
+            }
             case ReadinessDecision.NotReady(ReadinessDecision.Reason reason) ->
                 new JsonServlet.Answer(
                         UNAVAILABLE, Json.object().put("ready", false).put("reason", reason.name()));
--- a/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
@@ -146,7 +146,7 @@
         if (!node.process().running() || wasReady.containsKey(life)) {
             return;
         }
-        boolean ready = Readiness.decide(node.answered(), node.config().highestReported(), node.generation(), false)
+        boolean ready = Readiness.decide(node.answered(), node.config().highestReported(), node.generation(), false, false)
                 instanceof ReadinessDecision.Ready;
         if (ready) {
             wasReady.put(life, true);
