--- a/proof/src/main/java/io/sesamehead/proof/Scenarios.java
+++ b/proof/src/main/java/io/sesamehead/proof/Scenarios.java
@@ -1,6 +1,6 @@
 package io.sesamehead.proof;
 
-import io.sesamehead.proof.fleet.ConfigScenario;
+import io.sesamehead.proof.fleet.FleetScenario;
 import java.util.List;
 
 /** The scenarios that {@code bin/prove} runs. */
@@ -13,6 +13,6 @@
      * @return the scenarios in the order of the design
      */
     public static List<Scenario> all() {
-        return List.of(new ConfigScenario());
+        return FleetScenario.all();
     }
 }
--- a/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
@@ -146,8 +146,9 @@
         if (!node.process().running() || wasReady.containsKey(life)) {
             return;
         }
-        boolean ready = Readiness.decide(node.answered(), node.config().highestReported(), node.generation(), false, false)
-                instanceof ReadinessDecision.Ready;
+        boolean ready =
+                Readiness.decide(node.answered(), node.config().highestReported(), node.generation(), false, false)
+                        instanceof ReadinessDecision.Ready;
         if (ready) {
             wasReady.put(life, true);
             boolean behind = node.generation().compareTo(node.highestHeard()) < 0;
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
@@ -0,0 +1,199 @@
+package io.sesamehead.proof.fleet;
+
+import io.sesamehead.coordination.group.ControllerAction;
+import io.sesamehead.proof.FakeStore.Versioned;
+import io.sesamehead.proof.Invariant;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Group;
+import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.VmId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/** Judges the invariants of a fleet by the true state of the engines and the store. */
+final class FleetChecks {
+    /** Evidence may be as old as the gate allows, by a clock that drifts, and its message took time to be read. */
+    private static final long EVIDENCE_BOUND_MILLIS =
+            FleetTimes.EVIDENCE_MAX_AGE_MILLIS + FleetTimes.LEASE.driftMillis() + FleetTimes.DELIVERY_MILLIS;
+
+    /** A longer time from the check to the send, with the largest delays, is above the longest order time. */
+    private static final long PROMPT_SEND_MILLIS =
+            FleetTimes.LEASE.longestOrderMillis() - FleetTimes.LATE_MILLIS - FleetTimes.LATE_ORDER_MILLIS - 5;
+
+    private final FleetWorld world;
+    private final Invariant invariant;
+    private final Map<VmId, List<LeavingReport>> leaving = new HashMap<>();
+    private final Map<DaemonId, Long> calmSinceMillis = new HashMap<>();
+    private int executions;
+    private int lateOrders;
+
+    private record LeavingReport(long atMillis, DaemonId daemon) {}
+
+    FleetChecks(FleetWorld world, Invariant invariant) {
+        this.world = world;
+        this.invariant = invariant;
+    }
+
+    /** Opens a time in which reports that a VM leaves are true. */
+    void leaves(VmId vm) {
+        leaving.put(vm, new ArrayList<>());
+    }
+
+    void left(VmId vm) {
+        leaving.remove(vm);
+    }
+
+    void leavingReported(VmId vm, DaemonId daemon) {
+        if (leaving.containsKey(vm)) {
+            leaving.get(vm).add(new LeavingReport(world.sim().nowMillis(), daemon));
+        }
+    }
+
+    void disturbed(DaemonId daemon, boolean isDisturbed) {
+        calmSinceMillis.put(daemon, isDisturbed ? Long.MAX_VALUE : world.sim().nowMillis());
+    }
+
+    int executions() {
+        return executions;
+    }
+
+    /** Orders that a holder sent after it stood still between check and send, and that changed a newer place. */
+    int lateOrders() {
+        return lateOrders;
+    }
+
+    void dispatched(FleetDaemon daemon, Group group) {
+        for (Group.Member member : group.members()) {
+            Engine engine = world.engine(member.vm());
+            boolean held = engine.heldSince(world.sim().nowMillis() - EVIDENCE_BOUND_MILLIS, group, member.engine());
+            check(
+                    held,
+                    Invariant.WHOLE_GROUP,
+                    () -> daemon.name() + " sends to " + text(group) + " without " + member.vm());
+            check(
+                    !leftLongAgo(daemon.id(), member.vm()),
+                    Invariant.LEAVING,
+                    () -> daemon.name() + " sends to " + text(group) + " while " + member.vm() + " is leaving");
+        }
+    }
+
+    private boolean leftLongAgo(DaemonId daemon, VmId vm) {
+        long nowMillis = world.sim().nowMillis();
+        return leaving.getOrDefault(vm, List.of()).stream()
+                .anyMatch(report -> nowMillis - report.atMillis > FleetTimes.LEAVING_BOUND_MILLIS
+                        && calmSinceMillis.getOrDefault(daemon, 0L) < report.atMillis
+                        && calmSinceMillis.getOrDefault(report.daemon, 0L) < report.atMillis);
+    }
+
+    /** Judges work that the head of a group began. */
+    void executed(Engine head, Group group) {
+        executions++;
+        check(
+                head.holds(group),
+                Invariant.WHOLE_GROUP,
+                () -> head.vm().id() + " runs work of " + text(group) + " in another place");
+        for (Group.Member member : group.members()) {
+            Engine engine = world.engine(member.vm());
+            boolean elsewhere =
+                    !engine.holds(group) && engine.place().filter(this::formed).isPresent();
+            check(
+                    !elsewhere,
+                    Invariant.ONE_GROUP,
+                    () -> text(group) + " runs work while " + member.vm() + " serves in " + engine.group());
+        }
+    }
+
+    /** Judges an order as it reaches an engine. */
+    void beforeOrder(Engine engine, ControllerAction.Order order, long checkedMillis, long sentMillis) {
+        if (!engine.wouldChange(order)) {
+            return;
+        }
+        boolean older = order.epoch().controllerEpoch() < engine.epoch().controllerEpoch();
+        boolean takesOver = order instanceof ControllerAction.SendLoad load
+                && engine.group().filter(id -> !id.equals(load.group().id())).isPresent();
+        if (sentMillis - checkedMillis > PROMPT_SEND_MILLIS) {
+            lateOrders += older || takesOver ? 1 : 0;
+            return;
+        }
+        check(!older, Invariant.ONE_GROUP, () -> order.orderId() + " of an older lease changes " + place(engine));
+        check(!takesOver, Invariant.ONE_GROUP, () -> order.orderId() + " takes a VM out of " + place(engine));
+    }
+
+    void planFailed(String detail) {
+        check(false, Invariant.ONE_GROUP, () -> "the plan failed: " + detail);
+    }
+
+    /** Judges the stored assignment and the true places of all engines. */
+    void observe() {
+        world.sim()
+                .store()
+                .peek(FleetDaemon.ASSIGNMENT)
+                .map(Versioned::value)
+                .map(value -> (GroupAssignment) ((StoredObject) value).content())
+                .ifPresent(it -> checkDisjoint(it.groups(), "stored"));
+        Set<Group> formed = new HashSet<>();
+        for (Engine engine : world.engines()) {
+            engine.place().filter(this::formed).ifPresent(formed::add);
+        }
+        checkDisjoint(formed, "formed");
+    }
+
+    /** Checks that every wanted group serves at every daemon once the faults are over for a while. */
+    void finish(List<FleetDaemon> daemons) {
+        for (FleetDaemon daemon : daemons) {
+            int serving = new Dispatcher(world, daemon).serving().size();
+            check(
+                    serving >= Releases.REPLICAS,
+                    invariant,
+                    () -> "not alive: " + serving + " groups serve at " + daemon.name());
+        }
+        check(executions > 0, invariant, () -> "not alive: no work was run");
+    }
+
+    private void checkDisjoint(Iterable<Group> groups, String kind) {
+        Map<VmId, Group> seen = new HashMap<>();
+        for (Group group : groups) {
+            for (Group.Member member : group.members()) {
+                Group other = seen.put(member.vm(), group);
+                check(
+                        other == null || same(group, other),
+                        Invariant.ONE_GROUP,
+                        () -> member.vm() + " is in two " + kind + " groups: " + text(group) + ", " + text(other));
+            }
+        }
+    }
+
+    /** The members' incarnations are not yet known in some orders of a group. */
+    private static boolean same(Group one, Group other) {
+        return one.id().equals(other.id()) && one.epoch().equals(other.epoch());
+    }
+
+    private boolean formed(Group group) {
+        return group.members().stream().allMatch(member -> {
+            Engine engine = world.engine(member.vm());
+            return engine.holds(group) && engine.loaded();
+        });
+    }
+
+    private void check(boolean holds, Invariant about, Supplier<String> detail) {
+        if (about == invariant) {
+            String text = holds ? "" : detail.get();
+            world.sim().record().check(holds, about, world.sim().nowMillis(), text);
+        }
+    }
+
+    private static String place(Engine engine) {
+        return engine.vm().id() + " in " + engine.group() + " epoch "
+                + engine.epoch().controllerEpoch() + "." + engine.epoch().counter();
+    }
+
+    private static String text(Group group) {
+        return group.id() + " epoch " + group.epoch().controllerEpoch() + "."
+                + group.epoch().counter();
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetDaemon.java
@@ -0,0 +1,220 @@
+package io.sesamehead.proof.fleet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.sesamehead.coordination.drain.Drain;
+import io.sesamehead.coordination.drain.LeavingSource;
+import io.sesamehead.proof.FakeStore.StoreAnswer;
+import io.sesamehead.state.AgedEvidence;
+import io.sesamehead.state.AssignmentTable;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.EngineState;
+import io.sesamehead.state.Evidence;
+import io.sesamehead.state.EvidenceTable;
+import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.Vm;
+import io.sesamehead.state.VmId;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** One life of a daemon that serves groups: its tables and the messages that fill them. */
+final class FleetDaemon {
+    static final String ASSIGNMENT = "groupassignments/" + FleetWorld.DOMAIN.value();
+
+    private static final long TICK_MILLIS = 100;
+    private static final long VM_POLL_MILLIS = 2_000;
+    private static final long WATCH_MILLIS = 500;
+    private static final long COMPARE_MILLIS = 1_000;
+
+    private final FleetWorld world;
+    private final Node node;
+    private final AssignmentTable assignments = new AssignmentTable();
+    private final EvidenceTable evidence = new EvidenceTable();
+    private final Drain drain = new Drain();
+    private final LeaseLoop lease;
+    private final ControllerLoop controller;
+    private final Probing probing;
+    private ImmutableMap<VmId, Vm> vms = ImmutableMap.of();
+    private long highestControllerEpoch;
+
+    FleetDaemon(FleetWorld world, Node node) {
+        this.world = world;
+        this.node = node;
+        this.probing = new Probing(world, this);
+        this.lease = new LeaseLoop(world.sim(), this);
+        this.controller = new ControllerLoop(world, this);
+    }
+
+    void start() {
+        node.start();
+        readFleet();
+        SimProcess process = node.process();
+        process.every(TICK_MILLIS, () -> evidence.tick(process.clock()));
+        process.every(VM_POLL_MILLIS, this::pollAsRelay);
+        process.every(WATCH_MILLIS, this::watchAssignment);
+        process.every(COMPARE_MILLIS, this::compareAssignments);
+        probing.start();
+        lease.start();
+        controller.start();
+        new Dispatcher(world, this).start();
+    }
+
+    Node node() {
+        return node;
+    }
+
+    DaemonId id() {
+        return node.self().daemon();
+    }
+
+    String name() {
+        return id().value();
+    }
+
+    long clock() {
+        return node.process().clock();
+    }
+
+    AssignmentTable assignments() {
+        return assignments;
+    }
+
+    EvidenceTable evidence() {
+        return evidence;
+    }
+
+    Drain drain() {
+        return drain;
+    }
+
+    LeaseLoop lease() {
+        return lease;
+    }
+
+    Probing probing() {
+        return probing;
+    }
+
+    ImmutableMap<VmId, Vm> vms() {
+        return vms;
+    }
+
+    /** Highest controller epoch that assignments and engines tell of. */
+    long highestControllerEpoch() {
+        long fromEngines = evidence.snapshot().values().stream()
+                .mapToLong(it -> it instanceof Evidence.Reported reported
+                        ? reported.report().epoch().controllerEpoch()
+                        : 0)
+                .max()
+                .orElse(0);
+        return Math.max(fromEngines, highestControllerEpoch);
+    }
+
+    void toPeers(Consumer<FleetDaemon> atReceiver) {
+        for (DaemonId peer : node.near()) {
+            node.send(peer, unused -> atReceiver.accept(world.daemon(peer)));
+        }
+    }
+
+    /** Takes an assignment that the store is known to hold and passes it on if it is new. */
+    void storedAssignment(GroupAssignment assignment) {
+        if (offer(assignment)) {
+            toPeers(peer -> peer.offer(assignment));
+        }
+    }
+
+    private boolean offer(GroupAssignment assignment) {
+        highestControllerEpoch = Math.max(highestControllerEpoch, assignment.controllerEpoch());
+        return assignments.offer(assignment) == AssignmentTable.Offer.ADOPTED;
+    }
+
+    /** Merges evidence that a peer sent. */
+    void merge(DaemonId peer, ImmutableList<AgedEvidence> items) {
+        long nowMillis = clock();
+        evidence.merge(nowMillis, peer, items);
+        items.forEach(item ->
+                item.report().ifPresent(report -> observeLeaving(item.vm(), report.state() == EngineState.LEAVING)));
+    }
+
+    /** Records what an engine says of itself. */
+    void observeLeaving(VmId vm, boolean isLeaving) {
+        observe(vm, LeavingSource.UPSTREAM_STATUS, isLeaving);
+    }
+
+    private void observe(VmId vm, LeavingSource source, boolean isLeaving) {
+        if (drain.observe(clock(), vm, source, isLeaving)) {
+            world.checks().leavingReported(vm, id());
+        }
+    }
+
+    private void readFleet() {
+        readAssignment();
+        readVms();
+        node.process().after(COMPARE_MILLIS, () -> {
+            if (vms.isEmpty()) {
+                readFleet();
+            }
+        });
+    }
+
+    private void pollAsRelay() {
+        if (node.isRelay()) {
+            readVms();
+        }
+    }
+
+    private void watchAssignment() {
+        if (node.isRelay()) {
+            readAssignment();
+        }
+    }
+
+    private void readAssignment() {
+        node.store().read(ASSIGNMENT, answer -> {
+            if (answer instanceof StoreAnswer.Found found) {
+                storedAssignment(
+                        (GroupAssignment) StoredObject.in(found.object()).content());
+            }
+        });
+    }
+
+    /** The VM list comes from the same platform as the objects, so it fails with the store. */
+    private void readVms() {
+        node.store().read("nodes", answer -> {
+            if (answer instanceof StoreAnswer.Missing) {
+                ImmutableList<Vm> list = world.platform().list();
+                listed(list);
+                toPeers(peer -> peer.listed(list));
+            }
+        });
+    }
+
+    private void listed(ImmutableList<Vm> list) {
+        ImmutableMap<VmId, Vm> next = list.stream().collect(ImmutableMap.toImmutableMap(Vm::id, vm -> vm));
+        vms.keySet().stream()
+                .filter(id -> !next.containsKey(id))
+                .forEach(id -> observe(id, LeavingSource.VM_LIST, false));
+        vms = next;
+        evidence.retain(next.keySet());
+        next.values().forEach(vm -> observe(vm.id(), LeavingSource.VM_LIST, vm.leaving()));
+    }
+
+    /** Relays send what a peer lacks. */
+    private void compareAssignments() {
+        long epoch = own().map(GroupAssignment::controllerEpoch).orElse(0L);
+        long version = own().map(GroupAssignment::version).orElse(0L);
+        DaemonId self = id();
+        toPeers(peer -> peer.sendIfNewer(self, epoch, version));
+    }
+
+    private void sendIfNewer(DaemonId peer, long epoch, long version) {
+        own().filter(mine -> node.isRelay())
+                .filter(mine ->
+                        mine.controllerEpoch() > epoch || (mine.controllerEpoch() == epoch && mine.version() > version))
+                .ifPresent(mine -> node.send(peer, unused -> world.daemon(peer).offer(mine)));
+    }
+
+    private Optional<GroupAssignment> own() {
+        return assignments.assignment(FleetWorld.DOMAIN);
+    }
+}
--- /dev/null
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/Probing.java
@@ -0,0 +1,65 @@
+package io.sesamehead.proof.fleet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.sesamehead.coordination.membership.ProbeAssignment;
+import io.sesamehead.state.AgedEvidence;
+import io.sesamehead.state.EngineState;
+import io.sesamehead.state.Evidence;
+import io.sesamehead.state.MemberReport;
+import io.sesamehead.state.Vm;
+import io.sesamehead.state.VmId;
+import java.util.Optional;
+
+/** Reads the status of the engines that are assigned to a daemon and tells its peers. */
+final class Probing {
+    private static final long INTERVAL_MILLIS = 900;
+    private static final long TIMEOUT_MILLIS = 800;
+
+    private final FleetWorld world;
+    private final FleetDaemon daemon;
+
+    Probing(FleetWorld world, FleetDaemon daemon) {
+        this.world = world;
+        this.daemon = daemon;
+    }
+
+    void start() {
+        daemon.node().process().every(INTERVAL_MILLIS, this::round);
+    }
+
+    void probe(Vm vm) {
+        long beforeMillis = daemon.clock();
+        Once<Optional<MemberReport>> once = new Once<>(report -> record(vm.id(), report, beforeMillis));
+        Engine engine = world.engine(vm.id());
+        world.toEngine(daemon, engine, 0, () -> {
+            MemberReport report = engine.report();
+            world.fromEngine(engine, daemon, () -> once.accept(Optional.of(report)));
+        });
+        daemon.node().process().after(TIMEOUT_MILLIS, () -> once.accept(Optional.empty()));
+    }
+
+    /** Records what an engine said; a change is sent to the peers at once. */
+    void record(VmId vm, Optional<MemberReport> report, long observedAtMillis) {
+        Evidence evidence = report.<Evidence>map(it -> new Evidence.Reported(it, observedAtMillis))
+                .orElseGet(() -> new Evidence.Unreachable(vm, observedAtMillis));
+        report.ifPresent(it -> daemon.observeLeaving(vm, it.state() == EngineState.LEAVING));
+        if (daemon.evidence().record(evidence)) {
+            send(daemon.evidence().takeChanged(daemon.clock()));
+        }
+    }
+
+    private void round() {
+        long nowMillis = daemon.clock();
+        ImmutableSet<VmId> assigned = ProbeAssignment.assignedTo(
+                daemon.id(), daemon.vms().keySet(), daemon.node().directory().liveIds(nowMillis, FleetWorld.DOMAIN));
+        send(daemon.evidence().digest(nowMillis, assigned));
+        assigned.forEach(vm -> probe(daemon.vms().get(vm)));
+    }
+
+    private void send(ImmutableList<AgedEvidence> items) {
+        if (!items.isEmpty()) {
+            daemon.toPeers(peer -> peer.merge(daemon.id(), items));
+        }
+    }
+}
