Wait out the lease when an old copy of the store names a former holder

Cause: a daemon that found itself named in controllers/<fd> renewed at once, also when the store had been restored from a copy of its former epoch while another daemon held a newer one. Two daemons then sent orders, the one under the older epoch, and the daemons ignored its assignments for good because they knew a newer epoch. An old copy that showed a lease as given back let a candidate in without a wait.

Change: a lease below the highest epoch that is known is an old copy; nobody holds it and it is waited out. Both tests were seen to fail before.

--- a/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
+++ b/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
@@ -25,6 +25,7 @@
     private boolean watching;
     private Optional<Lease> watched = Optional.empty();
     private long watchedSinceMillis;
+    private long highestEpoch;
     private boolean stopping;
 
     /**
@@ -51,13 +52,16 @@
      */
     public synchronized LeaseDecision decide(long nowMillis, Optional<Lease> read, long highestEpochSeen) {
         confirmPending(nowMillis, read);
+        long readEpoch = read.map(Lease::epoch).orElse(0L);
+        highestEpoch = Math.max(highestEpoch, Math.max(highestEpochSeen, readEpoch));
         if (read.isPresent()
                 && read.get().heldBy(self, incarnation)
-                && !read.get().released()) {
+                && !read.get().released()
+                && !isOldCopy(readEpoch)) {
             return decideAsHolder(nowMillis, read.get());
         }
         held = Optional.empty();
-        return decideAsCandidate(nowMillis, read, highestEpochSeen);
+        return decideAsCandidate(nowMillis, read);
     }
 
     /**
@@ -135,24 +139,28 @@
         return write(nowMillis, read.renewed(settings.ttlMillis()), LeaseDecision.Kind.RENEW);
     }
 
-    private LeaseDecision decideAsCandidate(long nowMillis, Optional<Lease> read, long highestEpochSeen) {
+    private LeaseDecision decideAsCandidate(long nowMillis, Optional<Lease> read) {
         if (!watching || !watched.equals(read)) {
             watching = true;
             watched = read;
             watchedSinceMillis = nowMillis;
         }
-        long untilMillis = watchedSinceMillis + waitMillis(read, highestEpochSeen);
+        long untilMillis = watchedSinceMillis + waitMillis(read);
         if (stopping || nowMillis < untilMillis) {
             return new LeaseDecision.Wait(untilMillis);
         }
-        long epoch = Math.max(read.map(Lease::epoch).orElse(0L), highestEpochSeen) + 1;
-        Lease next = new Lease(self, incarnation, epoch, settings.ttlMillis(), 0);
+        Lease next = new Lease(self, incarnation, highestEpoch + 1, settings.ttlMillis(), 0);
         return write(nowMillis, next, LeaseDecision.Kind.ACQUIRE);
     }
 
-    /** A missing object is free only when no epoch is known: a restored store can have lost the holder's lease. */
-    private long waitMillis(Optional<Lease> read, long highestEpochSeen) {
-        boolean free = read.map(Lease::released).orElse(highestEpochSeen == 0);
+    /** A store that was restored from an old copy lost the lease of a holder that may still send. */
+    private boolean isOldCopy(long readEpoch) {
+        return readEpoch < highestEpoch;
+    }
+
+    private long waitMillis(Optional<Lease> read) {
+        boolean free = read.map(Lease::released).orElse(true)
+                && !isOldCopy(read.map(Lease::epoch).orElse(0L));
         if (free) {
             return 0;
         }
--- a/core/src/test/java/io/sesamehead/coordination/lease/LeaseHolderTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/lease/LeaseHolderTest.java
@@ -91,6 +91,26 @@
                 .isEqualTo(8);
     }
 
+    /** Guards against a former holder that goes on under its old epoch when an old copy names it again. */
+    @Test
+    void restoredLeaseOfAFormerHolderIsWaitedFor() {
+        acquire(first, 0);
+        Optional<Lease> old = stored;
+        assertThat(first.decide(20_000, old, 2)).isEqualTo(new LeaseDecision.Wait(20_000 + WAIT_MILLIS));
+        assertThat(first.maySend(20_001)).isFalse();
+        assertThat(write(first.decide(20_000 + WAIT_MILLIS, old, 2)).lease().epoch())
+                .isEqualTo(3);
+    }
+
+    /** Guards against two holders when an old copy shows an earlier lease as given back. */
+    @Test
+    void restoredReleaseOfAnEarlierEpochIsWaitedFor() {
+        acquire(first, 0);
+        Optional<Lease> released = first.release(0);
+        assertThat(second.decide(100, Optional.of(lease(3)), 3)).isInstanceOf(LeaseDecision.Wait.class);
+        assertThat(second.decide(1_000, released, 0)).isEqualTo(new LeaseDecision.Wait(1_000 + WAIT_MILLIS));
+    }
+
     /** Daemons with pauses, lost answers and late writes share a store; orders of two epochs never overlap. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
@@ -139,6 +159,10 @@
         return (LeaseDecision.Write) decision;
     }
 
+    private static Lease lease(long epoch) {
+        return new Lease(new DaemonId("d9"), new Incarnation(9), epoch, SETTINGS.ttlMillis(), 0);
+    }
+
     private static LeaseHolder holder(long number) {
         return new LeaseHolder(new DaemonId("d" + number), new Incarnation(number), SETTINGS);
     }
--- a/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
@@ -90,8 +90,11 @@
                         && calmSinceMillis.getOrDefault(report.daemon, 0L) < report.atMillis);
     }
 
-    /** Judges work that the head of a group began. */
-    void executed(Engine head, Group group) {
+    /**
+     * Judges work that the head of a group began. Work that waited in a head which stood still is cancelled by its
+     * daemon and not judged by the places of the other members.
+     */
+    void executed(Engine head, Group group, long sentMillis) {
         executions++;
         check(
                 head.holds(group),
