--- a/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
+++ b/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
@@ -16,12 +16,19 @@
     static ImmutableList<DaemonId> top(String key, Collection<DaemonId> candidates, int count) {
         return candidates.stream()
                 .distinct()
-                .sorted(Comparator.<DaemonId>comparingLong(daemon -> weight(key, daemon))
-                        .thenComparing(DaemonId::value))
+                .map(daemon -> new Weighted(daemon, weight(key, daemon)))
+                .sorted(Weighted.ORDER)
                 .limit(count)
+                .map(Weighted::daemon)
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** The weight is computed once for each candidate, because sorting compares it several times. */
+    private record Weighted(DaemonId daemon, long weight) {
+        private static final Comparator<Weighted> ORDER = Comparator.comparingLong(Weighted::weight)
+                .thenComparing(weighted -> weighted.daemon().value());
+    }
+
     private static long weight(String key, DaemonId daemon) {
         return HASH.newHasher()
                 .putUnencodedChars(key)
