--- a/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetChecks.java
@@ -172,8 +172,8 @@
         checkDisjoint(formed, "formed");
     }
 
-    /** Checks that every wanted group serves at every daemon once the faults are over for a while. */
-    void finish(List<FleetDaemon> daemons) {
+    /** Checks in a quiet phase that every wanted group serves at every daemon. */
+    void checkAlive(List<FleetDaemon> daemons) {
         for (FleetDaemon daemon : daemons) {
             int serving = new Dispatcher(world, daemon).serving().size();
             check(
--- a/proof/src/main/java/io/sesamehead/proof/fleet/FleetWorld.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetWorld.java
@@ -58,8 +58,10 @@
         sim.queue().after(100, () -> operators.get(0).apply("v1"));
         faults.plan(FAULTS);
         sim.queue().every(OBSERVE_MILLIS, checks::observe);
+        sim.queue().runUntil(FAULTS_START_MILLIS - 1);
+        checks.checkAlive(ImmutableList.copyOf(daemons.values()));
         sim.queue().runUntil(END_MILLIS);
-        checks.finish(ImmutableList.copyOf(daemons.values()));
+        checks.checkAlive(ImmutableList.copyOf(daemons.values()));
     }
 
     Simulation sim() {
