--- a/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/CallerResource.java
@@ -12,6 +12,7 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HttpMethod;
 import jakarta.ws.rs.POST;
 import jakarta.ws.rs.PUT;
 import jakarta.ws.rs.Path;
@@ -22,6 +23,8 @@
 import jakarta.ws.rs.core.Response;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
@@ -75,8 +78,8 @@
         RequestId request = requestIds.get();
         try {
             request = CallHeaders.requestId(http, requestIds);
-            CallHeaders headers = CallHeaders.read(http, request);
             byte[] content = content(body);
+            CallHeaders headers = CallHeaders.read(http, request);
             CallContext call = context(http, headers, service, content);
             CompletionBody completion = CompletionBody.decode(content);
             return completion.stream()
@@ -85,7 +88,7 @@
         } catch (CallHeaders.InvalidHeaderException e) {
             return error(request, e.kind(), e.getMessage());
         } catch (BodyTooLargeException e) {
-            return error(request, ErrorKind.BODY_TOO_LARGE, e.getMessage());
+            return Problems.closing(new Problem(ErrorKind.BODY_TOO_LARGE, e.getMessage(), request));
         } catch (MalformedMessageException e) {
             return error(request, ErrorKind.BAD_JSON, e.getMessage());
         }
@@ -141,8 +144,11 @@
         RequestId request = requestIds.get();
         try {
             request = CallHeaders.requestId(http, requestIds);
-            CallHeaders headers = CallHeaders.read(http, request);
             byte[] content = content(body);
+            if (http.getMethod().equals(HttpMethod.HEAD) || !isUri(path(http))) {
+                return error(request, ErrorKind.UNKNOWN_PATH, "no call has this path and method");
+            }
+            CallHeaders headers = CallHeaders.read(http, request);
             CallContext call = context(http, headers, service, content);
             PlainCall plain = new PlainCall(
                     http.getMethod(),
@@ -153,7 +159,7 @@
         } catch (CallHeaders.InvalidHeaderException e) {
             return error(request, e.kind(), e.getMessage());
         } catch (BodyTooLargeException e) {
-            return error(request, ErrorKind.BODY_TOO_LARGE, e.getMessage());
+            return Problems.closing(new Problem(ErrorKind.BODY_TOO_LARGE, e.getMessage(), request));
         }
     }
 
@@ -235,6 +241,16 @@
         return http.getQueryString() == null ? path : path + "?" + http.getQueryString();
     }
 
+    /** The server accepts characters in a path that the client for the upstream does not. */
+    private static boolean isUri(String path) {
+        try {
+            return !new URI("/" + path).isOpaque();
+        } catch (URISyntaxException e) {
+            return false;
+        }
+    }
+
+    /** Read before anything is answered: the server closes a connection whose request was not read to its end. */
     private byte[] content(InputStream body) throws IOException, BodyTooLargeException {
         byte[] content = body.readNBytes(maxBodyBytes + 1);
         if (content.length > maxBodyBytes) {
--- a/proof/src/main/java/io/sesamehead/proof/Scenarios.java
+++ b/proof/src/main/java/io/sesamehead/proof/Scenarios.java
@@ -1,7 +1,10 @@
 package io.sesamehead.proof;
 
+import io.sesamehead.proof.calls.CallScenario;
 import io.sesamehead.proof.fleet.FleetScenario;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The scenarios that {@code bin/prove} runs. */
 public final class Scenarios {
@@ -13,6 +16,8 @@
      * @return the scenarios in the order of the design
      */
     public static List<Scenario> all() {
-        return FleetScenario.all();
+        return Stream.concat(FleetScenario.all().stream(), CallScenario.all().stream())
+                .sorted(Comparator.comparing(Scenario::invariant))
+                .toList();
     }
 }
