--- a/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/ConfigWorld.java
@@ -100,7 +100,7 @@
     }
 
     private Operator operator(String name) {
-        return new Operator(sim, name, domains.get(0), change -> {}, releases::claimed);
+        return new Operator(sim, name, domains.get(0), releases::claimed);
     }
 
     private void planChanges() {
--- a/proof/src/main/java/io/sesamehead/proof/fleet/FleetWorld.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/FleetWorld.java
@@ -152,7 +152,7 @@
     public void beforeRestore() {}
 
     private Operator operator(String name) {
-        return new Operator(sim, name, DOMAIN, change -> {}, (change, claim) -> {});
+        return new Operator(sim, name, DOMAIN, (change, claim) -> {});
     }
 
     private ImmutableList<Engine> createEngines(boolean checkFencing) {
--- a/proof/src/main/java/io/sesamehead/proof/fleet/Operator.java
+++ b/proof/src/main/java/io/sesamehead/proof/fleet/Operator.java
@@ -24,7 +24,6 @@
     private final String name;
     private final FailureDomain domain;
     private final BiConsumer<Change, Claim> sink;
-    private final Consumer<Change> started;
     private final Incarnation incarnation;
     private long sequence;
 
@@ -44,16 +43,10 @@
         }
     }
 
-    Operator(
-            Simulation sim,
-            String name,
-            FailureDomain domain,
-            Consumer<Change> started,
-            BiConsumer<Change, Claim> sink) {
+    Operator(Simulation sim, String name, FailureDomain domain, BiConsumer<Change, Claim> sink) {
         this.sim = sim;
         this.name = name;
         this.domain = domain;
-        this.started = started;
         this.sink = sink;
         this.incarnation = sim.newIncarnation();
     }
@@ -77,7 +70,6 @@
         AcceptedRelease release =
                 Releases.release(generation, domain, name + "-" + sequence, version, ImmutableSet.of());
         Change change = new Change(token, generation, sim.nowMillis());
-        started.accept(change);
         StoredObject value = StoredObject.following(history, release, token);
         write(new Attempt(change, base, value, sim.nowMillis() + TIMEOUT_MILLIS, false));
     }
