Hash each daemon once when probers and relays are chosen

Cause: the rendezvous hash was computed in the comparator of a sort, about nine times for each daemon and key. Change: the weight is computed once and sorted; the choice stays the same.

--- a/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
+++ b/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
@@ -16,9 +16,10 @@
     static ImmutableList<DaemonId> top(String key, Collection<DaemonId> candidates, int count) {
         return candidates.stream()
                 .distinct()
-                .sorted(Comparator.<DaemonId>comparingLong(daemon -> weight(key, daemon))
-                        .thenComparing(DaemonId::value))
+                .map(daemon -> new Weighted(weight(key, daemon), daemon))
+                .sorted(Weighted.ORDER)
                 .limit(count)
+                .map(Weighted::daemon)
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -30,4 +31,10 @@
                 .hash()
                 .asLong();
     }
+
+    /** Holds the weight, because the hash costs more than the rest of the choice together. */
+    private record Weighted(long weight, DaemonId daemon) {
+        private static final Comparator<Weighted> ORDER = Comparator.comparingLong(Weighted::weight)
+                .thenComparing(it -> it.daemon().value());
+    }
 }
