Look VMs up in a set when stray engines are released

Cause: each VM of the list was searched in all members of two assignments, so a step grew with the square of the engines.

--- a/core/src/main/java/io/sesamehead/coordination/group/OrderPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/OrderPlanner.java
@@ -13,7 +13,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Derives the orders of one step from an assignment that the store holds. No VM gets an order while one is in flight. */
 final class OrderPlanner {
@@ -51,9 +54,12 @@
                 .filter(group -> group.state() == GroupState.FORMING)
                 .sorted(Comparator.comparingLong(this::membersToLoad).thenComparing(Group::id))
                 .forEach(this::loadMembers);
-        seen.listed().stream()
-                .filter(vm -> isUnassigned(vm.id(), stored) && isUnassigned(vm.id(), next))
-                .forEach(this::releaseStray);
+        Set<VmId> assigned = Stream.of(stored, next)
+                .flatMap(assignment -> assignment.groups().stream())
+                .flatMap(group -> group.members().stream())
+                .map(Group.Member::vm)
+                .collect(Collectors.toSet());
+        seen.listed().stream().filter(vm -> !assigned.contains(vm.id())).forEach(this::releaseStray);
         return ImmutableList.copyOf(orders);
     }
 
@@ -138,8 +144,4 @@
     private String orderId(String kind, Vm vm, Epoch epoch) {
         return kind + "-" + vm.id() + "-" + epoch.value() + "-" + seen.nowMillis();
     }
-
-    private static boolean isUnassigned(VmId vm, GroupAssignment assignment) {
-        return assignment.groups().stream().noneMatch(group -> group.contains(vm));
-    }
 }
