Read only the VMs of the own failure domain

Cause: each relay read the whole VM list every 2 s. Change: the list is read with the label selector of the Kubernetes API conventions; a platform that ignores it answers with more, which is filtered as before.

--- a/daemon/src/main/java/io/sesamehead/daemon/protocol/VmListCodec.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/protocol/VmListCodec.java
@@ -9,7 +9,9 @@
 
 /** The platform's list of VMs. */
 public final class VmListCodec {
-    private static final String FAILURE_DOMAIN = "sesamehead.io/failure-domain";
+    /** Label that names the failure domain of a VM. */
+    public static final String FAILURE_DOMAIN = "sesamehead.io/failure-domain";
+
     private static final String FABRIC_DOMAIN = "sesamehead.io/fabric-domain";
     private static final String ACCELERATORS = "sesamehead.io/accelerators";
     private static final String ACCELERATOR_MEMORY_GB = "sesamehead.io/accelerator-memory-gb";
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/StorePoll.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StorePoll.java
@@ -38,9 +38,9 @@
         readDirectories();
     }
 
-    /** Reads the platform's VM list. */
+    /** Reads the platform's list of the VMs of this failure domain. */
     public void readVms() {
-        if (platform.vms() instanceof StoreResult.Ok<ImmutableList<Vm>>(ImmutableList<Vm> vms)) {
+        if (platform.vms(tables.failureDomain()) instanceof StoreResult.Ok<ImmutableList<Vm>>(ImmutableList<Vm> vms)) {
             news.answered();
             news.vmsFromStore(vms);
         }
--- a/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/transport/PlatformClient.java
@@ -7,6 +7,7 @@
 import io.sesamehead.daemon.protocol.PlatformObject;
 import io.sesamehead.daemon.protocol.VmListCodec;
 import io.sesamehead.daemon.settings.DaemonSettings;
+import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.Vm;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -121,6 +122,20 @@
         return call(new HttpGet(base + NODES), answer -> StoreAnswers.classify(answer, false, VmListCodec::decode));
     }
 
+    /**
+     * Reads the platform's list of VMs of one failure domain, because the whole list is large. A platform that ignores
+     * the selector answers with more.
+     *
+     * @param failureDomain the failure domain
+     * @return the VMs that run an engine; never ambiguous
+     */
+    public StoreResult<ImmutableList<Vm>> vms(FailureDomain failureDomain) {
+        String selector = encoded(VmListCodec.FAILURE_DOMAIN + "=" + failureDomain.value());
+        return call(
+                new HttpGet(base + NODES + "?labelSelector=" + selector),
+                answer -> StoreAnswers.classify(answer, false, VmListCodec::decode));
+    }
+
     /**
      * Watches one object; blocks until the watch ends.
      *
--- a/standin/src/main/java/io/sesamehead/standin/platform/NodeList.java
+++ b/standin/src/main/java/io/sesamehead/standin/platform/NodeList.java
@@ -51,10 +51,19 @@
         change(visible -> visible.remove(name));
     }
 
-    synchronized ObjectNode toJson() {
+    /** Lists the VMs that carry a label, given as {@code name=value}; an empty selector selects all. */
+    synchronized ObjectNode toJson(String labelSelector) {
         ObjectNode list = Json.object().put("apiVersion", "v1").put("kind", "NodeList");
         ArrayNode items = list.putArray("items");
-        nodes.values().forEach(items::add);
+        int split = labelSelector.indexOf('=');
+        nodes.values().stream()
+                .filter(node -> split < 0
+                        || node.path("metadata")
+                                .path("labels")
+                                .path(labelSelector.substring(0, split))
+                                .asText()
+                                .equals(labelSelector.substring(split + 1)))
+                .forEach(items::add);
         return list;
     }
 
--- a/standin/src/main/java/io/sesamehead/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/io/sesamehead/standin/platform/PlatformStandIn.java
@@ -89,7 +89,7 @@
         if (down) {
             call.answer(503, ObjectStore.status(503, "ServiceUnavailable", "outage"));
         } else if (nodeList) {
-            call.answer(200, nodes.toJson());
+            call.answer(200, nodes.toJson(call.query("labelSelector").orElse("")));
         } else if (verb.equals("watch")) {
             watch(call, kind);
         } else {
--- a/standin/src/test/java/io/sesamehead/standin/platform/PlatformStandInTest.java
+++ b/standin/src/test/java/io/sesamehead/standin/platform/PlatformStandInTest.java
@@ -134,6 +134,17 @@
         assertThat(node.at("/spec/unschedulable").asBoolean()).isTrue();
     }
 
+    /** Guards against a selector that is ignored or that hides the VMs it selects. */
+    @Test
+    void listsTheNodesOfOneFailureDomain() throws Exception {
+        client.send("PUT", "/admin/nodes/vm-1", "{\"failureDomain\":\"cebu\"}");
+        client.send("PUT", "/admin/nodes/vm-2", "{\"failureDomain\":\"bohol\"}");
+        JsonNode items = client.send("GET", "/api/v1/nodes?labelSelector=sesamehead.io%2Ffailure-domain%3Dbohol", "")
+                .body()
+                .path("items");
+        assertThat(items.findValuesAsText("name")).containsExactly("vm-2");
+    }
+
     /** Guards against a limit that never refuses or never recovers. */
     @Test
     void limitsCallsPerSecond() {
