Spend less on idle tasks and send releases within the failure domain only

Cause: two tasks that run ten times a second passed through two threads each; every heartbeat asked who is a relay, which hashes all daemons; and each relay sent each release to the relays of all other failure domains, which read it from the store themselves.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -167,6 +167,15 @@
         return admission.running();
     }
 
+    /**
+     * Tells whether an attempt is in flight, so that there is work to move.
+     *
+     * @return true when there is
+     */
+    public boolean hasAttempts() {
+        return !live.isEmpty();
+    }
+
     /** Moves work in flight away from groups that are no longer complete. To be called when evidence changes. */
     public void moveBrokenCalls() {
         long now = nowMillis.getAsLong();
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -84,12 +84,16 @@
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
         workers.every("heartbeat", settings.peers().heartbeat(), heartbeat);
         workers.every("probes", ProbeTask.INTERVAL, probes);
-        workers.every("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.getAsLong()));
+        workers.everyBrief("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.getAsLong()));
         workers.every("controller", ControllerTask.INTERVAL, controller);
     }
 
     void startCallTasks(CallStack calls) {
-        workers.every("broken calls", BROKEN_CALLS, calls::moveBrokenCalls);
+        workers.everyBrief("broken calls", BROKEN_CALLS, () -> {
+            if (calls.hasAttempts()) {
+                workers.run("broken calls", calls::moveBrokenCalls);
+            }
+        });
         workers.every("plain services", SERVICE_STATES, calls::refreshServices);
     }
 
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -71,7 +71,9 @@
     }
 
     /**
-     * Takes the release that the store holds.
+     * Takes the release that the store holds and passes it on within this failure domain. The others read the store
+     * themselves; one that is cut off from it gets the release from a relay that hears its old generation in a heartbeat.
+     * Sending to all relays would cost a relay as many copies again as there are relays elsewhere.
      *
      * @param object the object {@code releases/current}
      */
@@ -79,7 +81,7 @@
         try {
             AcceptedRelease release = ReleaseCodec.decode(object.spec()).release();
             if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
-                releaseFrame.ifPresent(broadcast::toAll);
+                releaseFrame.ifPresent(broadcast::toNear);
             }
         } catch (MalformedMessageException e) {
             Logger.error("config: the release in the store is unreadable: {}", e.getMessage());
@@ -274,27 +276,25 @@
                 assignmentVersion = controller.getAssignmentVersion();
             }
         }
-        if (!tables.isRelay(clock.getAsLong())) {
+        boolean lacksRelease =
+                heartbeat.getConfigGeneration() < tables.config().generation().value();
+        Optional<GroupAssignment> lacking =
+                broadcast.isNear(connection) ? newerAssignment(assignmentEpoch, assignmentVersion) : Optional.empty();
+        // Most heartbeats lack nothing, and who is a relay costs a hash of each daemon.
+        if ((!lacksRelease && lacking.isEmpty()) || !tables.isRelay(clock.getAsLong())) {
             return;
         }
-        if (heartbeat.getConfigGeneration() < tables.config().generation().value()) {
+        if (lacksRelease) {
             releaseFrame.ifPresent(connection::send);
         }
-        if (broadcast.isNear(connection)) {
-            sendNewerAssignment(connection, assignmentEpoch, assignmentVersion);
-        }
+        lacking.ifPresent(assignment -> connection.send(assignmentFrame(assignment)));
     }
 
-    private void sendNewerAssignment(PeerConnection connection, long epoch, long version) {
-        Optional<GroupAssignment> own = tables.assignments().assignment(tables.failureDomain());
-        if (own.isEmpty()) {
-            return;
-        }
-        GroupAssignment mine = own.get();
-        boolean newer = mine.controllerEpoch() > epoch || (mine.controllerEpoch() == epoch && mine.version() > version);
-        if (newer) {
-            connection.send(assignmentFrame(mine));
-        }
+    private Optional<GroupAssignment> newerAssignment(long epoch, long version) {
+        return tables.assignments()
+                .assignment(tables.failureDomain())
+                .filter(mine -> mine.controllerEpoch() > epoch
+                        || (mine.controllerEpoch() == epoch && mine.version() > version));
     }
 
     private void raiseEpoch(long epoch) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/LiveAttempts.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/LiveAttempts.java
@@ -81,6 +81,15 @@
         attempts.remove(live);
     }
 
+    /**
+     * Tells whether there are no attempts.
+     *
+     * @return true when nothing is in flight
+     */
+    public boolean isEmpty() {
+        return attempts.isEmpty();
+    }
+
     /**
      * Ends the attempts on groups that are no longer complete; they resume on another group.
      *
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/WorkerPool.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/WorkerPool.java
@@ -65,6 +65,19 @@
         repeat(name, task, interval::toMillis);
     }
 
+    /**
+     * Runs a task at intervals on the timer thread, which costs no second thread. Only for tasks that neither block nor
+     * take long.
+     *
+     * @param name name of the task for the log
+     * @param interval the interval
+     * @param task the task
+     */
+    public void everyBrief(String name, Duration interval, Runnable task) {
+        timer.scheduleWithFixedDelay(
+                () -> guarded(name, task), interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Runs a task again and again, each time after a wait that is asked for at the end of the run before.
      *
