--- a/bench/src/main/java/io/sesamehead/bench/capacity/Capacity.java
+++ b/bench/src/main/java/io/sesamehead/bench/capacity/Capacity.java
@@ -15,7 +15,7 @@
      */
     public static void main(String[] arguments) throws Exception {
         if (arguments.length == 0) {
-            throw new IllegalArgumentException("expected: stand-ins, fleet, tables, steps, objects or keyed");
+            throw new IllegalArgumentException("expected: stand-ins, fleet, tables, steps, objects, cut-off or keyed");
         }
         List<String> rest = Arrays.asList(arguments).subList(1, arguments.length);
         switch (arguments[0]) {
@@ -30,6 +30,7 @@
             case "tables" -> TableSizes.run();
             case "steps" -> StepCosts.run();
             case "objects" -> ObjectSizes.run();
+            case "cut-off" -> CutOff.run();
             case "keyed" -> KeyedCalls.run();
             default -> throw new IllegalArgumentException("unknown measurement " + arguments[0]);
         }
--- a/bench/src/main/java/io/sesamehead/bench/capacity/Fleet.java
+++ b/bench/src/main/java/io/sesamehead/bench/capacity/Fleet.java
@@ -49,12 +49,21 @@
 
     /** Starts daemons of one failure domain; all know the first daemon of the fleet as their seed. */
     void start(String failureDomain, int count) {
+        start(failureDomain, count, platform);
+    }
+
+    /** Starts daemons that do not reach the platform. */
+    void startCutOff(String failureDomain, int count) {
+        start(failureDomain, count, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1));
+    }
+
+    private void start(String failureDomain, int count, InetSocketAddress store) {
         for (int number = 1; number <= count; number++) {
-            daemons.add(DaemonProcess.start(settings(failureDomain + "-d" + number, failureDomain)));
+            daemons.add(DaemonProcess.start(settings(failureDomain + "-d" + number, failureDomain, store)));
         }
     }
 
-    private DaemonSettings settings(String name, String failureDomain) {
+    private DaemonSettings settings(String name, String failureDomain, InetSocketAddress store) {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         ImmutableList<InetSocketAddress> seeds = daemons.isEmpty()
                 ? ImmutableList.of()
@@ -63,7 +72,7 @@
         return new DaemonSettings(
                 new DaemonSettings.Identity(
                         new DaemonId(name), new FailureDomain(failureDomain), "region", any, any, any),
-                new DaemonSettings.Platform(platform, Duration.ofMillis(500), CALLS_PER_SECOND),
+                new DaemonSettings.Platform(store, Duration.ofMillis(500), CALLS_PER_SECOND),
                 new DaemonSettings.Peers(seeds, Duration.ofSeconds(1), Duration.ofSeconds(3)),
                 new DaemonSettings.LeaseTimes(Duration.ofSeconds(5), Duration.ofMillis(500), Duration.ofSeconds(1)),
                 new DaemonSettings.EvidenceLimits(Duration.ofMillis(MAX_AGE_MILLIS)),
--- a/bench/src/main/java/io/sesamehead/bench/capacity/TableSizes.java
+++ b/bench/src/main/java/io/sesamehead/bench/capacity/TableSizes.java
@@ -26,7 +26,7 @@
     private static final int[] ENGINES = {8, 32, 77};
     private static final int[] DAEMONS = {24, 120, 340};
     private static final int[] CALLS = {10, 50, 200};
-    private static final int COPIES = 400;
+    private static final int COPIES = 1_000;
 
     private TableSizes() {}
 
@@ -51,14 +51,21 @@
     }
 
     private static long bytes(int size, IntFunction<Object> build) {
-        Object unused = build.apply(size);
+        // Loads classes and compiles the code, which would count as heap of the table.
+        List<Object> warmUp = copies(size, build);
+        warmUp.clear();
         long before = used();
+        List<Object> copies = copies(size, build);
+        long after = used();
+        return (after - before) / copies.size();
+    }
+
+    private static List<Object> copies(int size, IntFunction<Object> build) {
         List<Object> copies = new ArrayList<>(COPIES);
         for (int copy = 0; copy < COPIES; copy++) {
             copies.add(build.apply(size));
         }
-        long after = used();
-        return (after - before) / copies.size();
+        return copies;
     }
 
     private static long used() {
