--- a/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
+++ b/core/src/main/java/io/sesamehead/coordination/membership/Rendezvous.java
@@ -16,19 +16,13 @@
     static ImmutableList<DaemonId> top(String key, Collection<DaemonId> candidates, int count) {
         return candidates.stream()
                 .distinct()
-                .map(daemon -> new Weighted(daemon, weight(key, daemon)))
+                .map(daemon -> new Weighted(weight(key, daemon), daemon))
                 .sorted(Weighted.ORDER)
                 .limit(count)
                 .map(Weighted::daemon)
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** The weight is computed once for each candidate, because sorting compares it several times. */
-    private record Weighted(DaemonId daemon, long weight) {
-        private static final Comparator<Weighted> ORDER = Comparator.comparingLong(Weighted::weight)
-                .thenComparing(weighted -> weighted.daemon().value());
-    }
-
     private static long weight(String key, DaemonId daemon) {
         return HASH.newHasher()
                 .putUnencodedChars(key)
@@ -37,4 +31,10 @@
                 .hash()
                 .asLong();
     }
+
+    /** Holds the weight, because the hash costs more than the rest of the choice together. */
+    private record Weighted(long weight, DaemonId daemon) {
+        private static final Comparator<Weighted> ORDER = Comparator.comparingLong(Weighted::weight)
+                .thenComparing(it -> it.daemon().value());
+    }
 }
