Name the monotonic clock's accessor without get

Cause: MonotonicClock implemented LongSupplier only to be passed as one, so its accessor was getAsLong and the accessor rule had an exception for it.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallForwarding.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallForwarding.java
@@ -123,7 +123,7 @@
             Duration deadline,
             SendGate gate,
             TokenSink sink) {
-        long deadlineMillis = clock.getAsLong() + deadline.toMillis();
+        long deadlineMillis = clock.millis() + deadline.toMillis();
         Frame frame = ForwardMessages.start(message(reference, call, deadline));
         if (!gate.maySend()) {
             return new UpstreamResult.NotSent("the call ended before it was forwarded");
@@ -134,7 +134,7 @@
         if (!forward.connection().active()) {
             return new UpstreamResult.Lost("the connection to the other failure domain closed");
         }
-        UpstreamResult result = forward.await(deadlineMillis, clock, sink);
+        UpstreamResult result = forward.await(deadlineMillis, clock::millis, sink);
         boolean over = result instanceof UpstreamResult.Finished
                 || result instanceof UpstreamResult.Refused
                 || result instanceof UpstreamResult.Failed;
@@ -197,9 +197,7 @@
     /** Only relays hear of suspects from other failure domains, so they pass the news on within their own. */
     private void suspect(PeerConnection connection, Frame frame) {
         Suspect suspect = frame.getSuspect();
-        calls.get()
-                .suspects()
-                .learn(new Fingerprint(suspect.getFingerprint()), suspect.getCrashes(), clock.getAsLong());
+        calls.get().suspects().learn(new Fingerprint(suspect.getFingerprint()), suspect.getCrashes(), clock.millis());
         if (!broadcast.isNear(connection)) {
             broadcast.toNear(frame);
         }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -52,7 +52,7 @@
         this.workers = workers;
         this.clock = clock;
         this.releaseWatch = new StoreWatch(
-                tables, news, platform, Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore, clock);
+                tables, news, platform, Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore, clock::millis);
         this.assignmentWatch = new StoreWatch(
                 tables,
                 news,
@@ -60,31 +60,31 @@
                 Kinds.GROUP_ASSIGNMENTS,
                 tables.failureDomain().value(),
                 news::assignmentFromStore,
-                clock);
+                clock::millis);
     }
 
     void startStoreTasks(LeaseTask lease) {
         StorePoll poll = new StorePoll(tables, news, platform);
         workers.repeat("store poll", poll::readAll, this::pollWaitMillis);
         workers.every("VM list", VM_POLL, () -> {
-            if (tables.isRelay(clock.getAsLong())) {
+            if (tables.isRelay(clock.millis())) {
                 poll.readVms();
             }
         });
         workers.repeat("release watch", releaseWatch, releaseWatch::waitMillis);
         workers.repeat("assignment watch", assignmentWatch, assignmentWatch::waitMillis);
-        workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock));
+        workers.every("directory", DirectoryTask.INTERVAL, new DirectoryTask(tables, platform, writes, clock::millis));
         workers.repeat("lease", lease, lease::waitMillis);
         workers.every(
                 "order retention",
                 OrderRetention.INTERVAL,
-                new OrderRetention(tables, platform, clock, System::currentTimeMillis));
+                new OrderRetention(tables, platform, clock::millis, System::currentTimeMillis));
     }
 
     void startPeerTasks(HeartbeatTask heartbeat, ProbeTask probes, ControllerTask controller) {
         workers.every("heartbeat", settings.peers().heartbeat(), heartbeat);
         workers.every("probes", ProbeTask.INTERVAL, probes);
-        workers.everyBrief("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.getAsLong()));
+        workers.everyBrief("pause check", PAUSE_CHECK, () -> tables.evidence().tick(clock.millis()));
         workers.every("controller", ControllerTask.INTERVAL, controller);
     }
 
@@ -107,7 +107,7 @@
                 targets,
                 callsInFlight,
                 settings.evidence().maxAge().toMillis(),
-                clock);
+                clock::millis);
     }
 
     private long pollWaitMillis() {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonModule.java
@@ -107,7 +107,7 @@
     @Provides
     @Singleton
     PlatformClient platform() {
-        return new PlatformClient(settings.platform(), clock);
+        return new PlatformClient(settings.platform(), clock::millis);
     }
 
     @Provides
@@ -131,19 +131,19 @@
     @Provides
     @Singleton
     FleetNews news(DaemonTables tables, Broadcast broadcast) {
-        return new FleetNews(tables, broadcast, clock);
+        return new FleetNews(tables, broadcast, clock::millis);
     }
 
     @Provides
     @Singleton
     EvidenceExchange evidence(DaemonTables tables, Broadcast broadcast) {
-        return new EvidenceExchange(tables.evidence(), tables.drain(), broadcast, clock);
+        return new EvidenceExchange(tables.evidence(), tables.drain(), broadcast, clock::millis);
     }
 
     @Provides
     @Singleton
     ProbeTask probes(DaemonTables tables, EvidenceExchange exchange, EngineClient engines, WorkerPool workers) {
-        return new ProbeTask(tables, exchange, engines, workers, clock);
+        return new ProbeTask(tables, exchange, engines, workers, clock::millis);
     }
 
     @Provides
@@ -171,7 +171,7 @@
                 forwarding,
                 forwarding,
                 metrics,
-                clock,
+                clock::millis,
                 System::currentTimeMillis));
     }
 
@@ -179,7 +179,7 @@
     @Singleton
     LeaseTask lease(DaemonTables tables, FleetNews news, PlatformClient platform, StoreWrites writes) {
         return new LeaseTask(
-                tables, news, platform, writes, settings.lease().ttl().toMillis(), clock);
+                tables, news, platform, writes, settings.lease().ttl().toMillis(), clock::millis);
     }
 
     @Provides
@@ -187,7 +187,7 @@
     OrderSender orders(
             DaemonTables tables, Controller controller, EngineClient engines, ProbeTask probes, WorkerPool workers) {
         return new OrderSender(
-                tables, controller, engines, probes, workers, settings.lease().longestOrder(), clock);
+                tables, controller, engines, probes, workers, settings.lease().longestOrder(), clock::millis);
     }
 
     @Provides
@@ -209,6 +209,6 @@
             StoreWrites writes,
             OrderSender orders,
             ProbeTask probes) {
-        return new ControllerTask(tables, controller, news, platform, writes, orders, probes, clock);
+        return new ControllerTask(tables, controller, news, platform, writes, orders, probes, clock::millis);
     }
 }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonPorts.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonPorts.java
@@ -48,13 +48,13 @@
         this.tables = tables;
         this.news = news;
         Supplier<RequestId> requestIds = () -> new RequestId(UUID.randomUUID().toString());
-        StatusReport status = new StatusReport(tables, calls, clock);
+        StatusReport status = new StatusReport(tables, calls, clock::millis);
         this.ports = new HttpPorts(
                 settings.daemon().callerAddress(),
                 settings.daemon().adminAddress(),
                 metrics,
                 List.of(
-                        new CallerResource(calls.service(), settings.limits().bodyBytes(), requestIds, clock),
+                        new CallerResource(calls.service(), settings.limits().bodyBytes(), requestIds, clock::millis),
                         new UncaughtErrors(requestIds)),
                 Map.of(
                         "/ready",
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/DaemonProcess.java
@@ -45,7 +45,7 @@
                 injector.getInstance(ControllerTask.class),
                 injector.getInstance(CallStack.class),
                 injector.getInstance(IncomingForwards.class),
-                injector.getInstance(MonotonicClock.class));
+                injector.getInstance(MonotonicClock.class)::millis);
         this.ports = injector.getInstance(DaemonPorts.class);
     }
 
@@ -91,7 +91,7 @@
                 injector.getInstance(EvidenceExchange.class),
                 injector.getInstance(CallForwarding.class),
                 injector.getInstance(RemoteServing.class),
-                injector.getInstance(MonotonicClock.class)));
+                injector.getInstance(MonotonicClock.class)::millis));
         CallStack calls = injector.getInstance(CallStack.class);
         tasks.startPeerTasks(
                 tasks.heartbeat(mesh, injector.getInstance(Broadcast.class), calls::openCalls),
@@ -161,7 +161,7 @@
      * @return monotonic milliseconds
      */
     public long nowMillis() {
-        return injector.getInstance(MonotonicClock.class).getAsLong();
+        return injector.getInstance(MonotonicClock.class).millis();
     }
 
     /** Ends the process without a graceful stop, as a crash would, or after one. */
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/IncomingForwards.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/IncomingForwards.java
@@ -74,7 +74,7 @@
             counters.unmatched();
             return;
         }
-        long deadlineMillis = clock.getAsLong() + forward.getRemainingMillis();
+        long deadlineMillis = clock.millis() + forward.getRemainingMillis();
         Thread.ofVirtual().name("forward").start(() -> {
             try {
                 connection.send(run(connection, forward, deadlineMillis, cancellation));
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/RemoteServing.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/RemoteServing.java
@@ -52,7 +52,7 @@
         return heartbeat != null
                 && !heartbeat.getLeaving()
                 && heartbeat.getServingList().contains(service.value())
-                && tables.directory().live(clock.getAsLong()).stream()
+                && tables.directory().live(clock.millis()).stream()
                         .anyMatch(it -> it.daemon().equals(daemon));
     }
 }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/CallFixture.java
@@ -100,7 +100,7 @@
         service.start();
         platform.start();
         DaemonSettings settings = settings(limits);
-        platformClient = new PlatformClient(settings.platform(), clock);
+        platformClient = new PlatformClient(settings.platform(), clock::millis);
         tables = tables();
         offerRelease();
         for (int index = 0; index < engineCount; index++) {
@@ -109,7 +109,7 @@
             engine.start();
             engines.add(engine);
         }
-        tables.vms().replace(clock.getAsLong(), vms());
+        tables.vms().replace(clock.millis(), vms());
         offerAssignment();
         prober = Thread.startVirtualThread(this::probe);
         AtomicLong sequence = new AtomicLong();
@@ -123,7 +123,7 @@
                 RemoteCalls.none(),
                 crashes -> {},
                 metrics,
-                clock,
+                clock::millis,
                 System::currentTimeMillis));
         AtomicLong requests = new AtomicLong();
         ports = new HttpPorts(
@@ -135,12 +135,12 @@
                                 calls.service(),
                                 settings.limits().bodyBytes(),
                                 () -> new RequestId("drawn-" + requests.incrementAndGet()),
-                                clock),
+                                clock::millis),
                         new UncaughtErrors(() -> new RequestId("drawn-" + requests.incrementAndGet()))),
                 Map.of(
                         "/status",
-                        new JsonServlet(
-                                () -> new JsonServlet.Answer(200, new StatusReport(tables, calls, clock).toJson()))));
+                        new JsonServlet(() ->
+                                new JsonServlet.Answer(200, new StatusReport(tables, calls, clock::millis).toJson()))));
         ports.start();
     }
 
@@ -185,7 +185,7 @@
     }
 
     void holdLease() {
-        long now = clock.getAsLong();
+        long now = clock.millis();
         if (tables.lease().decide(now, Optional.empty(), 0) instanceof LeaseDecision.Write write) {
             tables.lease().accepted(now, write.lease());
         }
@@ -351,7 +351,7 @@
 
     private void probeOnce() {
         for (Vm vm : tables.vms().all()) {
-            long now = clock.getAsLong();
+            long now = clock.millis();
             Optional<EngineStatus> status = status(vm.engineAddress());
             tables.evidence()
                     .record(
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
@@ -50,7 +50,7 @@
 
     TestFleet() throws IOException {
         platform.start();
-        client = new PlatformClient(platform(platform.address()), new MonotonicClock());
+        client = new PlatformClient(platform(platform.address()), new MonotonicClock()::millis);
     }
 
     private static DaemonSettings.Platform platform(InetSocketAddress address) {
