--- a/bench/src/main/java/io/sesamehead/bench/capacity/Fleet.java
+++ b/bench/src/main/java/io/sesamehead/bench/capacity/Fleet.java
@@ -44,7 +44,7 @@
     Fleet(String platformAddress) {
         this.platform = Addresses.parse(platformAddress);
         this.client = new PlatformClient(
-                new DaemonSettings.Platform(platform, Duration.ofSeconds(2), 1_000), new MonotonicClock());
+                new DaemonSettings.Platform(platform, Duration.ofSeconds(2), 1_000), new MonotonicClock()::millis);
     }
 
     /** Starts daemons of one failure domain; all know the first daemon of the fleet as their seed. */
--- a/bench/src/main/java/io/sesamehead/bench/capacity/StepCosts.java
+++ b/bench/src/main/java/io/sesamehead/bench/capacity/StepCosts.java
@@ -192,7 +192,7 @@
         try (StandIns standIns = StandIns.start(0);
                 PlatformClient client = new PlatformClient(
                         new DaemonSettings.Platform(standIns.platform.address(), Duration.ofSeconds(2), 1_000_000),
-                        new MonotonicClock())) {
+                        new MonotonicClock()::millis)) {
             PlatformAdmin admin = new PlatformAdmin(Addresses.text(standIns.platform.address()));
             for (int vm = 0; vm < vms; vm++) {
                 admin.putNode(Shapes.vmName(vm), Shapes.FIRST_DOMAIN, "fabric-" + vm / 8, "10.0.0.1:" + (9_000 + vm));
