--- a/core/src/main/java/io/sesamehead/coordination/group/Controller.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/Controller.java
@@ -5,7 +5,9 @@
 import io.sesamehead.state.AcceptedRelease;
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.GroupAssignment;
+import io.sesamehead.state.ReleaseNote.PolicySettings;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * The controller of one failure domain. Orders are derived only from an assignment that the store holds under the
@@ -15,6 +17,7 @@
 public final class Controller {
     private final FailureDomain failureDomain;
     private final ControllerSettings settings;
+    private final Function<PolicySettings, RepairPolicy> repairs;
     private final OrderLog orders;
     private final FlapHistory flaps = new FlapHistory();
     private final GroupTimes times = new GroupTimes();
@@ -27,8 +30,21 @@
      * @param settings its times
      */
     public Controller(FailureDomain failureDomain, ControllerSettings settings) {
+        this(failureDomain, settings, RepairPolicy::of);
+    }
+
+    /**
+     * Creates a controller that decides about repairs by another rule than the release note's, for comparisons.
+     *
+     * @param failureDomain the failure domain
+     * @param settings its times
+     * @param repairs the repair policy for the policy settings of a release note
+     */
+    public Controller(
+            FailureDomain failureDomain, ControllerSettings settings, Function<PolicySettings, RepairPolicy> repairs) {
         this.failureDomain = failureDomain;
         this.settings = settings;
+        this.repairs = repairs;
         this.orders = new OrderLog(settings.longestOrderMillis());
     }
 
@@ -119,7 +135,14 @@
     private GroupAssignment plan(Observations seen, Term current, GroupAssignment stored, AcceptedRelease release) {
         Packing packing =
                 new Packing(release.note().policy().sparesPerFabricDomain(), vm -> flaps.faults(seen.nowMillis(), vm));
-        return new GroupPlanner(seen, times, current.epochs, release, packing).plan(stored);
+        return new GroupPlanner(
+                        seen,
+                        times,
+                        current.epochs,
+                        release,
+                        packing,
+                        repairs.apply(release.note().policy()))
+                .plan(stored);
     }
 
     private Term termOf(long nowMillis, HeldLease lease, AcceptedRelease release) {
--- a/core/src/main/java/io/sesamehead/coordination/group/GroupPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/GroupPlanner.java
@@ -28,13 +28,19 @@
     private final Packing packing;
     private final RepairPolicy policy;
 
-    GroupPlanner(Observations seen, GroupTimes times, EpochCounter epochs, AcceptedRelease release, Packing packing) {
+    GroupPlanner(
+            Observations seen,
+            GroupTimes times,
+            EpochCounter epochs,
+            AcceptedRelease release,
+            Packing packing,
+            RepairPolicy policy) {
         this.seen = seen;
         this.times = times;
         this.epochs = epochs;
         this.release = release;
         this.packing = packing;
-        this.policy = RepairPolicy.named(release.note().policy().repair());
+        this.policy = policy;
     }
 
     GroupAssignment plan(GroupAssignment stored) {
--- a/core/src/main/java/io/sesamehead/coordination/group/RepairPolicy.java
+++ b/core/src/main/java/io/sesamehead/coordination/group/RepairPolicy.java
@@ -1,5 +1,7 @@
 package io.sesamehead.coordination.group;
 
+import io.sesamehead.state.ReleaseNote.PolicySettings;
+
 /** Decides between waiting for a missing member and replacing it. */
 public sealed interface RepairPolicy {
     /**
@@ -11,6 +13,17 @@
      */
     boolean repairNow(long brokenMillis, long reloadMillis);
 
+    /**
+     * Returns the policy for a release note.
+     *
+     * @param settings the settings of the note
+     * @return the policy
+     * @throws IllegalArgumentException for an unknown name
+     */
+    static RepairPolicy of(PolicySettings settings) {
+        return named(settings.repair());
+    }
+
     /**
      * Returns the policy that a release note names.
      *
