--- a/bench/src/main/java/io/sesamehead/bench/Bench.java
+++ b/bench/src/main/java/io/sesamehead/bench/Bench.java
@@ -2,6 +2,9 @@
 
 import io.sesamehead.bench.admission.AdmissionBenchmark;
 import io.sesamehead.bench.group.GroupBenchmark;
+import io.sesamehead.bench.request.CrashBenchmark;
+import io.sesamehead.bench.request.RetryBenchmark;
+import io.sesamehead.bench.routing.RoutingBenchmark;
 import java.util.List;
 
 /** The program {@code bin/bench}: prints one table of decisions; it is the same for the same seeds. */
@@ -40,7 +43,12 @@
      * @return all, in the order of the table
      */
     static List<Benchmark> all() {
-        return List.of(new GroupBenchmark(), new AdmissionBenchmark());
+        return List.of(
+                new GroupBenchmark(),
+                new AdmissionBenchmark(),
+                new RoutingBenchmark(),
+                new RetryBenchmark(),
+                new CrashBenchmark());
     }
 
     private static void print(String decision, Seeds seeds) {
--- /dev/null
+++ b/bench/src/main/java/io/sesamehead/bench/request/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of retries and of requests that crash upstreams. */
+package io.sesamehead.bench.request;
--- /dev/null
+++ b/bench/src/main/java/io/sesamehead/bench/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of routing. */
+package io.sesamehead.bench.routing;
