--- a/bench/src/main/java/io/sesamehead/bench/Bench.java
+++ b/bench/src/main/java/io/sesamehead/bench/Bench.java
@@ -5,7 +5,9 @@
 import io.sesamehead.bench.request.CrashBenchmark;
 import io.sesamehead.bench.request.RetryBenchmark;
 import io.sesamehead.bench.routing.RoutingBenchmark;
+import java.util.ArrayList;
 import java.util.List;
+import org.openjdk.jmh.Main;
 
 /** The program {@code bin/bench}: prints one table of decisions; it is the same for the same seeds. */
 public final class Bench {
@@ -21,6 +23,10 @@
      * @throws Exception if JMH fails
      */
     public static void main(String[] args) throws Exception {
+        if (args.length > 0 && args[0].equals("--jmh")) {
+            runJmh(List.of(args).subList(1, args.length));
+            return;
+        }
         String decision = "";
         Seeds seeds = DEFAULT_SEEDS;
         for (int i = 0; i < args.length; i += 2) {
@@ -51,6 +57,15 @@
                 new CrashBenchmark());
     }
 
+    /** Counts allocations, which are stable from run to run, unlike times. */
+    private static void runJmh(List<String> options) throws Exception {
+        List<String> all =
+                new ArrayList<>(List.of("HotPaths", "-prof", "gc", "-f", "1", "-wi", "3", "-i", "3", "-w", "1"));
+        all.addAll(List.of("-r", "1"));
+        all.addAll(options);
+        Main.main(all.toArray(String[]::new));
+    }
+
     private static void print(String decision, Seeds seeds) {
         System.out.println("| decision | setting | seeds | baseline | chosen | bound | met |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
