Keep the leaving mark of a member until a newer report clears it

Cause: each report of a peer set or cleared the mark, also one that was older than what the evidence table held. Between two probers a leaving member could count as staying for a moment.

Change: the mark follows the newest report in the evidence table. A test of the configuration covers a daemon that starts from an older peer while the store is down.

--- a/core/src/test/java/io/sesamehead/coordination/config/ConfigTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/config/ConfigTableTest.java
@@ -52,6 +52,16 @@
                 .isEqualTo(new ReadinessDecision.Ready());
     }
 
+    /** Guards against a daemon that starts from an older peer while the store is down and then stays or goes back there. */
+    @Test
+    void daemonThatStartedFromAnOlderPeerCatchesUpAndStays() {
+        table.offer(release(1, "a"), ConfigSource.PEER);
+        assertThat(readiness(true)).isEqualTo(new ReadinessDecision.Ready());
+        assertThat(table.offer(release(2, "b"), ConfigSource.STORE)).isEqualTo(new ConfigDecision.Adopt(generation(2)));
+        assertThat(table.offer(release(1, "a"), ConfigSource.PEER)).isEqualTo(new ConfigDecision.Ignore());
+        assertThat(table.inForce()).contains(release(2, "b"));
+    }
+
     private ReadinessDecision readiness(boolean answered) {
         return Readiness.decide(answered, table.highestReported(), table.generation(), false, false);
     }
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/EvidenceExchange.java
@@ -12,6 +12,7 @@
 import io.sesamehead.state.AgedEvidence;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.EngineState;
+import io.sesamehead.state.Evidence.Reported;
 import io.sesamehead.state.EvidenceTable;
 import io.sesamehead.state.MemberReport;
 import io.sesamehead.state.VmId;
@@ -153,17 +154,20 @@
         });
         ImmutableList<AgedEvidence> evidence = items.build();
         table.merge(nowMillis, new DaemonId(connection.peer().getDaemon()), evidence);
-        evidence.forEach(item -> item.report().ifPresent(report -> observeLeaving(nowMillis, report)));
+        evidence.forEach(item -> observeLeaving(nowMillis, item.vm()));
     }
 
     /**
-     * Tells the drain table what an engine says of itself.
+     * Tells the drain table what the newest report of an engine says. An older report, which the evidence table does not
+     * take, must not clear a leaving mark.
      *
      * @param nowMillis present monotonic time, in milliseconds
-     * @param report report of the engine
+     * @param vm VM of the engine
      */
-    public void observeLeaving(long nowMillis, MemberReport report) {
-        drain.observe(nowMillis, report.vm(), LeavingSource.UPSTREAM_STATUS, report.state() == EngineState.LEAVING);
+    public void observeLeaving(long nowMillis, VmId vm) {
+        if (table.evidence(vm).orElse(null) instanceof Reported(MemberReport report, long ignored)) {
+            drain.observe(nowMillis, vm, LeavingSource.UPSTREAM_STATUS, report.state() == EngineState.LEAVING);
+        }
     }
 
     private static AgedEvidence repeated(Numbered numbered, Digest digest) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ProbeTask.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ProbeTask.java
@@ -117,8 +117,9 @@
         }
         Evidence evidence = own.<Evidence>map(it -> new Evidence.Reported(it, observedAtMillis))
                 .orElseGet(() -> new Evidence.Unreachable(vm.id(), observedAtMillis));
-        own.ifPresent(it -> exchange.observeLeaving(observedAtMillis, it));
-        if (tables.evidence().record(evidence)) {
+        boolean changed = tables.evidence().record(evidence);
+        exchange.observeLeaving(observedAtMillis, vm.id());
+        if (changed) {
             exchange.pushChanged();
         }
     }
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/PeerFramesTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/PeerFramesTest.java
@@ -89,13 +89,7 @@
     @Test
     void aDigestRefreshesOnlyTheReportThatItNames() throws Exception {
         connection.send(evidence(Evidence.newBuilder().addDigest(digest("vm-1", 5))));
-        connection.send(evidence(Evidence.newBuilder()
-                .addReports(MemberReport.newBuilder()
-                        .setVm("vm-2")
-                        .setEngine(3)
-                        .setState(EngineState.ENGINE_STATE_IDLE)
-                        .setObservedAgeMillis(2_000)
-                        .setChange(6))));
+        connection.send(evidence(report("vm-2", EngineState.ENGINE_STATE_IDLE, 2_000, 6)));
         TestFleet.await("the report", () -> ageMillis("vm-2") >= 2_000);
         connection.send(evidence(Evidence.newBuilder().addDigest(digest("vm-2", 7))));
         connection.send(evidence(Evidence.newBuilder().addDigest(digest("vm-2", 6))));
@@ -103,6 +97,17 @@
         assertThat(daemon.tables().evidence().evidence(new VmId("vm-1"))).isEmpty();
     }
 
+    /** Guards against an older report, of another prober, that clears the mark of a leaving member. */
+    @Test
+    void anOlderReportDoesNotClearTheLeavingMark() throws Exception {
+        connection.send(evidence(report("vm-2", EngineState.ENGINE_STATE_LEAVING, 100, 6)));
+        TestFleet.await("the mark", () -> daemon.tables().drain().isLeaving(new VmId("vm-2")));
+        connection.send(evidence(report("vm-2", EngineState.ENGINE_STATE_IDLE, 2_500, 7)));
+        connection.send(evidence(report("vm-3", EngineState.ENGINE_STATE_IDLE, 100, 8)));
+        TestFleet.await("the last report", () -> ageMillis("vm-3") >= 0);
+        assertThat(daemon.tables().drain().isLeaving(new VmId("vm-2"))).isTrue();
+    }
+
     private long ageMillis(String vm) {
         return daemon.tables()
                 .evidence()
@@ -115,6 +120,16 @@
         return Frame.newBuilder().setEvidence(evidence).build();
     }
 
+    private static Evidence.Builder report(String vm, EngineState state, int ageMillis, long change) {
+        return Evidence.newBuilder()
+                .addReports(MemberReport.newBuilder()
+                        .setVm(vm)
+                        .setEngine(3)
+                        .setState(state)
+                        .setObservedAgeMillis(ageMillis)
+                        .setChange(change));
+    }
+
     private static Digest.Builder digest(String vm, long change) {
         return Digest.newBuilder().setVm(vm).setChange(change).setObservedAgeMillis(100);
     }
