Write the release in force back to a restored store

Cause: when the store went back to an older copy, daemons kept the newer release, but apply numbered the next notes from the store. They were accepted with generations that every daemon refused, so an accepted configuration was not in force.

Change: a relay that sees an older release in the store writes the one in force back, conditional on the version read. A late watch event or another relay's write makes that a conflict without effect.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ControlTasks.java
@@ -32,6 +32,7 @@
     private final StoreWrites writes;
     private final WorkerPool workers;
     private final MonotonicClock clock;
+    private final ReleaseRepair release;
     private final StoreWatch releaseWatch;
     private final StoreWatch assignmentWatch;
 
@@ -51,8 +52,9 @@
         this.writes = writes;
         this.workers = workers;
         this.clock = clock;
-        this.releaseWatch = new StoreWatch(
-                tables, news, platform, Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore, clock::millis);
+        this.release = new ReleaseRepair(tables, news, platform, clock::millis);
+        this.releaseWatch =
+                new StoreWatch(tables, news, platform, Kinds.RELEASES, Kinds.CURRENT_RELEASE, release, clock::millis);
         this.assignmentWatch = new StoreWatch(
                 tables,
                 news,
@@ -64,7 +66,7 @@
     }
 
     void startStoreTasks(LeaseTask lease) {
-        StorePoll poll = new StorePoll(tables, news, platform);
+        StorePoll poll = new StorePoll(tables, news, platform, release);
         workers.repeat("store poll", poll::readAll, this::pollWaitMillis);
         workers.every("VM list", VM_POLL, () -> {
             if (tables.isRelay(clock.millis())) {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -1,5 +1,6 @@
 package io.sesamehead.daemon.runtime;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import io.sesamehead.coordination.config.ConfigDecision;
@@ -88,6 +89,27 @@
         }
     }
 
+    /**
+     * Returns the release in force when it is newer than a stored one.
+     *
+     * @param stored the object {@code releases/current}
+     * @return content of the newer release, or empty
+     */
+    public Optional<JsonNode> releaseNewerThan(PlatformObject stored) {
+        Optional<ConfigUpdate> inForce = releaseFrame.map(Frame::getConfigUpdate);
+        try {
+            long storedGeneration =
+                    ReleaseCodec.decode(stored.spec()).generation().value();
+            if (inForce.isEmpty() || inForce.get().getGeneration() <= storedGeneration) {
+                return Optional.empty();
+            }
+            return Optional.of(Json.parse(inForce.get().getNote().toByteArray()));
+        } catch (MalformedMessageException e) {
+            Logger.error("config: the release in the store is unreadable: {}", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     /**
      * Takes a release that a peer sent. News from another failure domain is passed on within this one.
      *
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/StorePoll.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/StorePoll.java
@@ -16,6 +16,7 @@
     private final DaemonTables tables;
     private final FleetNews news;
     private final PlatformClient platform;
+    private final Consumer<PlatformObject> release;
 
     /**
      * Creates the poll.
@@ -23,16 +24,18 @@
      * @param tables the tables of this daemon
      * @param news takes what was read
      * @param platform the store
+     * @param release takes the release
      */
-    public StorePoll(DaemonTables tables, FleetNews news, PlatformClient platform) {
+    public StorePoll(DaemonTables tables, FleetNews news, PlatformClient platform, Consumer<PlatformObject> release) {
         this.tables = tables;
         this.news = news;
         this.platform = platform;
+        this.release = release;
     }
 
     /** Reads release, assignment, VM list and directories. */
     public void readAll() {
-        read(Kinds.RELEASES, Kinds.CURRENT_RELEASE, news::releaseFromStore);
+        read(Kinds.RELEASES, Kinds.CURRENT_RELEASE, release);
         read(Kinds.GROUP_ASSIGNMENTS, tables.failureDomain().value(), news::assignmentFromStore);
         readVms();
         readDirectories();
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonFaultTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonFaultTest.java
@@ -73,6 +73,24 @@
         }
     }
 
+    /** Guards against notes that are accepted after a restore but get a generation which the daemons refuse. */
+    @Test
+    void aRestoredStoreGetsTheReleaseInForceBack() throws Exception {
+        try (TestFleet fleet = new TestFleet()) {
+            fleet.accept(DaemonProcessTest.NOTE);
+            fleet.admin("POST", "/admin/snapshot", "{}");
+            DaemonProcess daemon = fleet.daemon("d-1", "cebu");
+            fleet.acceptNext();
+            TestFleet.await(
+                    "generation 2", () -> daemon.tables().config().generation().value() == 2);
+            fleet.admin("POST", "/admin/restore", "{\"snapshot\":0}");
+            TestFleet.await("generation 2 in the store", () -> fleet.storedGeneration() == 2);
+            fleet.acceptNext();
+            TestFleet.await(
+                    "generation 3", () -> daemon.tables().config().generation().value() == 3);
+        }
+    }
+
     /** Guards against serving that depends on the store, and against evidence that needs it. */
     @Test
     void groupsServeOnWhileTheStoreIsDown() throws Exception {
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/TestFleet.java
@@ -5,6 +5,7 @@
 import io.sesamehead.coordination.group.ServeGate;
 import io.sesamehead.daemon.protocol.Json;
 import io.sesamehead.daemon.protocol.Kinds;
+import io.sesamehead.daemon.protocol.PlatformObject;
 import io.sesamehead.daemon.protocol.ReleaseCodec;
 import io.sesamehead.daemon.protocol.ReleaseObject;
 import io.sesamehead.daemon.settings.DaemonSettings;
@@ -104,15 +105,23 @@
 
     /** Accepts the next generation with the same note. */
     void acceptNext() throws Exception {
-        var current = client.read(Kinds.RELEASES, Kinds.CURRENT_RELEASE);
-        Assertions.assertThat(current).isInstanceOf(StoreResult.Ok.class);
-        var object = ((StoreResult.Ok<io.sesamehead.daemon.protocol.PlatformObject>) current).value();
+        PlatformObject object = storedRelease();
         ReleaseObject release = ReleaseCodec.decode(object.spec());
         ReleaseObject next = release.next(release.note(), release.drained(), tokens.next());
         Assertions.assertThat(client.update(object.withSpec(ReleaseCodec.encode(next))))
                 .isInstanceOf(StoreResult.Ok.class);
     }
 
+    long storedGeneration() {
+        return storedRelease().spec().path("generation").asLong();
+    }
+
+    private PlatformObject storedRelease() {
+        StoreResult<PlatformObject> current = client.read(Kinds.RELEASES, Kinds.CURRENT_RELEASE);
+        Assertions.assertThat(current).isInstanceOf(StoreResult.Ok.class);
+        return ((StoreResult.Ok<PlatformObject>) current).value();
+    }
+
     DaemonProcess daemon(String name, String failureDomain, InetSocketAddress... seeds) {
         return start(name, failureDomain, platform.address(), seeds);
     }
