Move the check for ended engines out of the completion runner

Change: CrashDetector asks the head, records the suspects and announces them. Behaviour is unchanged.

Conclusion: the flow of an attempt reads without the probing of processes.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CallStack.java
@@ -85,7 +85,7 @@
                 around.remote(),
                 new Routing(router, stragglers),
                 suspects,
-                around.crashes(),
+                new CrashDetector(around.engines(), suspects, around.crashes(), nowMillis),
                 budgets,
                 live,
                 new EngineRequestIds(tables.self().incarnation()),
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.sesamehead.coordination.request.AttemptEnd;
-import io.sesamehead.coordination.request.Fingerprint;
 import io.sesamehead.coordination.request.NextStep;
 import io.sesamehead.coordination.request.RetryBudget;
 import io.sesamehead.coordination.request.SuspectDecision;
@@ -15,12 +14,10 @@
 import io.sesamehead.daemon.protocol.CompletionRequest;
 import io.sesamehead.daemon.runtime.ServingGroups.ServingGroup;
 import io.sesamehead.daemon.transport.EngineClient;
-import io.sesamehead.daemon.transport.ProcessState;
 import io.sesamehead.daemon.transport.UpstreamResult;
 import io.sesamehead.state.AttemptId;
 import io.sesamehead.state.ErrorKind;
 import io.sesamehead.state.FailureDomain;
-import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.Outcome;
 import io.sesamehead.state.RequestId;
 import java.time.Duration;
@@ -42,7 +39,6 @@
     private static final long RESUME_WAIT_MILLIS = 5_000;
 
     private static final Duration STATUS_TIMEOUT = Duration.ofMillis(300);
-    private static final int CRASH_CHECKS = 3;
 
     private final ServingGroups groups;
     private final EngineClient engines;
@@ -50,7 +46,7 @@
     private final Router router;
     private final StragglerDetector stragglers;
     private final Suspects suspects;
-    private final CrashNotices crashes;
+    private final CrashDetector crashes;
     private final RetryBudgets budgets;
     private final LiveAttempts live;
     private final EngineRequestIds engineRequests;
@@ -64,19 +60,19 @@
      * @param remote other failure domains
      * @param routing router and straggler detector
      * @param suspects requests that crash upstreams
-     * @param crashes tells the peers of crashes
+     * @param crashes finds engines that ended
      * @param budgets retry budgets
      * @param live attempts in flight
      * @param engineRequests names of attempts towards engines
      * @param nowMillis monotonic clock, in milliseconds
      */
-    public CompletionRunner(
+    CompletionRunner(
             ServingGroups groups,
             EngineClient engines,
             RemoteCalls remote,
             Routing routing,
             Suspects suspects,
-            CrashNotices crashes,
+            CrashDetector crashes,
             RetryBudgets budgets,
             LiveAttempts live,
             EngineRequestIds engineRequests,
@@ -173,7 +169,8 @@
             if (result instanceof UpstreamResult.DeadlinePassed || result instanceof UpstreamResult.Cancelled) {
                 stopEngine(engineRequest, serving);
             }
-            Optional<Outcome> end = after(task, attempt.get(), handle, result, () -> onLoss(upstream, serving));
+            Optional<Outcome> end =
+                    after(task, attempt.get(), handle, result, () -> crashes.headEnded(upstream, serving));
             if (end.isPresent() && end.get() instanceof Outcome.Ran) {
                 suspects.completed(attempt.get());
             }
@@ -296,35 +293,6 @@
         };
     }
 
-    /** Returns true when the process that ran the attempt has ended. */
-    private boolean onLoss(UpstreamId upstream, ServingGroup serving) {
-        if (!headEnded(serving)) {
-            return false;
-        }
-        ImmutableMap<Fingerprint, Integer> counts = suspects.crashed(upstream, nowMillis.getAsLong());
-        if (!counts.isEmpty()) {
-            Logger.warn("route: {} crashed with {} requests in flight", upstream, counts.size());
-            crashes.send(counts);
-        }
-        return true;
-    }
-
-    /** A dying process can break its streams shortly before its address refuses connections. */
-    private boolean headEnded(ServingGroup serving) {
-        Optional<Incarnation> engine = serving.group().head().engine();
-        if (engine.isEmpty()) {
-            return false;
-        }
-        for (int check = 0; check < CRASH_CHECKS; check++) {
-            ProcessState state = engines.processState(serving.headAddress(), engine.get(), STATUS_TIMEOUT);
-            if (state != ProcessState.UNKNOWN) {
-                return state == ProcessState.ENDED;
-            }
-            pause(GROUP_POLL_MILLIS);
-        }
-        return false;
-    }
-
     private void observeLatency(CompletionTask task, UpstreamId upstream) {
         double millis = task.delivery().meanBetweenTokensMillis();
         if (millis >= 0) {
@@ -353,7 +321,7 @@
         return Duration.ofMillis(Math.max(1, task.deadlineMillis() - nowMillis.getAsLong()));
     }
 
-    private static void pause(long millis) {
+    static void pause(long millis) {
         try {
             Thread.sleep(millis);
         } catch (InterruptedException e) {
