Read a stored release once when it may have to be written back

Cause: ReleaseRepair had the object decoded a second time to compare its generation, also when it was current, and an unreadable object was logged twice. Two tests repeated the set-up of a restored store.

Change: FleetNews.releaseFromStore returns the newer content, and the two tests share their set-up with their assertions unchanged.

Conclusion: behaviour is the same apart from the one log line.

--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/FleetNews.java
@@ -77,37 +77,25 @@
      * Sending to all relays would cost a relay as many copies again as there are relays elsewhere.
      *
      * @param object the object {@code releases/current}
+     * @return content of the release in force when the store holds an older one
      */
-    public void releaseFromStore(PlatformObject object) {
+    public Optional<JsonNode> releaseFromStore(PlatformObject object) {
         try {
             AcceptedRelease release = ReleaseCodec.decode(object.spec()).release();
             if (adopt(release, Json.bytes(object.spec()), ConfigSource.STORE, "the store")) {
                 releaseFrame.ifPresent(broadcast::toNear);
             }
+            return releaseNewerThan(release.generation());
         } catch (MalformedMessageException e) {
             Logger.error("config: the release in the store is unreadable: {}", e.getMessage());
+            return Optional.empty();
         }
     }
 
-    /**
-     * Returns the release in force when it is newer than a stored one.
-     *
-     * @param stored the object {@code releases/current}
-     * @return content of the newer release, or empty
-     */
-    public Optional<JsonNode> releaseNewerThan(PlatformObject stored) {
-        Optional<ConfigUpdate> inForce = releaseFrame.map(Frame::getConfigUpdate);
-        try {
-            long storedGeneration =
-                    ReleaseCodec.decode(stored.spec()).generation().value();
-            if (inForce.isEmpty() || inForce.get().getGeneration() <= storedGeneration) {
-                return Optional.empty();
-            }
-            return Optional.of(Json.parse(inForce.get().getNote().toByteArray()));
-        } catch (MalformedMessageException e) {
-            Logger.error("config: the release in the store is unreadable: {}", e.getMessage());
-            return Optional.empty();
-        }
+    private Optional<JsonNode> releaseNewerThan(Generation stored) throws MalformedMessageException {
+        Optional<ConfigUpdate> newer =
+                releaseFrame.map(Frame::getConfigUpdate).filter(update -> update.getGeneration() > stored.value());
+        return newer.isPresent() ? Optional.of(Json.parse(newer.get().getNote().toByteArray())) : Optional.empty();
     }
 
     /**
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ReleaseRepair.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ReleaseRepair.java
@@ -37,12 +37,10 @@
 
     @Override
     public void accept(PlatformObject object) {
-        news.releaseFromStore(object);
-        if (!tables.isRelay(clock.getAsLong())) {
-            return;
+        Optional<JsonNode> newer = news.releaseFromStore(object);
+        if (newer.isPresent() && tables.isRelay(clock.getAsLong())) {
+            writeBack(object.withSpec(newer.get()));
         }
-        Optional<JsonNode> newer = news.releaseNewerThan(object);
-        newer.ifPresent(spec -> writeBack(object.withSpec(spec)));
     }
 
     private void writeBack(PlatformObject object) {
--- a/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonFaultTest.java
+++ b/daemon/src/test/java/io/sesamehead/daemon/runtime/DaemonFaultTest.java
@@ -54,17 +54,23 @@
         }
     }
 
+    /** Starts a daemon with generation 2 in force, beside a store that went back to generation 1. */
+    private static DaemonProcess daemonAheadOfItsStore(TestFleet fleet) throws Exception {
+        fleet.accept(DaemonProcessTest.NOTE);
+        fleet.admin("POST", "/admin/snapshot", "{}");
+        DaemonProcess daemon = fleet.daemon("d-1", "cebu");
+        fleet.acceptNext();
+        TestFleet.await(
+                "generation 2", () -> daemon.tables().config().generation().value() == 2);
+        fleet.admin("POST", "/admin/restore", "{\"snapshot\":0}");
+        return daemon;
+    }
+
     /** Guards against a configuration that reverts when the store is restored from an old copy. */
     @Test
     void aRestoredStoreDoesNotRevertTheConfiguration() throws Exception {
         try (TestFleet fleet = new TestFleet()) {
-            fleet.accept(DaemonProcessTest.NOTE);
-            fleet.admin("POST", "/admin/snapshot", "{}");
-            DaemonProcess daemon = fleet.daemon("d-1", "cebu");
-            fleet.acceptNext();
-            TestFleet.await(
-                    "generation 2", () -> daemon.tables().config().generation().value() == 2);
-            fleet.admin("POST", "/admin/restore", "{\"snapshot\":0}");
+            DaemonProcess daemon = daemonAheadOfItsStore(fleet);
             DaemonProcess late = fleet.daemon("d-2", "cebu", TestFleet.peerAddress(daemon));
             TestFleet.await(
                     "generation 2 over the peer",
@@ -77,13 +83,7 @@
     @Test
     void aRestoredStoreGetsTheReleaseInForceBack() throws Exception {
         try (TestFleet fleet = new TestFleet()) {
-            fleet.accept(DaemonProcessTest.NOTE);
-            fleet.admin("POST", "/admin/snapshot", "{}");
-            DaemonProcess daemon = fleet.daemon("d-1", "cebu");
-            fleet.acceptNext();
-            TestFleet.await(
-                    "generation 2", () -> daemon.tables().config().generation().value() == 2);
-            fleet.admin("POST", "/admin/restore", "{\"snapshot\":0}");
+            DaemonProcess daemon = daemonAheadOfItsStore(fleet);
             TestFleet.await("generation 2 in the store", () -> fleet.storedGeneration() == 2);
             fleet.acceptNext();
             TestFleet.await(
