--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -0,0 +1,51 @@
+package io.sesamehead.coordination.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Counts how often a request was running when its upstream broke off. A request that did so several times is not sent
+ * again. Other daemons' counts come by report. Not thread-safe.
+ */
+public final class CrashHistory {
+    /** Crashes after which a request is refused. Innocent requests rarely meet that many in the time remembered. */
+    private static final int LIMIT = 3;
+    /** How long a crash is remembered, in milliseconds: well above the longest deadline of a call and its returns. */
+    private static final long MEMORY_MILLIS = 60_000;
+    /** Requests remembered at most. */
+    private static final int CAPACITY = 4_096;
+
+    private final Map<Long, Entry> entries = new HashMap<>();
+
+    private record Entry(int crashes, long lastMillis) {}
+
+    /**
+     * Records that a request was running when its upstream broke off.
+     *
+     * @param fingerprint hash of path, caller and body
+     * @param nowMillis present steady time
+     */
+    public void recordCrash(long fingerprint, long nowMillis) {
+        if (entries.size() >= CAPACITY) {
+            entries.values().removeIf(entry -> nowMillis - entry.lastMillis() > MEMORY_MILLIS);
+        }
+        if (entries.size() >= CAPACITY && !entries.containsKey(fingerprint)) {
+            return;
+        }
+        Entry old = entries.get(fingerprint);
+        boolean forgotten = old == null || nowMillis - old.lastMillis() > MEMORY_MILLIS;
+        entries.put(fingerprint, new Entry(forgotten ? 1 : old.crashes() + 1, nowMillis));
+    }
+
+    /**
+     * Tells whether a request is refused because of its crashes.
+     *
+     * @param fingerprint hash of path, caller and body
+     * @param nowMillis present steady time
+     * @return true after the limit of crashes in the time remembered
+     */
+    public boolean refused(long fingerprint, long nowMillis) {
+        Entry entry = entries.get(fingerprint);
+        return entry != null && entry.crashes() >= LIMIT && nowMillis - entry.lastMillis() <= MEMORY_MILLIS;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -0,0 +1,112 @@
+package io.sesamehead.coordination.dispatch;
+
+import io.sesamehead.state.FailureDomain;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the target of a call, or refuses it at once when its first event cannot come in a useful time. The load it
+ * answers: bursts and losses of groups, when places are fewer than callers. A call that could not be on time would take
+ * the place of one that can.
+ */
+public final class Dispatcher {
+    /** Differences of load below this many calls are left to chance, so that daemons do not all choose alike. */
+    private static final double CHANCE_CALLS = 1.5;
+    /** Calls that a target in another failure domain must be ahead to be preferred. */
+    private static final double DISTANCE_CALLS = 0.5;
+    /** Part of the objective that an estimate may use up. */
+    private static final double OBJECTIVE_PART = 0.9;
+    /** Places beyond a target's own that a call without any chance of being on time may queue for. */
+    private static final double LATE_QUEUE_PART = 0.15;
+    /** Return times are spread over this factor, so that refused callers do not come back together. */
+    private static final double RETURN_SPREAD = 1.0;
+    /** Shortest return time, in milliseconds: an event interval of a busy target. */
+    private static final long MIN_RETURN_MILLIS = 50;
+    /** Return time while no target serves, in milliseconds: a repair with prepared upstreams takes about as long. */
+    private static final long REPAIR_RETURN_MILLIS = 700;
+    /** Part of the remaining time that a caller waits at most before it comes back. */
+    private static final double RETURN_PART = 0.3;
+
+    private final FailureDomain here;
+    private final TargetTable table;
+    private final ServiceTimes times;
+    private final RandomGenerator random;
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param here this daemon's failure domain
+     * @param table load of the targets
+     * @param times how long calls take
+     * @param random source of chance
+     */
+    public Dispatcher(FailureDomain here, TargetTable table, ServiceTimes times, RandomGenerator random) {
+        this.here = here;
+        this.table = table;
+        this.times = times;
+        this.random = random;
+    }
+
+    /**
+     * Decides where a call goes.
+     *
+     * @param call the call
+     * @param targets targets that serve it and were not tried
+     * @return the decision
+     */
+    public DispatchDecision decide(CallShape call, List<Target> targets) {
+        Optional<Target> best = leastLoaded(targets);
+        if (best.isEmpty()) {
+            return new DispatchDecision.Refuse(
+                    DispatchDecision.Reason.NO_TARGET, returnMillis(REPAIR_RETURN_MILLIS, call));
+        }
+        Target target = best.get();
+        int load = table.inFlight(target.key());
+        long expected = times.firstEventMillis(target, load, call.promptTokens());
+        if (load < target.slots() || worthQueueing(call, target, load, expected)) {
+            return new DispatchDecision.Send(target, expected);
+        }
+        return new DispatchDecision.Refuse(
+                DispatchDecision.Reason.NO_PLACE, returnMillis(times.waitMillis(target, load), call));
+    }
+
+    private boolean worthQueueing(CallShape call, Target target, int load, long expectedMillis) {
+        if (expectedMillis > call.remainingMillis()) {
+            return false;
+        }
+        boolean onTime = call.spentMillis() + expectedMillis <= call.objectiveMillis() * OBJECTIVE_PART;
+        boolean returned = call.spentMillis() > 0;
+        return onTime || (returned && load < target.slots() * (1 + LATE_QUEUE_PART));
+    }
+
+    private Optional<Target> leastLoaded(List<Target> targets) {
+        Target best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (Target target : targets) {
+            if (table.suspected(target.key())) {
+                continue;
+            }
+            double score = score(target);
+            if (score < bestScore) {
+                best = target;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double score(Target target) {
+        double calls = table.inFlight(target.key()) + random.nextDouble(CHANCE_CALLS);
+        if (!target.receiver().failureDomain().equals(here)) {
+            calls += DISTANCE_CALLS;
+        }
+        return calls / target.slots();
+    }
+
+    private long returnMillis(long waitMillis, CallShape call) {
+        double spread = 1 + random.nextDouble() * RETURN_SPREAD;
+        long wanted = Math.max(MIN_RETURN_MILLIS, (long) (waitMillis * spread));
+        return Math.min(wanted, (long) (call.remainingMillis() * RETURN_PART));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/RetryAllowance.java
@@ -0,0 +1,94 @@
+package io.sesamehead.coordination.dispatch;
+
+/**
+ * Limits how often calls of one service are sent again. The limit holds for all daemons together over a sliding window;
+ * each daemon uses its part of the fixed allowance and the share that its own calls earn, without asking the others.
+ * Not thread-safe.
+ */
+public final class RetryAllowance {
+    private static final int BUCKETS = 10;
+    /** Part of the limit that is used: other daemons may count one more or one fewer daemon. */
+    private static final double MARGIN = 0.8;
+
+    private final double ratio;
+    private final double slack;
+    private final long bucketMillis;
+    private final long[] calls = new long[BUCKETS + 1];
+    private final long[] repeats = new long[BUCKETS + 1];
+    private long current;
+
+    /**
+     * Creates an allowance.
+     *
+     * @param ratio repeats allowed for each call
+     * @param slack repeats allowed to all daemons in each window beside those
+     * @param windowMillis length of the window, in milliseconds
+     */
+    public RetryAllowance(double ratio, double slack, long windowMillis) {
+        this.ratio = ratio;
+        this.slack = slack;
+        this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+    }
+
+    /**
+     * Records a call when it arrives.
+     *
+     * @param nowMillis present steady time
+     */
+    public void recordCall(long nowMillis) {
+        advance(nowMillis);
+        calls[slot(current)]++;
+    }
+
+    /**
+     * Takes one repeat.
+     *
+     * @param nowMillis present steady time
+     * @param daemons daemons that share the allowance, at least 1
+     * @return true if the call may be sent again
+     */
+    public boolean tryRepeat(long nowMillis, int daemons) {
+        if (left(nowMillis, daemons) < 1) {
+            return false;
+        }
+        repeats[slot(current)]++;
+        return true;
+    }
+
+    /**
+     * Returns the repeats left in the window.
+     *
+     * @param nowMillis present steady time
+     * @param daemons daemons that share the allowance, at least 1
+     * @return the count, below 1 when none is left
+     */
+    public double left(long nowMillis, int daemons) {
+        advance(nowMillis);
+        double limit = MARGIN * (ratio * sum(calls) + slack / Math.max(1, daemons));
+        return limit - sum(repeats);
+    }
+
+    private void advance(long nowMillis) {
+        long bucket = nowMillis / bucketMillis;
+        if (bucket - current > BUCKETS) {
+            current = bucket - BUCKETS - 1;
+        }
+        while (current < bucket) {
+            current++;
+            calls[slot(current)] = 0;
+            repeats[slot(current)] = 0;
+        }
+    }
+
+    private static int slot(long bucket) {
+        return (int) (bucket % (BUCKETS + 1));
+    }
+
+    private static long sum(long[] counts) {
+        long total = 0;
+        for (long count : counts) {
+            total += count;
+        }
+        return total;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -0,0 +1,241 @@
+package io.sesamehead.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * Calls in flight at each target, this daemon's own and those that other daemons report, and when a target last
+ * produced anything for any of them. Not thread-safe: it belongs to the event loop.
+ */
+public final class TargetTable {
+    /** Silence of all streams after which a target counts as stopped, in milliseconds: ten usual event intervals. */
+    public static final long STALL_MILLIS = 600;
+    /** Silence towards this daemon alone after which its calls move, in milliseconds: a lost packet sent again fits. */
+    public static final long LOCAL_STALL_MILLIS = 1_000;
+    /** Age beyond which a daemon's report is dropped, in milliseconds: several lost datagrams in a row. */
+    private static final long REPORT_TTL_MILLIS = 1_200;
+    /** Multiple of the usual interval between events that a slow target may reach before it counts as stopped. */
+    private static final int SLOW_FACTOR = 6;
+    /** Longest silence granted to a slow target, in milliseconds. */
+    private static final long MAX_STALL_MILLIS = 1_500;
+    /** Weight of a new interval in the average. */
+    private static final double INTERVAL_WEIGHT = 0.2;
+
+    private final Map<TargetKey, Own> own = new HashMap<>();
+    private final Map<String, PeerRows> peers = new HashMap<>();
+    private final Map<TargetKey, Integer> peerInFlight = new HashMap<>();
+    private final Map<TargetKey, Long> peerProgressAt = new HashMap<>();
+
+    private static final class Own {
+        private int inFlight;
+        private long progressAt;
+        private double intervalMillis;
+        private boolean suspected;
+    }
+
+    private record PeerRows(long receivedAt, List<TargetReport> rows) {}
+
+    /**
+     * Records that a call is sent.
+     *
+     * @param key the target
+     * @param nowMillis present steady time
+     */
+    public void sent(TargetKey key, long nowMillis) {
+        Own row = own.computeIfAbsent(key, name -> new Own());
+        if (row.inFlight == 0) {
+            row.progressAt = nowMillis;
+        }
+        row.inFlight++;
+    }
+
+    /**
+     * Records an event or an answer.
+     *
+     * @param key the target
+     * @param nowMillis present steady time
+     */
+    public void progressed(TargetKey key, long nowMillis) {
+        Own row = own.get(key);
+        if (row == null) {
+            return;
+        }
+        double interval = nowMillis - row.progressAt;
+        row.intervalMillis += (interval - row.intervalMillis) * INTERVAL_WEIGHT;
+        row.progressAt = nowMillis;
+        row.suspected = false;
+    }
+
+    /**
+     * Records that a call ended or was taken back.
+     *
+     * @param key the target
+     */
+    public void ended(TargetKey key) {
+        Own row = own.get(key);
+        if (row != null && row.inFlight > 0) {
+            row.inFlight--;
+        }
+    }
+
+    /**
+     * Takes another daemon's report in place of its earlier one.
+     *
+     * @param daemon the daemon
+     * @param rows its calls by target
+     * @param nowMillis present steady time
+     */
+    public void report(String daemon, List<TargetReport> rows, long nowMillis) {
+        drop(peers.put(daemon, new PeerRows(nowMillis, List.copyOf(rows))));
+        for (TargetReport row : rows) {
+            peerInFlight.merge(row.key(), row.inFlight(), Integer::sum);
+            peerProgressAt.merge(row.key(), nowMillis - row.silentMillis(), Math::max);
+        }
+    }
+
+    /**
+     * Returns the calls in flight at a target from all daemons.
+     *
+     * @param key the target
+     * @return the count
+     */
+    public int inFlight(TargetKey key) {
+        Own row = own.get(key);
+        return (row == null ? 0 : row.inFlight) + peerInFlight.getOrDefault(key, 0);
+    }
+
+    /**
+     * Returns this daemon's calls in flight at a target.
+     *
+     * @param key the target
+     * @return the count
+     */
+    public int ownInFlight(TargetKey key) {
+        Own row = own.get(key);
+        return row == null ? 0 : row.inFlight;
+    }
+
+    /**
+     * Tells whether calls wait at a target that has sent nothing to any daemon for too long.
+     *
+     * @param key the target
+     * @return true while the target is suspected by this daemon or another one
+     */
+    public boolean suspected(TargetKey key) {
+        Own row = own.get(key);
+        if (row != null && row.suspected) {
+            return true;
+        }
+        for (PeerRows peer : peers.values()) {
+            for (TargetReport report : peer.rows()) {
+                if (report.suspected() && report.key().equals(key)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Looks for targets that have fallen silent and drops outdated reports.
+     *
+     * @param nowMillis present steady time
+     * @return targets that this daemon newly suspects
+     */
+    public List<TargetKey> findStalled(long nowMillis) {
+        expire(nowMillis);
+        List<TargetKey> stalled = new ArrayList<>();
+        for (Map.Entry<TargetKey, Own> entry : own.entrySet()) {
+            Own row = entry.getValue();
+            if (row.inFlight == 0 || row.suspected) {
+                continue;
+            }
+            long ownSilence = nowMillis - row.progressAt;
+            long silence = nowMillis - Math.max(row.progressAt, peerProgress(entry.getKey()));
+            if (silence > limitMillis(row, STALL_MILLIS) || ownSilence > limitMillis(row, LOCAL_STALL_MILLIS)) {
+                row.suspected = silence > limitMillis(row, STALL_MILLIS);
+                stalled.add(entry.getKey());
+            }
+        }
+        return stalled;
+    }
+
+    /**
+     * Returns the rows that other daemons are told.
+     *
+     * @param nowMillis present steady time
+     * @return one row for each target with calls in flight or under suspicion
+     */
+    public List<TargetReport> reports(long nowMillis) {
+        List<TargetReport> rows = new ArrayList<>();
+        own.forEach((key, row) -> {
+            if (row.inFlight > 0 || row.suspected) {
+                rows.add(new TargetReport(key, row.inFlight, nowMillis - row.progressAt, row.suspected));
+            }
+        });
+        return rows;
+    }
+
+    /**
+     * Forgets targets that exist no more.
+     *
+     * @param known decides which targets are still listed
+     */
+    public void retain(Predicate<TargetKey> known) {
+        own.entrySet().removeIf(entry -> entry.getValue().inFlight == 0 && !known.test(entry.getKey()));
+        peerProgressAt.keySet().removeIf(key -> !known.test(key));
+    }
+
+    /**
+     * Shifts all marks after this process did not run, so that its own pause is not taken for a target's silence.
+     *
+     * @param pauseMillis length of the pause, in milliseconds
+     */
+    public void excusePause(long pauseMillis) {
+        own.values().forEach(row -> row.progressAt += pauseMillis);
+        peerProgressAt.replaceAll((key, at) -> at + pauseMillis);
+    }
+
+    /**
+     * Returns how many other daemons report.
+     *
+     * @return the count
+     */
+    public int peerCount() {
+        return peers.size();
+    }
+
+    private static long limitMillis(Own row, long floorMillis) {
+        return Math.max(floorMillis, Math.min(MAX_STALL_MILLIS, (long) (row.intervalMillis * SLOW_FACTOR)));
+    }
+
+    private long peerProgress(TargetKey key) {
+        return peerProgressAt.getOrDefault(key, Long.MIN_VALUE / 2);
+    }
+
+    private void expire(long nowMillis) {
+        Iterator<PeerRows> rows = peers.values().iterator();
+        while (rows.hasNext()) {
+            PeerRows peer = rows.next();
+            if (nowMillis - peer.receivedAt() > REPORT_TTL_MILLIS) {
+                rows.remove();
+                drop(peer);
+            }
+        }
+    }
+
+    private void drop(PeerRows old) {
+        if (old == null) {
+            return;
+        }
+        for (TargetReport row : old.rows()) {
+            peerInFlight.computeIfPresent(
+                    row.key(),
+                    (key, count) -> count <= row.inFlight() ? null : Integer.valueOf(count - row.inFlight()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -0,0 +1,119 @@
+package io.sesamehead.coordination.replica;
+
+import io.sesamehead.state.InstanceId;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A group that has lost a member or stopped. Its other members may join elsewhere only when its head cannot serve any
+ * more: it has left, has started anew, has reported the loss itself, or has had the time in which it must notice it.
+ */
+final class DissolvingReplica {
+    /** Time after which an unanswered order is sent again, in milliseconds. */
+    private static final long RESEND_MILLIS = 700;
+    /** Time that the head has to answer before the other members leave, which makes it stop, in milliseconds. */
+    private static final long HEAD_ANSWER_MILLIS = 600;
+    /** Added to the time in which a head notices a missing member, for clocks and messages, in milliseconds. */
+    private static final long MARGIN_MILLIS = 700;
+
+    private final ReplicaKey key;
+    private final Optional<InstanceId> head;
+    private final long headLife;
+    private final long startMillis;
+    private final long stallMillis;
+    private final Map<InstanceId, Long> sentAt = new HashMap<>();
+    private final Set<InstanceId> left = new HashSet<>();
+    private long memberLostAt;
+    private boolean headGone;
+
+    DissolvingReplica(Replica replica, boolean memberMissing, long startMillis, long stallMillis) {
+        this.key = replica.key();
+        this.head = replica.head().map(UpstreamEntry::id);
+        this.headLife = replica.head().map(UpstreamEntry::startedAtEpochMillis).orElse(0L);
+        this.startMillis = startMillis;
+        this.stallMillis = stallMillis;
+        // Without a listed head, its silence has begun at the latest now.
+        this.memberLostAt = memberMissing ? startMillis : Long.MAX_VALUE;
+    }
+
+    ReplicaKey key() {
+        return key;
+    }
+
+    void onResult(ReplicaAction action, OrderResult result, long nowMillis) {
+        if (!(action instanceof ReplicaAction.Leave leave)) {
+            return;
+        }
+        boolean gone = result == OrderResult.ACCEPTED || result == OrderResult.NO_SUCH_UPSTREAM;
+        if (!gone) {
+            return;
+        }
+        left.add(leave.target());
+        if (head.filter(leave.target()::equals).isPresent()) {
+            headGone = true;
+        } else {
+            memberLostAt = Math.min(memberLostAt, nowMillis);
+        }
+    }
+
+    void advance(Replica replica, Map<InstanceId, UpstreamEntry> entries, long nowMillis, List<ReplicaAction> actions) {
+        noteHead(entries, replica);
+        if (released(nowMillis)) {
+            return;
+        }
+        boolean headSilent = head.isEmpty() || nowMillis - startMillis > HEAD_ANSWER_MILLIS;
+        for (UpstreamEntry member : replica.members()) {
+            boolean isHead = head.filter(member.id()::equals).isPresent();
+            if (isHead || headSilent) {
+                requestLeave(member.id(), nowMillis, actions);
+            }
+        }
+    }
+
+    /**
+     * Tells whether the members may join other groups.
+     *
+     * @param nowMillis present time
+     * @return true when the head cannot serve any more
+     */
+    boolean released(long nowMillis) {
+        if (headGone) {
+            return true;
+        }
+        return memberLostAt != Long.MAX_VALUE && nowMillis >= memberLostAt + stallMillis + MARGIN_MILLIS;
+    }
+
+    private void noteHead(Map<InstanceId, UpstreamEntry> entries, Replica replica) {
+        if (head.isEmpty()) {
+            return;
+        }
+        UpstreamEntry entry = entries.get(head.get());
+        if (entry == null) {
+            return;
+        }
+        boolean newLife = entry.startedAtEpochMillis() != headLife;
+        boolean elsewhere = !replica.members().contains(entry);
+        boolean stopped = entry.membership()
+                .filter(membership -> membership.replica().equals(key) && membership.state() == MemberState.BROKEN)
+                .isPresent();
+        if (newLife || elsewhere || stopped) {
+            headGone = true;
+        }
+    }
+
+    private void requestLeave(InstanceId id, long nowMillis, List<ReplicaAction> actions) {
+        if (left.contains(id)) {
+            return;
+        }
+        Long sent = sentAt.get(id);
+        if (sent != null && nowMillis - sent < RESEND_MILLIS) {
+            return;
+        }
+        sentAt.put(id, nowMillis);
+        actions.add(new ReplicaAction.Leave(id, key));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
@@ -0,0 +1,73 @@
+package io.sesamehead.coordination.replica;
+
+import io.sesamehead.coordination.catalog.ModelProfile;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Chooses the free upstreams that form a group, all within one fabric domain. */
+final class MemberChoice {
+    /** Time of a join whose model the upstream already holds, in milliseconds. */
+    private static final long HELD_MILLIS = 200;
+
+    /**
+     * Free upstreams that could form a group.
+     *
+     * @param members the upstreams, the head first
+     * @param loads members that need a load from the weight store
+     * @param readyMillis time until all are ready, in milliseconds
+     * @param freeLeft free upstreams that the domain keeps
+     */
+    record Candidate(List<UpstreamEntry> members, int loads, long readyMillis, int freeLeft) {}
+
+    private MemberChoice() {}
+
+    static Optional<Candidate> best(
+            List<UpstreamEntry> free, ModelProfile model, Map<String, Integer> groupsByFailureDomain) {
+        List<Candidate> candidates = new ArrayList<>();
+        byFabricDomain(free).values().forEach(domain -> ofDomain(domain, model).ifPresent(candidates::add));
+        Comparator<Candidate> order = Comparator.comparingLong(Candidate::readyMillis)
+                .thenComparing(candidate -> groupsByFailureDomain.getOrDefault(failureDomain(candidate), 0))
+                .thenComparing(Comparator.comparingInt(Candidate::freeLeft).reversed());
+        return candidates.stream().min(order);
+    }
+
+    static Map<String, List<UpstreamEntry>> byFabricDomain(List<UpstreamEntry> entries) {
+        Map<String, List<UpstreamEntry>> domains = new HashMap<>();
+        for (UpstreamEntry entry : entries) {
+            domains.computeIfAbsent(entry.fabricDomain(), name -> new ArrayList<>())
+                    .add(entry);
+        }
+        return domains;
+    }
+
+    static String failureDomain(Candidate candidate) {
+        return candidate.members().get(0).failureDomain().value();
+    }
+
+    private static Optional<Candidate> ofDomain(List<UpstreamEntry> free, ModelProfile model) {
+        if (free.size() < model.size()) {
+            return Optional.empty();
+        }
+        List<UpstreamEntry> sorted = new ArrayList<>(free);
+        sorted.sort(Comparator.<UpstreamEntry>comparingLong(entry -> readyMillis(entry, model))
+                .thenComparing(entry -> entry.staged().isEmpty() ? 0 : 1)
+                .thenComparing(UpstreamEntry::id));
+        List<UpstreamEntry> members = List.copyOf(sorted.subList(0, model.size()));
+        int loads = (int) members.stream()
+                .filter(entry -> readyMillis(entry, model) == model.loadMillis())
+                .count();
+        long ready = readyMillis(members.get(members.size() - 1), model);
+        return Optional.of(new Candidate(members, loads, ready, free.size() - model.size()));
+    }
+
+    private static long readyMillis(UpstreamEntry entry, ModelProfile model) {
+        if (entry.loaded().contains(model.name())) {
+            return HELD_MILLIS;
+        }
+        return entry.staged().contains(model.name()) ? model.warmMillis() : model.loadMillis();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaKey.java
@@ -0,0 +1,42 @@
+package io.sesamehead.coordination.replica;
+
+import java.util.Optional;
+
+/**
+ * Identity of a group. One name and epoch always stand for the same list of members.
+ *
+ * @param group the group's name
+ * @param epoch number that grows with each group formed
+ */
+public record ReplicaKey(String group, long epoch) {
+    private static final char SEPARATOR = '-';
+
+    /**
+     * Names a new group. The name carries the model, so that a later controller knows what a group forms.
+     *
+     * @param model the model's name
+     * @param epoch the group's epoch
+     * @return the key
+     */
+    public static ReplicaKey of(String model, long epoch) {
+        return new ReplicaKey(model + SEPARATOR + epoch, epoch);
+    }
+
+    /**
+     * Returns the model in the group's name.
+     *
+     * @return the model's name, or empty for a name that this system did not give
+     */
+    public Optional<String> model() {
+        String suffix = SEPARATOR + Long.toString(epoch);
+        if (!group.endsWith(suffix)) {
+            return Optional.empty();
+        }
+        return Optional.of(group.substring(0, group.length() - suffix.length()));
+    }
+
+    @Override
+    public String toString() {
+        return group + "/" + epoch;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
@@ -0,0 +1,324 @@
+package io.sesamehead.coordination.replica;
+
+import io.sesamehead.coordination.catalog.ModelProfile;
+import io.sesamehead.state.Epoch;
+import io.sesamehead.state.InstanceId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Plans the groups of one service for the holder of the controller lease. All that must outlast a holder is in the
+ * upstreams' own reports: a new planner adopts the groups that stand and finishes those that form. Not thread-safe.
+ */
+public final class ReplicaPlanner {
+    /** Part of a fabric domain's upstreams that stays free for repairs. */
+    private static final double RESERVE_SHARE = 0.2;
+    /** Part of a model's places in use above which the reserve is given up for another group. */
+    private static final double HIGH_USE = 0.6;
+    /** Time that calls have to end at a group with a leaving member, in milliseconds: a stream's usual length. */
+    private static final long LEAVING_GRACE_MILLIS = 1_500;
+
+    private final long controllerEpoch;
+    private final long stallMillis;
+    private final LoadLimiter limiter = new LoadLimiter();
+    private final SpareStaging staging = new SpareStaging();
+    private final Reachability reachability = new Reachability();
+    private final Map<ReplicaKey, FormingReplica> forming = new LinkedHashMap<>();
+    private final Map<ReplicaKey, DissolvingReplica> dissolving = new HashMap<>();
+    private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
+    private final Set<ReplicaKey> abandoned = new HashSet<>();
+    private long groupsFormed;
+
+    /**
+     * Creates a planner for one term of the lease.
+     *
+     * @param controllerEpoch epoch of the lease, above those of all earlier holders
+     * @param stallMillis time in which a head notices that a member is missing, in milliseconds
+     */
+    public ReplicaPlanner(long controllerEpoch, long stallMillis) {
+        this.controllerEpoch = controllerEpoch;
+        this.stallMillis = stallMillis;
+    }
+
+    /**
+     * Decides the orders to send now.
+     *
+     * @param view the fleet as known now
+     * @param nowMillis present steady time, in milliseconds
+     * @return the orders
+     */
+    public List<ReplicaAction> plan(FleetView view, long nowMillis) {
+        List<ReplicaAction> actions = new ArrayList<>();
+        Map<InstanceId, UpstreamEntry> byId = new LinkedHashMap<>();
+        view.entries().forEach(entry -> byId.put(entry.id(), entry));
+        Map<ReplicaKey, Replica> replicas = ReplicaIndex.of(view.entries());
+        advanceForming(view, replicas, byId, nowMillis, actions);
+        Map<String, Integer> healthy = inspectStanding(view, replicas, nowMillis);
+        advanceDissolving(replicas, byId, nowMillis, actions);
+        List<UpstreamEntry> free = freeUpstreams(view, nowMillis);
+        formGroups(view, free, healthy, nowMillis);
+        advanceForming(view, replicas, byId, nowMillis, actions);
+        staging.plan(view, free, limiter, nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Takes the end of an order.
+     *
+     * @param action the order
+     * @param result how it ended
+     * @param nowMillis present steady time, in milliseconds
+     */
+    public void onResult(ReplicaAction action, OrderResult result, long nowMillis) {
+        switch (result) {
+            case UNKNOWN -> reachability.unanswered(action.target(), nowMillis);
+            case NO_SUCH_UPSTREAM -> reachability.absent(action.target(), nowMillis);
+            case REFUSED -> reachability.absent(action.target(), nowMillis);
+            case ACCEPTED, FENCED -> reachability.answered(action.target());
+        }
+        switch (action) {
+            case ReplicaAction.Join join -> formingOf(join.replica()).ifPresent(group -> group.onResult(join, result));
+            case ReplicaAction.Open open -> formingOf(open.replica()).ifPresent(group -> group.onResult(open, result));
+            case ReplicaAction.Leave leave ->
+                dissolvingOf(leave.replica()).ifPresent(group -> group.onResult(leave, result, nowMillis));
+            case ReplicaAction.Stage stage -> staging.onResult(stage, result);
+        }
+    }
+
+    /**
+     * Returns how many groups are being formed.
+     *
+     * @return the count
+     */
+    public int formingCount() {
+        return forming.size();
+    }
+
+    private Optional<FormingReplica> formingOf(ReplicaKey key) {
+        return Optional.ofNullable(forming.get(key));
+    }
+
+    private Optional<DissolvingReplica> dissolvingOf(ReplicaKey key) {
+        return Optional.ofNullable(dissolving.get(key));
+    }
+
+    private void advanceForming(
+            FleetView view,
+            Map<ReplicaKey, Replica> replicas,
+            Map<InstanceId, UpstreamEntry> byId,
+            long nowMillis,
+            List<ReplicaAction> actions) {
+        for (FormingReplica group : List.copyOf(forming.values())) {
+            FormingReplica.Progress progress = view.stalled().contains(group.key())
+                    ? FormingReplica.Progress.FAILED
+                    : group.advance(byId, nowMillis, actions);
+            switch (progress) {
+                case WAITING -> {}
+                case SERVING -> forming.remove(group.key());
+                case FAILED -> giveUp(group, replicas, nowMillis);
+            }
+        }
+    }
+
+    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas, long nowMillis) {
+        forming.remove(group.key());
+        if (!group.mayBeOpen()) {
+            abandoned.add(group.key());
+            return;
+        }
+        Replica replica = replicas.getOrDefault(group.key(), new Replica(group.key(), List.of()));
+        dissolve(replica, replica.members().size() < group.members().size(), nowMillis);
+    }
+
+    private void dissolve(Replica replica, boolean memberMissing, long nowMillis) {
+        dissolving.computeIfAbsent(
+                replica.key(), key -> new DissolvingReplica(replica, memberMissing, nowMillis, stallMillis));
+    }
+
+    /** Adopts or gives up the groups that no entry of this planner covers; returns the healthy groups by model. */
+    private Map<String, Integer> inspectStanding(FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis) {
+        Map<String, Integer> healthy = new HashMap<>();
+        leavingSince.keySet().retainAll(replicas.keySet());
+        dissolving.keySet().retainAll(replicas.keySet());
+        abandoned.retainAll(replicas.keySet());
+        for (Replica replica : replicas.values()) {
+            ReplicaKey key = replica.key();
+            if (forming.containsKey(key) || dissolving.containsKey(key) || abandoned.contains(key)) {
+                continue;
+            }
+            inspect(view, replica, nowMillis).ifPresent(model -> healthy.merge(model, 1, Integer::sum));
+        }
+        forming.values().forEach(group -> healthy.merge(group.model(), 1, Integer::sum));
+        return healthy;
+    }
+
+    private Optional<String> inspect(FleetView view, Replica replica, long nowMillis) {
+        Optional<ModelProfile> model = replica.key().model().flatMap(view.engine()::model);
+        boolean stalled = view.stalled().contains(replica.key());
+        if (model.isEmpty() || stalled || replica.head().isEmpty()) {
+            dissolve(replica, replica.head().isEmpty(), nowMillis);
+            return Optional.empty();
+        }
+        if (replica.members().size() != model.get().size()) {
+            dissolve(replica, true, nowMillis);
+            return Optional.empty();
+        }
+        if (replica.serving(model.get().size())) {
+            return Optional.of(model.get().name());
+        }
+        if (replica.members().stream().anyMatch(UpstreamEntry::leaving)) {
+            dissolveAfterGrace(replica, nowMillis);
+            return Optional.empty();
+        }
+        boolean broken = replica.members().stream()
+                .anyMatch(member -> member.membership().orElseThrow().state() == MemberState.BROKEN);
+        if (broken) {
+            dissolve(replica, false, nowMillis);
+            return Optional.empty();
+        }
+        adopt(replica, model.get(), nowMillis);
+        return Optional.empty();
+    }
+
+    private void dissolveAfterGrace(Replica replica, long nowMillis) {
+        long since = leavingSince.computeIfAbsent(replica.key(), key -> nowMillis);
+        if (nowMillis - since >= LEAVING_GRACE_MILLIS) {
+            dissolve(replica, false, nowMillis);
+        }
+    }
+
+    private void adopt(Replica replica, ModelProfile model, long nowMillis) {
+        forming.put(
+                replica.key(),
+                new FormingReplica(
+                        replica.key(), model.name(), replica.members(), nowMillis, model.loadMillis(), true));
+    }
+
+    private void advanceDissolving(
+            Map<ReplicaKey, Replica> replicas,
+            Map<InstanceId, UpstreamEntry> byId,
+            long nowMillis,
+            List<ReplicaAction> actions) {
+        for (DissolvingReplica group : dissolving.values()) {
+            group.advance(replicas.get(group.key()), byId, nowMillis, actions);
+        }
+    }
+
+    private List<UpstreamEntry> freeUpstreams(FleetView view, long nowMillis) {
+        Set<InstanceId> promised = new HashSet<>();
+        forming.values().forEach(group -> promised.addAll(group.members()));
+        List<UpstreamEntry> free = new ArrayList<>();
+        for (UpstreamEntry entry : view.entries()) {
+            boolean usable = !entry.leaving() && reachability.reachable(entry.id(), nowMillis);
+            if (usable && !promised.contains(entry.id()) && released(entry, nowMillis)) {
+                free.add(entry);
+            }
+        }
+        return free;
+    }
+
+    private boolean released(UpstreamEntry entry, long nowMillis) {
+        if (entry.membership().isEmpty()) {
+            return true;
+        }
+        ReplicaKey key = entry.membership().get().replica();
+        if (abandoned.contains(key)) {
+            return true;
+        }
+        return dissolvingOf(key).filter(group -> group.released(nowMillis)).isPresent();
+    }
+
+    private void formGroups(FleetView view, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
+        boolean formed = true;
+        while (formed) {
+            formed = false;
+            for (ModelProfile model : byNeed(view, groups)) {
+                if (formOne(view, model, free, groups, nowMillis)) {
+                    groups.merge(model.name(), 1, Integer::sum);
+                    formed = true;
+                    break;
+                }
+            }
+        }
+    }
+
+    private boolean formOne(
+            FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
+        List<UpstreamEntry> offered = withoutReserve(view, model, free, groups);
+        Optional<MemberChoice.Candidate> choice = MemberChoice.best(offered, model, groupsByFailureDomain(view, model));
+        if (choice.isEmpty() || !limiter.tryStart(nowMillis, choice.get().loads(), model.loadMillis(), view)) {
+            return false;
+        }
+        groupsFormed++;
+        Epoch epoch = Epoch.of(controllerEpoch, groupsFormed);
+        ReplicaKey key = ReplicaKey.of(model.name(), epoch.value());
+        List<UpstreamEntry> members = choice.get().members();
+        forming.put(key, new FormingReplica(key, model.name(), members, nowMillis, model.loadMillis(), false));
+        free.removeAll(members);
+        return true;
+    }
+
+    /** Drops the domains in which a group of the model would use up the upstreams kept for repairs. */
+    private static List<UpstreamEntry> withoutReserve(
+            FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups) {
+        if (groups.getOrDefault(model.name(), 0) == 0 || use(view, model, groups) > HIGH_USE) {
+            return free;
+        }
+        Map<String, List<UpstreamEntry>> alive = MemberChoice.byFabricDomain(view.entries());
+        List<UpstreamEntry> offered = new ArrayList<>();
+        MemberChoice.byFabricDomain(free).forEach((domain, upstreams) -> {
+            long reserve = Math.round(alive.get(domain).size() * RESERVE_SHARE);
+            if (upstreams.size() - model.size() >= reserve) {
+                offered.addAll(upstreams);
+            }
+        });
+        return offered;
+    }
+
+    private static List<ModelProfile> byNeed(FleetView view, Map<String, Integer> groups) {
+        List<ModelProfile> models = new ArrayList<>(view.engine().models());
+        models.sort(Comparator.comparingDouble((ModelProfile model) -> need(view, model, groups))
+                .reversed());
+        return models;
+    }
+
+    private static double need(FleetView view, ModelProfile model, Map<String, Integer> groups) {
+        int count = groups.getOrDefault(model.name(), 0);
+        if (count == 0) {
+            return Double.MAX_VALUE;
+        }
+        return view.trafficSeen() ? use(view, model, groups) : model.share() / count;
+    }
+
+    private static double use(FleetView view, ModelProfile model, Map<String, Integer> groups) {
+        ModelDemand demand = view.demand().getOrDefault(model.name(), ModelDemand.NONE);
+        double places = (double) view.engine().slots() * Math.max(1, groups.getOrDefault(model.name(), 0));
+        return (demand.running() + demand.refusedPerSecond()) / places;
+    }
+
+    private Map<String, Integer> groupsByFailureDomain(FleetView view, ModelProfile model) {
+        Map<String, Integer> counts = new HashMap<>();
+        Set<InstanceId> heads = new HashSet<>();
+        forming.values().stream()
+                .filter(group -> group.model().equals(model.name()))
+                .forEach(group -> heads.add(group.members().get(0)));
+        for (UpstreamEntry entry : view.entries()) {
+            boolean standing = entry.membership()
+                    .filter(Membership::head)
+                    .flatMap(membership -> membership.replica().model())
+                    .filter(model.name()::equals)
+                    .isPresent();
+            if (standing || heads.contains(entry.id())) {
+                counts.merge(entry.failureDomain().value(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/port/AnswerFacts.java
@@ -0,0 +1,10 @@
+package io.sesamehead.entry.port;
+
+/**
+ * What an upstream states about its answer.
+ *
+ * @param requestId the try it answers, empty if not stated
+ * @param sealed whether the answer carries the mark of a complete run
+ * @param notRun whether the upstream states that it did not run the call
+ */
+public record AnswerFacts(String requestId, boolean sealed, boolean notRun) {}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -0,0 +1,107 @@
+package io.sesamehead.entry.runtime;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.sesamehead.coordination.catalog.Backend;
+import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.coordination.catalog.ServingConfig;
+import io.sesamehead.coordination.catalog.Tenant;
+import io.sesamehead.entry.port.CallFacts;
+import io.sesamehead.state.ServiceName;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Admits a call under the configuration in force: its route, its caller, and the service that runs it. */
+final class CallRouter {
+    /** Return time while the configuration is missing or too old, in milliseconds: a store call takes a part of it. */
+    private static final long CONFIG_RETURN_MILLIS = 400;
+    /** Return time for a call that crashed its upstreams, in milliseconds: beyond a caller's patience. */
+    private static final long CRASHED_RETURN_MILLIS = 5_000;
+
+    private final CallEnvironment environment;
+    private final RandomGenerator random;
+
+    CallRouter(CallEnvironment environment, RandomGenerator random) {
+        this.environment = environment;
+        this.random = random;
+    }
+
+    /** Starts a call, or answers it at once. Returns the call if one was started. */
+    Optional<ForwardedCall> route(CallRequest request, Responder responder) {
+        CallFacts facts = environment.translator().readCall(request.headers());
+        long bootMillis = environment.clocks().bootMillis();
+        Optional<RouteTable> table = environment.gate().table();
+        if (table.isEmpty()) {
+            return refuse(facts, responder, AnswerKind.NO_CONFIGURATION, CONFIG_RETURN_MILLIS);
+        }
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> route = table.get().find(host, request.target());
+        if (route.isEmpty()) {
+            return refuseUnknown(facts, responder, AnswerKind.NO_ROUTE, bootMillis);
+        }
+        ServingConfig config = table.get().config();
+        Optional<Tenant> tenant = facts.key().map(config.tenantsByKey()::get);
+        boolean keyNeeded = config.keysRequired() && !route.get().anonymous();
+        if (keyNeeded && tenant.isEmpty()) {
+            return refuseUnknown(facts, responder, AnswerKind.UNKNOWN_KEY, bootMillis);
+        }
+        if (!environment.gate().fresh(bootMillis)) {
+            return refuse(facts, responder, AnswerKind.NO_CONFIGURATION, CONFIG_RETURN_MILLIS);
+        }
+        if (request.body().length > 0
+                && environment
+                        .crashes()
+                        .refused(
+                                environment.fingerprint(request, tenant),
+                                environment.clocks().steadyMillis())) {
+            return refuse(facts, responder, AnswerKind.CRASHED_BEFORE, CRASHED_RETURN_MILLIS);
+        }
+        environment.peers().recordTraffic();
+        ForwardedCall call =
+                new ForwardedCall(environment, request, facts, route.get(), tenant, choose(route.get()), responder);
+        call.start();
+        return Optional.of(call);
+    }
+
+    /** A route or key that an older configuration lacks may exist in a newer one: only a recent copy may deny it. */
+    private Optional<ForwardedCall> refuseUnknown(
+            CallFacts facts, Responder responder, AnswerKind kind, long bootMillis) {
+        boolean recent = environment.gate().ageMillis(bootMillis)
+                <= environment.settings().convergeMillis();
+        return recent
+                ? refuse(facts, responder, kind, 0)
+                : refuse(facts, responder, AnswerKind.NO_CONFIGURATION, CONFIG_RETURN_MILLIS);
+    }
+
+    private Optional<ForwardedCall> refuse(
+            CallFacts facts, Responder responder, AnswerKind kind, long retryAfterMillis) {
+        environment.metrics().count("calls_refused{reason=\"" + kind.type() + "\"}");
+        environment
+                .log()
+                .write(
+                        EventLog.Part.CALL,
+                        "refused",
+                        "id",
+                        facts.requestId(),
+                        "reason",
+                        kind.type(),
+                        "config",
+                        environment.configVersion(),
+                        "config_age_ms",
+                        environment.gate().ageMillis(environment.clocks().bootMillis()));
+        environment.answer(responder, kind, retryAfterMillis);
+        return Optional.empty();
+    }
+
+    private ServiceName choose(Route route) {
+        int total = route.backends().stream().mapToInt(Backend::weight).sum();
+        int drawn = total <= 0 ? 0 : random.nextInt(total);
+        for (Backend backend : route.backends()) {
+            drawn -= backend.weight();
+            if (drawn < 0) {
+                return backend.service();
+            }
+        }
+        return route.backends().get(0).service();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/Callers.java
@@ -0,0 +1,143 @@
+package io.sesamehead.entry.runtime;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.sesamehead.coordination.catalog.CallLimits;
+import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.state.Endpoint;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** The callers' connections. */
+final class Callers {
+    /** Interval at which idle and slow connections are looked for, in milliseconds. */
+    private static final long SWEEP_MILLIS = 500;
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 512;
+
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final CallEnvironment environment;
+    private final CallRouter router;
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private boolean stopping;
+    private long idleCloseMillis = Long.MAX_VALUE;
+
+    Callers(CallEnvironment environment, CallRouter router) {
+        this.environment = environment;
+        this.router = router;
+    }
+
+    void listen(EventLoop loop, Endpoint endpoint) throws InterruptedException {
+        new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connect(channel);
+                    }
+                })
+                .bind(endpoint.host(), endpoint.port())
+                .sync();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void connect(Channel channel) {
+        if (connections.size() >= environment.settings().maxConnections()) {
+            environment.metrics().count("connections_refused");
+            channel.close();
+            return;
+        }
+        CallLimits limits = limits();
+        CallerConnection connection = new CallerConnection(this);
+        channel.pipeline()
+                .addLast(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object message) {
+                        connection.onBytes();
+                        context.fireChannelRead(message);
+                    }
+                })
+                .addLast(new HttpServerCodec(limits.headerBytes(), limits.headerBytes(), MAX_CHUNK_BYTES))
+                .addLast(connection);
+    }
+
+    /** Ends answers with the close of their connection from now on. */
+    void beginStop() {
+        stopping = true;
+    }
+
+    /** Closes connections that carry no request. */
+    void closeIdle(long idleMillis) {
+        idleCloseMillis = idleMillis;
+        sweep();
+    }
+
+    int busyConnections() {
+        return (int) connections.stream().filter(CallerConnection::busy).count();
+    }
+
+    int openConnections() {
+        return connections.size();
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    CallRouter router() {
+        return router;
+    }
+
+    CallLimits limits() {
+        return environment
+                .gate()
+                .table()
+                .map(RouteTable::config)
+                .map(config -> config.limits())
+                .orElse(CallLimits.DEFAULT);
+    }
+
+    long nowMillis() {
+        return environment.clocks().steadyMillis();
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    void answer(Responder responder, AnswerKind kind) {
+        environment.metrics().count("calls_refused{reason=\"" + kind.type() + "\"}");
+        environment.log().write(EventLog.Part.CALL, "refused", "reason", kind.type());
+        environment.answer(responder, kind, 0);
+    }
+
+    void failed(Throwable cause) {
+        environment.metrics().count("connections_failed");
+        environment.log().write(EventLog.Part.CALL, "connection-failed", "cause", cause);
+    }
+
+    private void sweep() {
+        long now = nowMillis();
+        CallLimits limits = limits();
+        for (CallerConnection connection : List.copyOf(connections)) {
+            connection.sweep(now, limits, stopping, idleCloseMillis);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -0,0 +1,132 @@
+package io.sesamehead.entry.runtime;
+
+import io.sesamehead.coordination.catalog.EngineProfile;
+import io.sesamehead.coordination.catalog.ServiceProfile;
+import io.sesamehead.coordination.dispatch.Target;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.replica.FleetView;
+import io.sesamehead.coordination.replica.OrderResult;
+import io.sesamehead.coordination.replica.Replica;
+import io.sesamehead.coordination.replica.ReplicaAction;
+import io.sesamehead.coordination.replica.ReplicaIndex;
+import io.sesamehead.coordination.replica.ReplicaKey;
+import io.sesamehead.coordination.replica.ReplicaPlanner;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.entry.port.UpstreamOrders;
+import io.sesamehead.state.ServiceName;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/** The controller's work under one term of the lease: plans the groups of each model service and sends the orders. */
+final class ControllerTerm {
+    private final long epoch;
+    private final long stallMillis;
+    private final Clocks clocks;
+    private final Fleet fleet;
+    private final TargetTable table;
+    private final ModelLoads loads;
+    private final UpstreamOrders orders;
+    private final EventLog log;
+    private final DaemonMetrics metrics;
+    private final BooleanSupplier maySend;
+    private final Runnable onFenced;
+    private final Map<ServiceName, ReplicaPlanner> planners = new HashMap<>();
+
+    ControllerTerm(
+            long epoch,
+            long stallMillis,
+            Clocks clocks,
+            Fleet fleet,
+            TargetTable table,
+            ModelLoads loads,
+            UpstreamOrders orders,
+            EventLog log,
+            DaemonMetrics metrics,
+            BooleanSupplier maySend,
+            Runnable onFenced) {
+        this.epoch = epoch;
+        this.stallMillis = stallMillis;
+        this.clocks = clocks;
+        this.fleet = fleet;
+        this.table = table;
+        this.loads = loads;
+        this.orders = orders;
+        this.log = log;
+        this.metrics = metrics;
+        this.maySend = maySend;
+        this.onFenced = onFenced;
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    /** Plans all model services once. */
+    void step(Iterable<ServiceProfile> services, boolean trafficSeen) {
+        for (ServiceProfile service : services) {
+            service.engine().ifPresent(engine -> step(service.name(), engine, trafficSeen));
+        }
+    }
+
+    private void step(ServiceName service, EngineProfile engine, boolean trafficSeen) {
+        long now = clocks.steadyMillis();
+        List<UpstreamEntry> entries = fleet.upstreams(service);
+        FleetView view =
+                new FleetView(engine, entries, stalled(entries), loads.demand(targets(), table, now), trafficSeen);
+        ReplicaPlanner planner = planners.computeIfAbsent(service, name -> new ReplicaPlanner(epoch, stallMillis));
+        Map<String, UpstreamEntry> byId = new HashMap<>();
+        entries.forEach(entry -> byId.put(entry.id().value(), entry));
+        for (ReplicaAction action : planner.plan(view, now)) {
+            send(planner, byId.get(action.target().value()), action);
+        }
+    }
+
+    private List<Target> targets() {
+        return fleet.allTargets();
+    }
+
+    private Set<ReplicaKey> stalled(List<UpstreamEntry> entries) {
+        Set<ReplicaKey> stalled = new HashSet<>();
+        for (Replica replica : ReplicaIndex.of(entries).values()) {
+            if (table.suspected(TargetKey.of(replica.key()))) {
+                stalled.add(replica.key());
+            }
+        }
+        return stalled;
+    }
+
+    private void send(ReplicaPlanner planner, UpstreamEntry target, ReplicaAction action) {
+        if (target == null || !maySend.getAsBoolean()) {
+            planner.onResult(action, OrderResult.UNKNOWN, clocks.steadyMillis());
+            return;
+        }
+        metrics.count("orders_sent{kind=\"" + kind(action) + "\"}");
+        log.write(EventLog.Part.ORDER, "sent", "fence", epoch, "order", action);
+        orders.send(target, action, epoch, result -> onResult(planner, action, result));
+    }
+
+    private void onResult(ReplicaPlanner planner, ReplicaAction action, OrderResult result) {
+        metrics.count("orders_ended{result=\"" + result + "\"}");
+        if (result != OrderResult.ACCEPTED) {
+            log.write(EventLog.Part.ORDER, "ended", "result", result, "order", action);
+        }
+        planner.onResult(action, result, clocks.steadyMillis());
+        if (result == OrderResult.FENCED) {
+            onFenced.run();
+        }
+    }
+
+    private static String kind(ReplicaAction action) {
+        return switch (action) {
+            case ReplicaAction.Join join -> "join";
+            case ReplicaAction.Open open -> "open";
+            case ReplicaAction.Leave leave -> "leave";
+            case ReplicaAction.Stage stage -> "stage";
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -0,0 +1,329 @@
+package io.sesamehead.entry.runtime;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.sesamehead.coordination.catalog.CatalogGate;
+import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.Dispatcher;
+import io.sesamehead.coordination.dispatch.ServiceTimes;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.lease.LeaseHolder;
+import io.sesamehead.coordination.lease.LeaseSettings;
+import io.sesamehead.entry.port.CallTranslator;
+import io.sesamehead.entry.port.EntrySettings;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.UpstreamOrders;
+import io.sesamehead.entry.transport.ControlClient;
+import io.sesamehead.entry.transport.HttpClients;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Incarnation;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** One entry daemon: all its parts on one event loop, from start to planned stop. */
+public final class EntryDaemon {
+    /** Interval of the checks for silent targets and of the controller's steps, in milliseconds. */
+    private static final long TICK_MILLIS = 50;
+    /** A tick later than this means that the process did not run, in milliseconds. */
+    private static final long PAUSE_MILLIS = 150;
+    /** Time to live of the controller lease, in milliseconds: three renewals, and a new holder within recovery. */
+    private static final long LEASE_MILLIS = 3_000;
+    /** Largest difference of two steady clocks over one lease, in milliseconds. */
+    private static final long DRIFT_MILLIS = 100;
+    /** Longest time from sending an order to its arrival, in milliseconds; later ones are fenced off. */
+    private static final long LONGEST_ORDER_MILLIS = 500;
+    /** The watch may learn nothing for a second before it is cut, which shortens the lease on keys. */
+    private static final long WATCH_SILENCE_MILLIS = 1_400;
+    /** Time in which the platform takes a stopping daemon out of rotation, in milliseconds: two questions. */
+    private static final long ROTATION_MILLIS = 2_300;
+    /** Idle time after which a stopping daemon closes a connection, in milliseconds: no request is on its way. */
+    private static final long STOP_IDLE_MILLIS = 400;
+    /** Time left at the end of the stop to write the last answers, in milliseconds. */
+    private static final long STOP_MARGIN_MILLIS = 400;
+
+    private static final long STOP_CHECK_MILLIS = 50;
+
+    private final EntrySettings settings;
+    private final EventLoop loop;
+    private final Clocks clocks;
+    private final EventLog log;
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final CatalogGate gate;
+    private final UpstreamRegistry registry = new UpstreamRegistry();
+    private final Fleet fleet = new Fleet();
+    private final TargetTable table = new TargetTable();
+    private final ModelLoads loads = new ModelLoads();
+    private final HttpClients clients;
+    private final PeerReports peers;
+    private final LeaseTask lease;
+    private final CallEnvironment environment;
+    private final Callers callers;
+    private final ConfigWatch configWatch;
+    private final RegistryWatch registryWatch;
+    private final UpstreamOrders orders;
+    private final CallTranslator translator;
+    private Optional<ControllerTerm> term = Optional.empty();
+    private long lastTickMillis;
+    private boolean ready;
+    private long stopAtMillis = -1;
+
+    /** The platform's side of the daemon, built on the daemon's connections. */
+    public interface Platform {
+        /**
+         * Returns the store.
+         *
+         * @param client connections to use
+         * @return the store
+         */
+        ObjectStore store(ControlClient client);
+
+        /**
+         * Returns the way to give orders to upstreams.
+         *
+         * @param client connections to use
+         * @return the sender of orders
+         */
+        UpstreamOrders orders(ControlClient client);
+
+        /**
+         * Returns the reader and writer of call headers.
+         *
+         * @return the translator
+         */
+        CallTranslator translator();
+    }
+
+    /**
+     * Wires a daemon.
+     *
+     * @param settings its settings
+     * @param clocks clocks
+     * @param random source of chance
+     * @param platform the platform's side
+     */
+    public EntryDaemon(EntrySettings settings, Clocks clocks, RandomGenerator random, Platform platform) {
+        this.settings = settings;
+        this.clocks = clocks;
+        this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        this.log = new EventLog(clocks);
+        this.gate = new CatalogGate(settings.keyLeaseMillis() - WATCH_SILENCE_MILLIS);
+        this.clients = new HttpClients(loop, clocks);
+        ControlClient control = new ControlClient(clients);
+        ObjectStore store = new MeteredStore(platform.store(control), metrics);
+        this.orders = platform.orders(control);
+        this.translator = platform.translator();
+        long incarnation = random.nextLong();
+        CrashHistory crashes = new CrashHistory();
+        this.peers = new PeerReports(loop, clocks, settings, incarnation, store, table, crashes, loads, log);
+        LeaseSettings leaseSettings = new LeaseSettings(LEASE_MILLIS, DRIFT_MILLIS, LONGEST_ORDER_MILLIS);
+        LeaseHolder holder =
+                new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
+        this.lease = new LeaseTask(loop, clocks, store, holder, log, random);
+        ServiceTimes times = new ServiceTimes();
+        Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
+        this.environment = new CallEnvironment(
+                settings,
+                loop,
+                clocks,
+                translator,
+                gate,
+                registry,
+                fleet,
+                table,
+                times,
+                dispatcher,
+                crashes,
+                peers,
+                loads,
+                clients,
+                log,
+                metrics);
+        this.callers = new Callers(environment, new CallRouter(environment, random));
+        this.configWatch = new ConfigWatch(loop, clocks, store, gate, log, this::onFleetChange);
+        this.registryWatch = new RegistryWatch(loop, clocks, store, registry, log, this::onFleetChange);
+    }
+
+    /**
+     * Opens the ports and starts all tasks.
+     *
+     * @throws InterruptedException if the thread is interrupted while ports are opened
+     */
+    public void start() throws InterruptedException {
+        log.start();
+        registerGauges();
+        new StatusServer(Map.of(translator.readinessPath(), this::readinessPage)).listen(loop, settings.readiness());
+        if (settings.admin().isPresent()) {
+            new StatusServer(Map.of("/metrics", this::metricsPage))
+                    .listen(loop, settings.admin().get());
+        }
+        callers.listen(loop, settings.callers());
+        peers.start();
+        loop.execute(() -> {
+            log.write(
+                    EventLog.Part.DAEMON,
+                    "started",
+                    "daemon",
+                    settings.daemon(),
+                    "failure_domain",
+                    settings.failureDomain());
+            lastTickMillis = clocks.steadyMillis();
+            configWatch.start();
+            registryWatch.start();
+            lease.start();
+        });
+        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins a planned stop; the process exits when no call is left or its time is over. */
+    public void stop() {
+        loop.execute(this::beginStop);
+    }
+
+    /** Notes that the settings file has changed; what it holds is fixed for the life of a process. */
+    public void settingsChanged() {
+        loop.execute(() -> log.write(EventLog.Part.DAEMON, "settings-changed", "effect", "at-next-start"));
+    }
+
+    private void beginStop() {
+        if (stopAtMillis >= 0) {
+            return;
+        }
+        stopAtMillis = clocks.steadyMillis();
+        log.write(EventLog.Part.DAEMON, "stopping", "open_calls", environment.openCalls());
+        callers.beginStop();
+        lease.stop(0);
+        term = Optional.empty();
+        loop.scheduleWithFixedDelay(this::continueStop, STOP_CHECK_MILLIS, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void continueStop() {
+        long passed = clocks.steadyMillis() - stopAtMillis;
+        if (passed < ROTATION_MILLIS) {
+            return;
+        }
+        callers.closeIdle(STOP_IDLE_MILLIS);
+        boolean done = callers.openConnections() == 0;
+        boolean overdue = passed > settings.stopMillis() - STOP_MARGIN_MILLIS;
+        if (done || overdue) {
+            log.write(EventLog.Part.DAEMON, "stopped", "took_ms", passed, "open_calls", environment.openCalls());
+            log.flush();
+            Runtime.getRuntime().halt(0);
+        }
+    }
+
+    private void tick() {
+        long now = clocks.steadyMillis();
+        long late = now - lastTickMillis - TICK_MILLIS;
+        lastTickMillis = now;
+        if (late > PAUSE_MILLIS) {
+            table.excusePause(late);
+            log.write(EventLog.Part.DAEMON, "paused", "ms", late);
+        }
+        if (registry.expire(now)) {
+            onFleetChange();
+        }
+        List<TargetKey> stalled = table.findStalled(now);
+        stalled.forEach(this::onStalled);
+        clients.sweep();
+        control();
+        noteReadiness();
+    }
+
+    private void onStalled(TargetKey key) {
+        log.write(
+                EventLog.Part.GROUP,
+                "silent",
+                "target",
+                key,
+                "everywhere",
+                table.suspected(key),
+                "own_calls",
+                table.ownInFlight(key));
+        metrics.count("targets_silent");
+        if (table.suspected(key)) {
+            peers.send();
+        }
+        environment.onStalled(key);
+    }
+
+    private void control() {
+        OptionalLong epoch = stopAtMillis >= 0 ? OptionalLong.empty() : lease.epoch();
+        Optional<RouteTable> config = gate.table();
+        if (epoch.isEmpty() || config.isEmpty()) {
+            term = Optional.empty();
+            return;
+        }
+        if (term.isEmpty() || term.get().epoch() != epoch.getAsLong()) {
+            term = Optional.of(new ControllerTerm(
+                    epoch.getAsLong(),
+                    settings.stallMillis(),
+                    clocks,
+                    fleet,
+                    table,
+                    loads,
+                    orders,
+                    log,
+                    metrics,
+                    () -> lease.epoch().equals(epoch),
+                    lease::fenced));
+        }
+        term.get().step(config.get().config().services().values(), peers.trafficSeen());
+    }
+
+    private void onFleetChange() {
+        if (gate.table().isEmpty()) {
+            return;
+        }
+        fleet.update(registry.entries(), gate.table().get().config());
+        table.retain(fleet::exists);
+    }
+
+    private void noteReadiness() {
+        boolean now = isReady();
+        if (now != ready) {
+            ready = now;
+            log.write(
+                    EventLog.Part.DAEMON,
+                    now ? "ready" : "not-ready",
+                    "config_age_ms",
+                    gate.ageMillis(clocks.bootMillis()),
+                    "stopping",
+                    stopAtMillis >= 0);
+        }
+    }
+
+    private boolean isReady() {
+        return stopAtMillis < 0 && gate.fresh(clocks.bootMillis()) && registry.answeredAt() != Long.MIN_VALUE;
+    }
+
+    private StatusServer.Page readinessPage() {
+        HttpResponseStatus status = isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        return new StatusServer.Page(status, "");
+    }
+
+    private StatusServer.Page metricsPage() {
+        return new StatusServer.Page(HttpResponseStatus.OK, metrics.text());
+    }
+
+    private void registerGauges() {
+        metrics.gauge("config_age_ms", () -> gate.ageMillis(clocks.bootMillis()));
+        metrics.gauge("config_version", environment::configVersion);
+        metrics.gauge("registry_age_ms", environment::registryAgeMillis);
+        metrics.gauge("upstreams_listed", () -> registry.entries().size());
+        metrics.gauge("targets_serving", () -> fleet.allTargets().size());
+        metrics.gauge("calls_open", environment::openCalls);
+        metrics.gauge("connections_open", callers::openConnections);
+        metrics.gauge("upstream_connections_opened", clients::opened);
+        metrics.gauge("peers_heard", table::peerCount);
+        metrics.gauge("controller", () -> term.isPresent() ? 1 : 0);
+        metrics.gauge("log_lines_dropped", log::dropped);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -0,0 +1,166 @@
+package io.sesamehead.entry.runtime;
+
+import io.netty.channel.EventLoop;
+import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.coordination.lease.LeaseDecision;
+import io.sesamehead.coordination.lease.LeaseHolder;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Takes and renews the controller lease in the store. Daemons without the lease read it at a low price and possibly some
+ * seconds old; the conditional write decides. Time is the clock that counts suspension: a lease does not outlive the
+ * sleep of its holder.
+ */
+final class LeaseTask {
+    /** Name of the lease's object. */
+    static final String NAME = "controller";
+    /** Interval at which a daemon without the lease looks at it, in milliseconds. */
+    private static final long LOOK_MILLIS = 700;
+    /** Interval of renewals, in milliseconds: a third of the lease's time. */
+    private static final long RENEW_MILLIS = 1_000;
+    /** Pause after a failed call, in milliseconds. */
+    private static final long RETRY_MILLIS = 200;
+
+    private final EventLoop loop;
+    private final Clocks clocks;
+    private final ObjectStore store;
+    private final LeaseHolder holder;
+    private final EventLog log;
+    private final RandomGenerator random;
+    private Optional<StoredObject<Lease>> stored = Optional.empty();
+    private long highestEpoch;
+    private boolean stopping;
+
+    LeaseTask(
+            EventLoop loop,
+            Clocks clocks,
+            ObjectStore store,
+            LeaseHolder holder,
+            EventLog log,
+            RandomGenerator random) {
+        this.loop = loop;
+        this.clocks = clocks;
+        this.store = store;
+        this.holder = holder;
+        this.log = log;
+        this.random = random;
+    }
+
+    void start() {
+        look();
+    }
+
+    /** Returns the epoch under which orders may be sent now. */
+    OptionalLong epoch() {
+        return holder.epoch(clocks.bootMillis());
+    }
+
+    /** Records that an upstream has seen a later holder. */
+    void fenced() {
+        holder.lost();
+        log.write(EventLog.Part.LEASE, "lost", "reason", "fenced");
+    }
+
+    /** Gives the lease back, so that a successor need not wait. */
+    void stop(int ordersInFlight) {
+        stopping = true;
+        Optional<Lease> last = holder.release(ordersInFlight);
+        if (last.isPresent() && stored.isPresent()) {
+            log.write(EventLog.Part.LEASE, "given-back", "epoch", last.get().epoch());
+            OptionalLong expected = OptionalLong.of(stored.get().revision());
+            store.write(ObjectKind.CONTROLLER_LEASE, NAME, expected, last.get(), answer -> {});
+        }
+    }
+
+    private void look() {
+        if (stopping) {
+            return;
+        }
+        boolean mayBeOld = stored.isPresent();
+        store.list(ObjectKind.CONTROLLER_LEASE, mayBeOld, this::onListing);
+    }
+
+    private void onListing(StoreAnswer<Listing<Lease>> answer) {
+        if (stopping) {
+            return;
+        }
+        if (!(answer instanceof StoreAnswer.Done<Listing<Lease>>(Listing<Lease> listing))) {
+            lookAgain(RETRY_MILLIS);
+            return;
+        }
+        Optional<StoredObject<Lease>> read = listing.objects().stream()
+                .filter(object -> object.name().equals(NAME))
+                .findFirst();
+        boolean older = read.isPresent()
+                && stored.isPresent()
+                && read.get().revision() < stored.get().revision();
+        if (!older) {
+            stored = read;
+        }
+        decide();
+    }
+
+    private void decide() {
+        Optional<Lease> lease = stored.flatMap(StoredObject::content);
+        lease.ifPresent(value -> highestEpoch = Math.max(highestEpoch, value.epoch()));
+        switch (holder.decide(clocks.bootMillis(), lease, highestEpoch)) {
+            case LeaseDecision.Write write -> write(write);
+            case LeaseDecision.Hold hold -> schedule(this::decide, hold.renewAtMillis() - clocks.bootMillis());
+            case LeaseDecision.Wait wait -> lookAgain(LOOK_MILLIS);
+        }
+    }
+
+    private void write(LeaseDecision.Write write) {
+        OptionalLong expected =
+                stored.isPresent() ? OptionalLong.of(stored.get().revision()) : OptionalLong.empty();
+        store.write(
+                ObjectKind.CONTROLLER_LEASE, NAME, expected, write.lease(), answer -> onWritten(write.kind(), answer));
+    }
+
+    private void onWritten(LeaseDecision.Kind kind, StoreAnswer<StoredObject<Lease>> answer) {
+        if (stopping) {
+            return;
+        }
+        switch (answer) {
+            case StoreAnswer.Done<StoredObject<Lease>>(StoredObject<Lease> object) -> {
+                stored = Optional.of(object);
+                Lease lease = object.content().orElseThrow();
+                holder.accepted(clocks.bootMillis(), lease);
+                if (kind == LeaseDecision.Kind.ACQUIRE) {
+                    log.write(EventLog.Part.LEASE, "taken", "epoch", lease.epoch(), "revision", object.revision());
+                }
+                schedule(this::decide, RENEW_MILLIS);
+            }
+            case StoreAnswer.Conflict<StoredObject<Lease>> conflict -> {
+                log.write(EventLog.Part.LEASE, "conflict", "kind", kind);
+                holder.lost();
+                stored = Optional.empty();
+                lookAgain(RETRY_MILLIS);
+            }
+            case StoreAnswer.Refused<StoredObject<Lease>> refused -> lookAgain(RETRY_MILLIS);
+            case StoreAnswer.HistoryGone<StoredObject<Lease>> gone -> lookAgain(RETRY_MILLIS);
+            case StoreAnswer.NoAnswer<StoredObject<Lease>> none -> {
+                // The write may have taken effect: read the object back with full consistency.
+                log.write(EventLog.Part.LEASE, "no-answer", "kind", kind, "reason", none.reason());
+                stored = Optional.empty();
+                lookAgain(RETRY_MILLIS);
+            }
+        }
+    }
+
+    private void lookAgain(long millis) {
+        schedule(this::look, millis + random.nextLong(millis / 2));
+    }
+
+    private void schedule(Runnable task, long millis) {
+        loop.schedule(task, Math.max(1, millis), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/MeteredStore.java
@@ -0,0 +1,50 @@
+package io.sesamehead.entry.runtime;
+
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/** Counts the calls to a store by kind and result. */
+final class MeteredStore implements ObjectStore {
+    private final ObjectStore store;
+    private final DaemonMetrics metrics;
+
+    MeteredStore(ObjectStore store, DaemonMetrics metrics) {
+        this.store = store;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
+        store.list(kind, mayBeOld, counted(mayBeOld ? "list-old" : "list", kind, done));
+    }
+
+    @Override
+    public <T> void watch(ObjectKind<T> kind, long revision, long waitMillis, Consumer<StoreAnswer<Changes<T>>> done) {
+        store.watch(kind, revision, waitMillis, counted("watch", kind, done));
+    }
+
+    @Override
+    public <T> void write(
+            ObjectKind<T> kind,
+            String name,
+            OptionalLong expected,
+            T content,
+            Consumer<StoreAnswer<StoredObject<T>>> done) {
+        store.write(kind, name, expected, content, counted("write", kind, done));
+    }
+
+    private <V> Consumer<StoreAnswer<V>> counted(String call, ObjectKind<?> kind, Consumer<StoreAnswer<V>> done) {
+        String object = kind.getClass().getSimpleName();
+        return answer -> {
+            String result = answer.getClass().getSimpleName();
+            metrics.count("store_calls{call=\"" + call + "\",kind=\"" + object + "\",result=\"" + result + "\"}");
+            done.accept(answer);
+        };
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -0,0 +1,163 @@
+package io.sesamehead.entry.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.Consumer;
+
+/** One connection to a peer that serves one request at a time. Belongs to the event loop. */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private final Consumer<ClientConnection> onIdle;
+    private final Consumer<ClientConnection> onClosed;
+    private Channel channel;
+    private ExchangeListener listener;
+    private boolean accepted;
+    private boolean skipping;
+    private boolean keepAlive;
+    private boolean failed;
+    private long keepAliveMillis;
+    private long idleSinceMillis;
+
+    ClientConnection(Consumer<ClientConnection> onIdle, Consumer<ClientConnection> onClosed) {
+        this.onIdle = onIdle;
+        this.onClosed = onClosed;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    boolean usable() {
+        return channel != null && channel.isActive() && listener == null && !failed;
+    }
+
+    long idleSinceMillis() {
+        return idleSinceMillis;
+    }
+
+    /** Time that the peer keeps an idle connection, in milliseconds; 0 if it did not say. */
+    long keepAliveMillis() {
+        return keepAliveMillis;
+    }
+
+    void markIdle(long nowMillis) {
+        idleSinceMillis = nowMillis;
+    }
+
+    void send(FullHttpRequest request, ExchangeListener exchange) {
+        listener = exchange;
+        accepted = false;
+        skipping = false;
+        keepAlive = HttpUtil.isKeepAlive(request);
+        channel.writeAndFlush(request).addListener(written -> {
+            if (!written.isSuccess()) {
+                fail("write failed: " + written.cause());
+            }
+        });
+    }
+
+    void readOn(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
+    void close() {
+        listener = null;
+        failed = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (failed) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("unreadable answer: " + message.decoderResult().cause().getMessage());
+            return;
+        }
+        if (listener == null) {
+            close();
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            receiveHead(head);
+        }
+        if (message instanceof HttpContent content) {
+            receiveContent(content);
+        }
+    }
+
+    private void receiveHead(HttpResponse head) {
+        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        skipping = interim || !listener.accepts(head);
+        if (skipping) {
+            return;
+        }
+        accepted = true;
+        keepAlive = keepAlive && HttpUtil.isKeepAlive(head);
+        keepAliveMillis = KeepAliveHeader.timeoutMillis(head.headers());
+        listener.onHead(head);
+    }
+
+    private void receiveContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return;
+        }
+        if (!accepted || listener == null) {
+            return;
+        }
+        ByteBuf data = content.content();
+        if (data.isReadable()) {
+            listener.onContent(data);
+        }
+        if (last && listener != null) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        ExchangeListener done = listener;
+        listener = null;
+        boolean reusable = keepAlive && channel.isActive();
+        if (reusable) {
+            channel.config().setAutoRead(true);
+            onIdle.accept(this);
+        } else {
+            close();
+        }
+        done.onEnd();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        onClosed.accept(this);
+        fail("connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail("connection failed: " + cause.getMessage());
+    }
+
+    /** A connection that broke reports its failure once; the decoder may still emit an end, which is not one. */
+    private void fail(String reason) {
+        ExchangeListener open = listener;
+        close();
+        if (open != null) {
+            open.onFailure(true, reason);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
@@ -0,0 +1,134 @@
+package io.sesamehead.entry.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.sesamehead.state.Endpoint;
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Small requests whose answers are read whole: the store, and orders to upstreams. Belongs to the event loop. */
+public final class ControlClient {
+    private final HttpClients clients;
+
+    /**
+     * Creates a client.
+     *
+     * @param clients its connections
+     */
+    public ControlClient(HttpClients clients) {
+        this.clients = clients;
+    }
+
+    /** How a request ended. */
+    public sealed interface Result {
+        /**
+         * A complete answer.
+         *
+         * @param status HTTP status
+         * @param body the body
+         */
+        record Answer(int status, byte[] body) implements Result {}
+
+        /**
+         * No complete answer.
+         *
+         * @param sent whether any byte of the request can have reached the peer
+         * @param reason what happened
+         */
+        record None(boolean sent, String reason) implements Result {}
+    }
+
+    /**
+     * A request.
+     *
+     * @param method HTTP method
+     * @param target path and query
+     * @param headers headers beside host and framing
+     * @param body the body, empty for none
+     * @param timeoutMillis time for the whole answer, in milliseconds
+     */
+    public record Request(
+            HttpMethod method, String target, Map<String, String> headers, byte[] body, long timeoutMillis) {}
+
+    /**
+     * Sends a request.
+     *
+     * @param peer the peer
+     * @param request the request
+     * @param done takes the result
+     */
+    public void send(Endpoint peer, Request request, Consumer<Result> done) {
+        Collector collector = new Collector(done);
+        collector.exchange = clients.send(peer, encode(peer, request), HttpClients.Freshness.ANY, collector);
+        collector.exchange.failAfter(request.timeoutMillis());
+    }
+
+    private static FullHttpRequest encode(Endpoint peer, Request request) {
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, request.method(), request.target(), Unpooled.wrappedBuffer(request.body()));
+        message.headers().set(HttpHeaderNames.HOST, peer.toString());
+        request.headers().forEach(message.headers()::set);
+        if (request.body().length > 0) {
+            message.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        }
+        return message;
+    }
+
+    private static final class Collector implements ExchangeListener {
+        private final Consumer<Result> done;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private HttpClients.Exchange exchange;
+        private int status;
+        private boolean ended;
+
+        Collector(Consumer<Result> done) {
+            this.done = done;
+        }
+
+        @Override
+        public boolean accepts(HttpResponse head) {
+            return true;
+        }
+
+        @Override
+        public void onHead(HttpResponse head) {
+            status = head.status().code();
+        }
+
+        @Override
+        public void onContent(ByteBuf data) {
+            byte[] bytes = ByteBufUtil.getBytes(data);
+            body.write(bytes, 0, bytes.length);
+        }
+
+        @Override
+        public void onEnd() {
+            end(new Result.Answer(status, body.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(boolean sent, String reason) {
+            end(new Result.None(sent, reason));
+        }
+
+        private void end(Result result) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (exchange != null) {
+                exchange.clearTimeout();
+            }
+            done.accept(result);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/transport/HttpClients.java
@@ -0,0 +1,235 @@
+package io.sesamehead.entry.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.sesamehead.entry.runtime.Clocks;
+import io.sesamehead.state.Endpoint;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Client connections by peer, kept open between requests. Belongs to the event loop. */
+public final class HttpClients {
+    /** Idle time after which a kept connection is not used again, in milliseconds: idle ones may go silent unseen. */
+    private static final long MAX_IDLE_MILLIS = 3_000;
+    /** Part of the time stated by the peer for which an idle connection is used. */
+    private static final double KEEP_ALIVE_PART = 0.5;
+    /** Longest time to establish a connection, in milliseconds: one lost opening packet is not waited for. */
+    private static final int CONNECT_MILLIS = 800;
+
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final EventLoop loop;
+    private final Clocks clocks;
+    private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
+    private long opened;
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param loop the event loop
+     * @param clocks clocks
+     */
+    public HttpClients(EventLoop loop, Clocks clocks) {
+        this.loop = loop;
+        this.clocks = clocks;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param peer the peer
+     * @param request the request; released after it was written
+     * @param fresh whether only a connection with very recent use, or a new one, may carry it
+     * @param listener takes the answer
+     * @return a handle to stop the exchange
+     */
+    public Exchange send(Endpoint peer, FullHttpRequest request, Freshness fresh, ExchangeListener listener) {
+        Exchange exchange = new Exchange(listener);
+        ClientConnection kept = takeIdle(peer, fresh);
+        if (kept != null) {
+            exchange.start(kept, request);
+        } else {
+            connect(peer, request, exchange);
+        }
+        return exchange;
+    }
+
+    /** Which kept connections may carry a request. */
+    public enum Freshness {
+        /** Any that should still be open. */
+        ANY(MAX_IDLE_MILLIS),
+        /** One used within the last second: a request that may not be repeated is lost with its connection. */
+        RECENT(1_000);
+
+        private final long maxIdleMillis;
+
+        Freshness(long maxIdleMillis) {
+            this.maxIdleMillis = maxIdleMillis;
+        }
+    }
+
+    /**
+     * Returns the connections opened so far.
+     *
+     * @return the count
+     */
+    public long opened() {
+        return opened;
+    }
+
+    /** Closes connections that have been idle for too long to be used again. */
+    public void sweep() {
+        long now = clocks.steadyMillis();
+        idle.values()
+                .forEach(queue -> queue.removeIf(connection -> {
+                    boolean old = now - connection.idleSinceMillis() > MAX_IDLE_MILLIS;
+                    if (old) {
+                        connection.close();
+                    }
+                    return old;
+                }));
+        idle.values().removeIf(ArrayDeque::isEmpty);
+    }
+
+    private ClientConnection takeIdle(Endpoint peer, Freshness fresh) {
+        ArrayDeque<ClientConnection> queue = idle.get(peer);
+        while (queue != null && !queue.isEmpty()) {
+            ClientConnection connection = queue.pollLast();
+            if (connection.usable() && recent(connection, fresh)) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private boolean recent(ClientConnection connection, Freshness fresh) {
+        long age = clocks.steadyMillis() - connection.idleSinceMillis();
+        long limit = fresh.maxIdleMillis;
+        if (connection.keepAliveMillis() > 0) {
+            limit = Math.min(limit, (long) (connection.keepAliveMillis() * KEEP_ALIVE_PART));
+        }
+        return age <= limit;
+    }
+
+    private void connect(Endpoint peer, FullHttpRequest request, Exchange exchange) {
+        opened++;
+        ClientConnection connection = new ClientConnection(done -> park(peer, done), closed -> unpark(peer, closed));
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection);
+                    }
+                });
+        bootstrap.connect(peer.host(), peer.port()).addListener(connected -> {
+            if (connected.isSuccess()) {
+                exchange.start(connection, request);
+            } else {
+                request.release();
+                exchange.failToConnect(String.valueOf(connected.cause().getMessage()));
+            }
+        });
+    }
+
+    private void park(Endpoint peer, ClientConnection connection) {
+        connection.markIdle(clocks.steadyMillis());
+        idle.computeIfAbsent(peer, key -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    private void unpark(Endpoint peer, ClientConnection connection) {
+        ArrayDeque<ClientConnection> queue = idle.get(peer);
+        if (queue != null) {
+            queue.remove(connection);
+        }
+    }
+
+    /** One request under way. */
+    public final class Exchange {
+        private final ExchangeListener listener;
+        private ClientConnection connection;
+        private boolean cancelled;
+        private ScheduledFuture<?> timeout;
+
+        private Exchange(ExchangeListener listener) {
+            this.listener = listener;
+        }
+
+        /** Stops the exchange and closes its connection, which tells the peer to drop the request. */
+        public void cancel() {
+            cancelled = true;
+            clearTimeout();
+            if (connection != null) {
+                connection.close();
+            }
+        }
+
+        /**
+         * Stops or resumes reading from the peer.
+         *
+         * @param on whether to read
+         */
+        public void readOn(boolean on) {
+            if (connection != null && !cancelled) {
+                connection.readOn(on);
+            }
+        }
+
+        /**
+         * Fails the exchange if it has not ended in time.
+         *
+         * @param millis time from now, in milliseconds
+         */
+        void failAfter(long millis) {
+            timeout = loop.schedule(
+                    () -> {
+                        boolean sent = connection != null;
+                        cancel();
+                        listener.onFailure(sent, "no answer within " + millis + " ms");
+                    },
+                    millis,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        void clearTimeout() {
+            if (timeout != null) {
+                timeout.cancel(false);
+            }
+        }
+
+        private void start(ClientConnection ready, FullHttpRequest request) {
+            if (cancelled) {
+                request.release();
+                ready.close();
+                return;
+            }
+            connection = ready;
+            ready.send(request, listener);
+        }
+
+        private void failToConnect(String reason) {
+            if (!cancelled) {
+                clearTimeout();
+                listener.onFailure(false, "cannot connect: " + reason);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/transport/KeepAliveHeader.java
@@ -0,0 +1,34 @@
+package io.sesamehead.entry.transport;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Reads how long a peer keeps an idle connection. */
+final class KeepAliveHeader {
+    private static final String NAME = "Keep-Alive";
+    private static final String TIMEOUT = "timeout=";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private KeepAliveHeader() {}
+
+    /** Returns the stated time in milliseconds, or 0 if none is stated. */
+    static long timeoutMillis(HttpHeaders headers) {
+        String value = headers.get(NAME);
+        if (value == null) {
+            return 0;
+        }
+        for (String part : value.split(",")) {
+            String parameter = part.trim();
+            if (parameter.startsWith(TIMEOUT)) {
+                return parseSeconds(parameter.substring(TIMEOUT.length()));
+            }
+        }
+        return 0;
+    }
+
+    private static long parseSeconds(String text) {
+        if (text.isEmpty() || text.length() > 6 || !text.chars().allMatch(Character::isDigit)) {
+            return 0;
+        }
+        return Long.parseLong(text) * MILLIS_PER_SECOND;
+    }
+}
