Repair groups from members that answer, and place loads where they complete groups

Cause: after a member died, the planner could not tell which one, chose it again and lost 2.5 s a try; groups with one cold member locked warm ones for a whole load; copies for spares took the load slots from groups; a suspicion without new calls never ended, so plain upstreams were left out for good; a new holder of the lease came 4 s after the loss. Change: all members of a dissolving group are told to leave and only those that answer are used; groups form from warm upstreams once traffic flows; copies go first where the fewest complete a group; suspicions end; the holder's reports replace reads of the lease.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -53,10 +53,11 @@
      *
      * @param call the call
      * @param targets targets that serve it and were not tried
+     * @param nowMillis present steady time
      * @return the decision
      */
-    public DispatchDecision decide(CallShape call, List<Target> targets) {
-        Optional<Target> best = leastLoaded(targets);
+    public DispatchDecision decide(CallShape call, List<Target> targets, long nowMillis) {
+        Optional<Target> best = leastLoaded(targets, nowMillis);
         if (best.isEmpty()) {
             return new DispatchDecision.Refuse(
                     DispatchDecision.Reason.NO_TARGET, returnMillis(REPAIR_RETURN_MILLIS, call));
@@ -80,11 +81,11 @@
         return onTime || (returned && load < target.slots() * (1 + LATE_QUEUE_PART));
     }
 
-    private Optional<Target> leastLoaded(List<Target> targets) {
+    private Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target target : targets) {
-            if (table.suspected(target.key())) {
+            if (table.suspected(target.key(), nowMillis)) {
                 continue;
             }
             double score = score(target);
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -12,14 +12,18 @@
  * produced anything for any of them. Not thread-safe: it belongs to the event loop.
  */
 public final class TargetTable {
-    /** Silence of all streams after which a target counts as stopped, in milliseconds: ten usual event intervals. */
-    public static final long STALL_MILLIS = 600;
+    /** Silence of all streams after which a target counts as stopped, in milliseconds: seven usual event intervals. */
+    public static final long STALL_MILLIS = 400;
     /** Silence towards this daemon alone after which its calls move, in milliseconds: a lost packet sent again fits. */
     public static final long LOCAL_STALL_MILLIS = 1_000;
+    /** The same at an upstream of a plain service, whose answers come whole: above the longest usual work. */
+    private static final long PLAIN_STALL_MILLIS = 1_500;
     /** Age beyond which a daemon's report is dropped, in milliseconds: several lost datagrams in a row. */
     private static final long REPORT_TTL_MILLIS = 1_200;
     /** Multiple of the usual interval between events that a slow target may reach before it counts as stopped. */
     private static final int SLOW_FACTOR = 6;
+    /** Time after which a suspicion is tested by sending calls again, in milliseconds: a repair takes about as long. */
+    private static final long SUSPICION_MILLIS = 2_500;
     /** Longest silence granted to a slow target, in milliseconds. */
     private static final long MAX_STALL_MILLIS = 1_500;
     /** Weight of a new interval in the average. */
@@ -34,7 +38,11 @@
         private int inFlight;
         private long progressAt;
         private double intervalMillis;
-        private boolean suspected;
+        private long suspectedUntil = Long.MIN_VALUE;
+
+        private boolean suspected(long nowMillis) {
+            return nowMillis < suspectedUntil;
+        }
     }
 
     private record PeerRows(long receivedAt, List<TargetReport> rows) {}
@@ -67,7 +75,7 @@
         double interval = nowMillis - row.progressAt;
         row.intervalMillis += (interval - row.intervalMillis) * INTERVAL_WEIGHT;
         row.progressAt = nowMillis;
-        row.suspected = false;
+        row.suspectedUntil = Long.MIN_VALUE;
     }
 
     /**
@@ -123,11 +131,12 @@
      * Tells whether calls wait at a target that has sent nothing to any daemon for too long.
      *
      * @param key the target
+     * @param nowMillis present steady time
      * @return true while the target is suspected by this daemon or another one
      */
-    public boolean suspected(TargetKey key) {
+    public boolean suspected(TargetKey key, long nowMillis) {
         Own row = own.get(key);
-        if (row != null && row.suspected) {
+        if (row != null && row.suspected(nowMillis)) {
             return true;
         }
         for (PeerRows peer : peers.values()) {
@@ -151,13 +160,18 @@
         List<TargetKey> stalled = new ArrayList<>();
         for (Map.Entry<TargetKey, Own> entry : own.entrySet()) {
             Own row = entry.getValue();
-            if (row.inFlight == 0 || row.suspected) {
+            if (row.inFlight == 0 || row.suspected(nowMillis)) {
                 continue;
             }
             long ownSilence = nowMillis - row.progressAt;
             long silence = nowMillis - Math.max(row.progressAt, peerProgress(entry.getKey()));
-            if (silence > limitMillis(row, STALL_MILLIS) || ownSilence > limitMillis(row, LOCAL_STALL_MILLIS)) {
-                row.suspected = silence > limitMillis(row, STALL_MILLIS);
+            boolean group = entry.getKey().replica().model().isPresent();
+            long limit = limitMillis(row, group ? STALL_MILLIS : PLAIN_STALL_MILLIS);
+            long localLimit = limitMillis(row, group ? LOCAL_STALL_MILLIS : PLAIN_STALL_MILLIS);
+            if (silence > limit || ownSilence > localLimit) {
+                if (silence > limit) {
+                    row.suspectedUntil = nowMillis + SUSPICION_MILLIS;
+                }
                 stalled.add(entry.getKey());
             }
         }
@@ -173,8 +187,9 @@
     public List<TargetReport> reports(long nowMillis) {
         List<TargetReport> rows = new ArrayList<>();
         own.forEach((key, row) -> {
-            if (row.inFlight > 0 || row.suspected) {
-                rows.add(new TargetReport(key, row.inFlight, nowMillis - row.progressAt, row.suspected));
+            boolean suspected = row.suspected(nowMillis);
+            if (row.inFlight > 0 || suspected) {
+                rows.add(new TargetReport(key, row.inFlight, nowMillis - row.progressAt, suspected));
             }
         });
         return rows;
--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -9,21 +9,19 @@
 import java.util.Set;
 
 /**
- * A group that has lost a member or stopped. Its other members may join elsewhere only when its head cannot serve any
- * more: it has left, has started anew, has reported the loss itself, or has had the time in which it must notice it.
+ * A group that has lost a member or stopped. All members are told to leave, which also shows which of them live. A
+ * member may join elsewhere only after it has left, and only when the head cannot serve any more: the head has left, has
+ * started anew, has reported the loss itself, or has had the time in which it must notice it.
  */
 final class DissolvingReplica {
     /** Time after which an unanswered order is sent again, in milliseconds. */
-    private static final long RESEND_MILLIS = 700;
-    /** Time that the head has to answer before the other members leave, which makes it stop, in milliseconds. */
-    private static final long HEAD_ANSWER_MILLIS = 600;
+    private static final long RESEND_MILLIS = 350;
     /** Added to the time in which a head notices a missing member, for clocks and messages, in milliseconds. */
     private static final long MARGIN_MILLIS = 700;
 
     private final ReplicaKey key;
     private final Optional<InstanceId> head;
     private final long headLife;
-    private final long startMillis;
     private final long stallMillis;
     private final Map<InstanceId, Long> sentAt = new HashMap<>();
     private final Set<InstanceId> left = new HashSet<>();
@@ -34,7 +32,6 @@
         this.key = replica.key();
         this.head = replica.head().map(UpstreamEntry::id);
         this.headLife = replica.head().map(UpstreamEntry::startedAtEpochMillis).orElse(0L);
-        this.startMillis = startMillis;
         this.stallMillis = stallMillis;
         // Without a listed head, its silence has begun at the latest now.
         this.memberLostAt = memberMissing ? startMillis : Long.MAX_VALUE;
@@ -62,25 +59,22 @@
 
     void advance(Replica replica, Map<InstanceId, UpstreamEntry> entries, long nowMillis, List<ReplicaAction> actions) {
         noteHead(entries, replica);
-        if (released(nowMillis)) {
-            return;
-        }
-        boolean headSilent = head.isEmpty() || nowMillis - startMillis > HEAD_ANSWER_MILLIS;
         for (UpstreamEntry member : replica.members()) {
-            boolean isHead = head.filter(member.id()::equals).isPresent();
-            if (isHead || headSilent) {
-                requestLeave(member.id(), nowMillis, actions);
-            }
+            requestLeave(member.id(), nowMillis, actions);
         }
     }
 
     /**
-     * Tells whether the members may join other groups.
+     * Tells whether a member may join another group.
      *
+     * @param id the member
      * @param nowMillis present time
-     * @return true when the head cannot serve any more
+     * @return true when it has left and the head cannot serve any more
      */
-    boolean released(long nowMillis) {
+    boolean released(InstanceId id, long nowMillis) {
+        if (!left.contains(id)) {
+            return false;
+        }
         if (headGone) {
             return true;
         }
--- a/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
@@ -11,7 +11,7 @@
 /** A group on its way to serving: joins are sent, then the head is opened once all members are ready. */
 final class FormingReplica {
     /** Time after which an order without visible effect is sent again, in milliseconds. */
-    private static final long RESEND_MILLIS = 700;
+    private static final long RESEND_MILLIS = 350;
     /** Times that one member is asked to join before the group is given up. */
     private static final int JOIN_TRIES = 4;
     /** Time that a group may take beyond a load that shares the weight store with others, in milliseconds. */
--- a/core/src/main/java/io/sesamehead/coordination/replica/LoadLimiter.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/LoadLimiter.java
@@ -4,8 +4,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Keeps loads from the weight store within its rate and, before callers send calls, within the number that run at once
- * without slowing one another down. Not thread-safe.
+ * Keeps loads from the weight store within its rate and within the number that run at once without slowing one another
+ * down: more would delay them all. Not thread-safe.
  */
 final class LoadLimiter {
     /** Part of the allowed rate that is used, so that late orders of a predecessor do not exceed it. */
@@ -32,7 +32,7 @@
             return true;
         }
         expire(nowMillis);
-        boolean allowed = view.trafficSeen() ? withinRate(count, view) : withinConcurrency(count, view);
+        boolean allowed = withinConcurrency(count, view) && (!view.trafficSeen() || withinRate(count, view));
         if (!allowed) {
             return false;
         }
@@ -46,11 +46,6 @@
         return true;
     }
 
-    int active(long nowMillis) {
-        expire(nowMillis);
-        return ends.size();
-    }
-
     private boolean withinRate(int count, FleetView view) {
         double allowed = view.engine().loadsPerSecond() * RATE_MARGIN * WINDOW_MILLIS / 1000;
         return starts.isEmpty() || starts.size() + count <= allowed;
--- a/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
@@ -25,10 +25,26 @@
 
     private MemberChoice() {}
 
+    /**
+     * Finds the best members for a group.
+     *
+     * @param free upstreams to choose from
+     * @param model the group's model
+     * @param loadsAllowed whether members may need a load; otherwise all must have the model on their host
+     * @param groupsByFailureDomain groups of the model that exist, by failure domain
+     */
     static Optional<Candidate> best(
-            List<UpstreamEntry> free, ModelProfile model, Map<String, Integer> groupsByFailureDomain) {
+            List<UpstreamEntry> free,
+            ModelProfile model,
+            boolean loadsAllowed,
+            Map<String, Integer> groupsByFailureDomain) {
+        List<UpstreamEntry> usable = loadsAllowed
+                ? free
+                : free.stream().filter(entry -> hasModel(entry, model.name())).toList();
         List<Candidate> candidates = new ArrayList<>();
-        byFabricDomain(free).values().forEach(domain -> ofDomain(domain, model).ifPresent(candidates::add));
+        byFabricDomain(usable)
+                .values()
+                .forEach(domain -> ofDomain(domain, model).ifPresent(candidates::add));
         Comparator<Candidate> order = Comparator.comparingLong(Candidate::readyMillis)
                 .thenComparing(candidate -> groupsByFailureDomain.getOrDefault(failureDomain(candidate), 0))
                 .thenComparing(Comparator.comparingInt(Candidate::freeLeft).reversed());
@@ -48,6 +64,10 @@
         return candidate.members().get(0).failureDomain().value();
     }
 
+    static boolean hasModel(UpstreamEntry entry, String model) {
+        return entry.loaded().contains(model) || entry.staged().contains(model);
+    }
+
     private static Optional<Candidate> ofDomain(List<UpstreamEntry> free, ModelProfile model) {
         if (free.size() < model.size()) {
             return Optional.empty();
--- a/core/src/main/java/io/sesamehead/coordination/replica/Reachability.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/Reachability.java
@@ -8,8 +8,8 @@
 final class Reachability {
     /** Unanswered orders in a row after which an upstream is left out. */
     private static final int UNANSWERED_LIMIT = 2;
-    /** How long it is left out, in milliseconds: two registry heartbeats and a half. */
-    private static final long PENALTY_MILLIS = 3_000;
+    /** How long it is left out, in milliseconds: a little more than one registry heartbeat. */
+    private static final long PENALTY_MILLIS = 1_500;
 
     private final Map<InstanceId, Integer> unanswered = new HashMap<>();
     private final Map<InstanceId, Long> leftOutUntil = new HashMap<>();
--- a/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
@@ -63,9 +63,11 @@
         Map<String, Integer> healthy = inspectStanding(view, replicas, nowMillis);
         advanceDissolving(replicas, byId, nowMillis, actions);
         List<UpstreamEntry> free = freeUpstreams(view, nowMillis);
-        formGroups(view, free, healthy, nowMillis);
+        boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
-        staging.plan(view, free, limiter, nowMillis, actions);
+        if (loadsLeft) {
+            staging.plan(view, byNeed(view, healthy), free, limiter, nowMillis, actions);
+        }
         return actions;
     }
 
@@ -232,29 +234,45 @@
         if (abandoned.contains(key)) {
             return true;
         }
-        return dissolvingOf(key).filter(group -> group.released(nowMillis)).isPresent();
+        return dissolvingOf(key)
+                .filter(group -> group.released(entry.id(), nowMillis))
+                .isPresent();
     }
 
-    private void formGroups(FleetView view, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
-        boolean formed = true;
-        while (formed) {
-            formed = false;
+    /** Forms groups, the neediest model first. Returns false if a group waits for loads, which then go before copies. */
+    private boolean formGroups(FleetView view, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
+        for (Formed formed = Formed.YES; formed == Formed.YES; ) {
+            formed = Formed.NO;
             for (ModelProfile model : byNeed(view, groups)) {
-                if (formOne(view, model, free, groups, nowMillis)) {
+                formed = formOne(view, model, free, groups, nowMillis);
+                if (formed == Formed.WAITS_FOR_LOADS) {
+                    return false;
+                }
+                if (formed == Formed.YES) {
                     groups.merge(model.name(), 1, Integer::sum);
-                    formed = true;
                     break;
                 }
             }
         }
+        return true;
     }
 
-    private boolean formOne(
+    private enum Formed {
+        YES,
+        NO,
+        WAITS_FOR_LOADS
+    }
+
+    private Formed formOne(
             FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
         List<UpstreamEntry> offered = withoutReserve(view, model, free, groups);
-        Optional<MemberChoice.Candidate> choice = MemberChoice.best(offered, model, groupsByFailureDomain(view, model));
-        if (choice.isEmpty() || !limiter.tryStart(nowMillis, choice.get().loads(), model.loadMillis(), view)) {
-            return false;
+        Optional<MemberChoice.Candidate> choice =
+                MemberChoice.best(offered, model, !view.trafficSeen(), groupsByFailureDomain(view, model));
+        if (choice.isEmpty()) {
+            return Formed.NO;
+        }
+        if (!limiter.tryStart(nowMillis, choice.get().loads(), model.loadMillis(), view)) {
+            return Formed.WAITS_FOR_LOADS;
         }
         groupsFormed++;
         Epoch epoch = Epoch.of(controllerEpoch, groupsFormed);
@@ -262,7 +280,7 @@
         List<UpstreamEntry> members = choice.get().members();
         forming.put(key, new FormingReplica(key, model.name(), members, nowMillis, model.loadMillis(), false));
         free.removeAll(members);
-        return true;
+        return Formed.YES;
     }
 
     /** Drops the domains in which a group of the model would use up the upstreams kept for repairs. */
--- a/core/src/main/java/io/sesamehead/coordination/replica/SpareStaging.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/SpareStaging.java
@@ -10,8 +10,9 @@
 import java.util.Optional;
 
 /**
- * Copies models to the hosts of free upstreams, so that a group that loses a member is complete again in the time of a
- * load from the host. Not thread-safe.
+ * Copies models to the hosts of free upstreams. Loads are scarce, so they go first where the fewest complete a group, and
+ * then to spares, with which a group that loses a member is complete again in the time of a load from the host. Not
+ * thread-safe.
  */
 final class SpareStaging {
     /** Loads may slow one another down at most by this factor before a copy is ordered again. */
@@ -21,15 +22,31 @@
 
     private record Pending(String model, long untilMillis) {}
 
+    /**
+     * A copy to make.
+     *
+     * @param target the upstream
+     * @param model the model
+     * @param missing copies that still lack for a group, or a large number for a spare
+     */
+    private record Copy(UpstreamEntry target, ModelProfile model, int missing) {}
+
     void plan(
             FleetView view,
+            List<ModelProfile> byNeed,
             List<UpstreamEntry> free,
             LoadLimiter limiter,
             long nowMillis,
             List<ReplicaAction> actions) {
         pending.values().removeIf(order -> order.untilMillis() <= nowMillis);
-        for (List<UpstreamEntry> domain : MemberChoice.byFabricDomain(free).values()) {
-            planDomain(view, domain, limiter, nowMillis, actions);
+        for (Optional<Copy> next = best(byNeed, free); next.isPresent(); next = best(byNeed, free)) {
+            Copy copy = next.get();
+            long loadMillis = copy.model().loadMillis();
+            if (!limiter.tryStart(nowMillis, 1, loadMillis, view)) {
+                return;
+            }
+            pending.put(copy.target().id(), new Pending(copy.model().name(), nowMillis + loadMillis * LOAD_FACTOR));
+            actions.add(new ReplicaAction.Stage(copy.target().id(), copy.model().name()));
         }
     }
 
@@ -39,61 +56,60 @@
         }
     }
 
-    private void planDomain(
-            FleetView view,
-            List<UpstreamEntry> domain,
-            LoadLimiter limiter,
-            long nowMillis,
-            List<ReplicaAction> actions) {
-        Map<String, Integer> copies = countCopies(view, domain);
-        List<UpstreamEntry> sorted = new ArrayList<>(domain);
-        sorted.sort(Comparator.comparing(UpstreamEntry::id));
-        for (UpstreamEntry spare : sorted) {
-            ModelProfile wanted = mostWanted(view, copies);
-            if (pending.containsKey(spare.id()) || !worthStaging(view, spare, wanted, copies)) {
-                continue;
-            }
-            if (!limiter.tryStart(nowMillis, 1, wanted.loadMillis(), view)) {
-                return;
-            }
-            copyOf(view, spare).ifPresent(model -> copies.merge(model, -1, Integer::sum));
-            copies.merge(wanted.name(), 1, Integer::sum);
-            pending.put(spare.id(), new Pending(wanted.name(), nowMillis + wanted.loadMillis() * LOAD_FACTOR));
-            actions.add(new ReplicaAction.Stage(spare.id(), wanted.name()));
+    private Optional<Copy> best(List<ModelProfile> byNeed, List<UpstreamEntry> free) {
+        List<Copy> copies = new ArrayList<>();
+        for (List<UpstreamEntry> domain : MemberChoice.byFabricDomain(free).values()) {
+            ofDomain(byNeed, domain).ifPresent(copies::add);
         }
+        return copies.stream()
+                .min(Comparator.comparingInt(Copy::missing)
+                        .thenComparingInt(copy -> byNeed.indexOf(copy.model()))
+                        .thenComparing(copy -> copy.target().id()));
     }
 
-    /** A host without a copy gets one; a host with one changes only if the domain lacks the other model entirely. */
-    private static boolean worthStaging(
-            FleetView view, UpstreamEntry spare, ModelProfile wanted, Map<String, Integer> copies) {
-        var copy = copyOf(view, spare);
-        if (copy.isEmpty()) {
-            return true;
+    private Optional<Copy> ofDomain(List<ModelProfile> byNeed, List<UpstreamEntry> domain) {
+        List<UpstreamEntry> empty = new ArrayList<>();
+        for (UpstreamEntry entry : domain) {
+            if (!pending.containsKey(entry.id()) && copyOf(byNeed, entry).isEmpty()) {
+                empty.add(entry);
+            }
+        }
+        if (empty.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, Integer> copies = countCopies(byNeed, domain);
+        Copy best = new Copy(empty.get(0), leastCopied(byNeed, copies), Integer.MAX_VALUE);
+        for (ModelProfile model : byNeed) {
+            int missing = model.size() - copies.getOrDefault(model.name(), 0);
+            if (missing > 0 && missing <= empty.size() && missing < best.missing()) {
+                best = new Copy(empty.get(0), model, missing);
+            }
         }
-        return copies.getOrDefault(wanted.name(), 0) == 0 && copies.getOrDefault(copy.get(), 0) > 1;
+        return Optional.of(best);
     }
 
-    private Map<String, Integer> countCopies(FleetView view, List<UpstreamEntry> domain) {
+    private Map<String, Integer> countCopies(List<ModelProfile> models, List<UpstreamEntry> domain) {
         Map<String, Integer> copies = new HashMap<>();
         for (UpstreamEntry spare : domain) {
             Pending order = pending.get(spare.id());
             if (order != null) {
                 copies.merge(order.model(), 1, Integer::sum);
             } else {
-                copyOf(view, spare).ifPresent(model -> copies.merge(model, 1, Integer::sum));
+                copyOf(models, spare).ifPresent(model -> copies.merge(model, 1, Integer::sum));
             }
         }
         return copies;
     }
 
-    private static Optional<String> copyOf(FleetView view, UpstreamEntry spare) {
-        return spare.staged().stream()
-                .filter(model -> view.engine().model(model).isPresent())
+    private static Optional<String> copyOf(List<ModelProfile> models, UpstreamEntry spare) {
+        return models.stream()
+                .map(ModelProfile::name)
+                .filter(model -> MemberChoice.hasModel(spare, model))
                 .findFirst();
     }
 
-    private static ModelProfile mostWanted(FleetView view, Map<String, Integer> copies) {
-        return view.engine().models().stream()
+    private static ModelProfile leastCopied(List<ModelProfile> models, Map<String, Integer> copies) {
+        return models.stream()
                 .min(Comparator.comparingDouble(model -> copies.getOrDefault(model.name(), 0) / model.share()))
                 .orElseThrow();
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -178,7 +178,7 @@
 
     Optional<Target> leastLoaded(List<Target> targets) {
         return targets.stream()
-                .filter(target -> !table.suspected(target.key()))
+                .filter(target -> !table.suspected(target.key(), clocks.steadyMillis()))
                 .min(Comparator.comparingInt(target -> table.inFlight(target.key())));
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -93,7 +93,7 @@
     private Set<ReplicaKey> stalled(List<UpstreamEntry> entries) {
         Set<ReplicaKey> stalled = new HashSet<>();
         for (Replica replica : ReplicaIndex.of(entries).values()) {
-            if (table.suspected(TargetKey.of(replica.key()))) {
+            if (table.suspected(TargetKey.of(replica.key()), clocks.steadyMillis())) {
                 stalled.add(replica.key());
             }
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -35,11 +35,11 @@
     /** A tick later than this means that the process did not run, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
     /** Time to live of the controller lease, in milliseconds: three renewals, and a new holder within recovery. */
-    private static final long LEASE_MILLIS = 3_000;
+    private static final long LEASE_MILLIS = 1_500;
     /** Largest difference of two steady clocks over one lease, in milliseconds. */
     private static final long DRIFT_MILLIS = 100;
     /** Longest time from sending an order to its arrival, in milliseconds; later ones are fenced off. */
-    private static final long LONGEST_ORDER_MILLIS = 500;
+    private static final long LONGEST_ORDER_MILLIS = 300;
     /** The watch may learn nothing for a second before it is cut, which shortens the lease on keys. */
     private static final long WATCH_SILENCE_MILLIS = 1_400;
     /** Time in which the platform takes a stopping daemon out of rotation, in milliseconds: two questions. */
@@ -122,11 +122,11 @@
         this.translator = platform.translator();
         long incarnation = random.nextLong();
         CrashHistory crashes = new CrashHistory();
-        this.peers = new PeerReports(loop, clocks, settings, incarnation, store, table, crashes, loads, log);
         LeaseSettings leaseSettings = new LeaseSettings(LEASE_MILLIS, DRIFT_MILLIS, LONGEST_ORDER_MILLIS);
         LeaseHolder holder =
                 new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
-        this.lease = new LeaseTask(loop, clocks, store, holder, log, random);
+        this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_MILLIS, log, random);
+        this.peers = new PeerReports(loop, clocks, settings, incarnation, store, table, crashes, loads, lease, log);
         ServiceTimes times = new ServiceTimes();
         Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
         this.environment = new CallEnvironment(
@@ -244,11 +244,11 @@
                 "target",
                 key,
                 "everywhere",
-                table.suspected(key),
+                table.suspected(key, clocks.steadyMillis()),
                 "own_calls",
                 table.ownInFlight(key));
         metrics.count("targets_silent");
-        if (table.suspected(key)) {
+        if (table.suspected(key, clocks.steadyMillis())) {
             peers.send();
         }
         environment.onStalled(key);
@@ -258,7 +258,6 @@
         OptionalLong epoch = stopAtMillis >= 0 ? OptionalLong.empty() : lease.epoch();
         Optional<RouteTable> config = gate.table();
         if (epoch.isEmpty() || config.isEmpty()) {
-            term = Optional.empty();
             return;
         }
         if (term.isEmpty() || term.get().epoch() != epoch.getAsLong()) {
@@ -323,7 +322,7 @@
         metrics.gauge("connections_open", callers::openConnections);
         metrics.gauge("upstream_connections_opened", clients::opened);
         metrics.gauge("peers_heard", table::peerCount);
-        metrics.gauge("controller", () -> term.isPresent() ? 1 : 0);
+        metrics.gauge("controller", () -> lease.epoch().isPresent() ? 1 : 0);
         metrics.gauge("log_lines_dropped", log::dropped);
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -145,7 +145,7 @@
                 route.objectiveMillis(),
                 expiresAtMillis - now(),
                 environment.spentMillis(route, facts) + now() - request.arrivedAtMillis());
-        switch (environment.dispatcher().decide(shape, candidates)) {
+        switch (environment.dispatcher().decide(shape, candidates, now())) {
             case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
             case DispatchDecision.Refuse refuse -> refuse(refuse, candidates);
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -9,23 +9,27 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreAnswer;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Incarnation;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
- * Takes and renews the controller lease in the store. Daemons without the lease read it at a low price and possibly some
- * seconds old; the conditional write decides. Time is the clock that counts suspension: a lease does not outlive the
+ * Takes and renews the controller lease in the store. Daemons without the lease go by the holder's reports
+ * and ask the store when these stop; the conditional write decides. Time is the clock that counts suspension: a lease does not outlive the
  * sleep of its holder.
  */
 final class LeaseTask {
     /** Name of the lease's object. */
     static final String NAME = "controller";
     /** Interval at which a daemon without the lease looks at it, in milliseconds. */
-    private static final long LOOK_MILLIS = 700;
+    private static final long LOOK_MILLIS = 200;
+    /** Silence of the holder after which the store is asked, in milliseconds: three of its reports. */
+    private static final long SILENCE_MILLIS = 500;
     /** Interval of renewals, in milliseconds: a third of the lease's time. */
-    private static final long RENEW_MILLIS = 1_000;
+    private static final long RENEW_MILLIS = 500;
     /** Pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 200;
 
@@ -35,8 +39,10 @@
     private final LeaseHolder holder;
     private final EventLog log;
     private final RandomGenerator random;
+    private final long ttlMillis;
     private Optional<StoredObject<Lease>> stored = Optional.empty();
     private long highestEpoch;
+    private long heardAtMillis = Long.MIN_VALUE / 2;
     private boolean stopping;
 
     LeaseTask(
@@ -44,12 +50,14 @@
             Clocks clocks,
             ObjectStore store,
             LeaseHolder holder,
+            long ttlMillis,
             EventLog log,
             RandomGenerator random) {
         this.loop = loop;
         this.clocks = clocks;
         this.store = store;
         this.holder = holder;
+        this.ttlMillis = ttlMillis;
         this.log = log;
         this.random = random;
     }
@@ -63,6 +71,25 @@
         return holder.epoch(clocks.bootMillis());
     }
 
+    /** Returns the lease while this daemon may act under it, as other daemons are told. */
+    Optional<Lease> held() {
+        return epoch().isPresent() ? stored.flatMap(StoredObject::content) : Optional.empty();
+    }
+
+    /**
+     * Takes a holder's own report. The lease counts as last renewed when its renewal was first heard of, and the store
+     * need not be asked while the holder is heard.
+     */
+    void heard(DaemonId daemon, Incarnation incarnation, long epoch, long renewals) {
+        if (epoch < highestEpoch || stopping) {
+            return;
+        }
+        highestEpoch = epoch;
+        heardAtMillis = clocks.bootMillis();
+        Lease lease = new Lease(daemon, incarnation, epoch, ttlMillis, renewals);
+        holder.decide(heardAtMillis, Optional.of(lease), highestEpoch);
+    }
+
     /** Records that an upstream has seen a later holder. */
     void fenced() {
         holder.lost();
@@ -84,8 +111,11 @@
         if (stopping) {
             return;
         }
-        boolean mayBeOld = stored.isPresent();
-        store.list(ObjectKind.CONTROLLER_LEASE, mayBeOld, this::onListing);
+        if (clocks.bootMillis() - heardAtMillis < SILENCE_MILLIS) {
+            lookAgain(LOOK_MILLIS);
+            return;
+        }
+        store.list(ObjectKind.CONTROLLER_LEASE, false, this::onListing);
     }
 
     private void onListing(StoreAnswer<Listing<Lease>> answer) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -20,7 +20,9 @@
 import io.sesamehead.entry.protocol.ReportCodec;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
 import io.sesamehead.entry.protocol.generated.ModelLoad;
+import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.Incarnation;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -53,6 +55,7 @@
     private final TargetTable table;
     private final CrashHistory crashes;
     private final ModelLoads loads;
+    private final LeaseTask lease;
     private final EventLog log;
     private final Map<String, InetSocketAddress> peers = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
@@ -71,6 +74,7 @@
             TargetTable table,
             CrashHistory crashes,
             ModelLoads loads,
+            LeaseTask lease,
             EventLog log) {
         this.loop = loop;
         this.clocks = clocks;
@@ -80,6 +84,7 @@
         this.table = table;
         this.crashes = crashes;
         this.loads = loads;
+        this.lease = lease;
         this.log = log;
     }
 
@@ -128,6 +133,7 @@
                 .setIncarnation(incarnation)
                 .setSequence(sequence)
                 .setTrafficSeen(trafficSeen);
+        lease.held().ifPresent(held -> report.setLeaseEpoch(held.epoch()).setLeaseRenewals(held.renewals()));
         table.reports(clocks.steadyMillis()).forEach(row -> report.addTargets(ReportCodec.load(row)));
         loads.takeUnreported()
                 .forEach((model, count) ->
@@ -152,6 +158,13 @@
         report.getModelsList().forEach(load -> loads.refusedElsewhere(load.getModel(), load.getRefused(), now));
         report.getCrashedRequestsList().forEach(fingerprint -> crashes.recordCrash(fingerprint, now));
         trafficSeen |= report.getTrafficSeen();
+        if (report.getLeaseEpoch() > 0) {
+            lease.heard(
+                    new DaemonId(report.getDaemon()),
+                    new Incarnation(report.getIncarnation()),
+                    report.getLeaseEpoch(),
+                    report.getLeaseRenewals());
+        }
     }
 
     private void list() {
