Hold members back until their old head has stopped, and test the decisions

Cause: a member that had left a group counted as free at once, also while the group's head could not be reached and might still serve; found by the new test membersOfASilentHeadWaitUntilItMustHaveNoticed. The reserve of spares blocked the repair of a lost group, and one group at a time left load slots unused at the start; found by the planner's other tests. Change: a dissolving group holds its members until its head has stopped; the reserve counts only for groups beyond the most that stood; the last group to start may share the weight store's speed; domains are filled best fit first. Ruled out: freeing members on the removal of the head's entry, since an engine cut off from the store goes on serving.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -23,6 +23,7 @@
     private final Optional<InstanceId> head;
     private final long headLife;
     private final long stallMillis;
+    private final Map<InstanceId, Long> lives = new HashMap<>();
     private final Map<InstanceId, Long> sentAt = new HashMap<>();
     private final Set<InstanceId> left = new HashSet<>();
     private long memberLostAt;
@@ -33,6 +34,7 @@
         this.head = replica.head().map(UpstreamEntry::id);
         this.headLife = replica.head().map(UpstreamEntry::startedAtEpochMillis).orElse(0L);
         this.stallMillis = stallMillis;
+        replica.members().forEach(member -> lives.put(member.id(), member.startedAtEpochMillis()));
         // Without a listed head, its silence has begun at the latest now.
         this.memberLostAt = memberMissing ? startMillis : Long.MAX_VALUE;
     }
@@ -57,31 +59,48 @@
         }
     }
 
-    void advance(Replica replica, Map<InstanceId, UpstreamEntry> entries, long nowMillis, List<ReplicaAction> actions) {
-        noteHead(entries, replica);
-        for (UpstreamEntry member : replica.members()) {
+    void advance(
+            List<UpstreamEntry> members,
+            Map<InstanceId, UpstreamEntry> entries,
+            long nowMillis,
+            List<ReplicaAction> actions) {
+        noteHead(entries);
+        for (UpstreamEntry member : members) {
             requestLeave(member.id(), nowMillis, actions);
         }
     }
 
     /**
-     * Tells whether a member may join another group.
+     * Tells whether an upstream must not join another group yet because of this one.
      *
-     * @param id the member
+     * @param entry the upstream
      * @param nowMillis present time
-     * @return true when it has left and the head cannot serve any more
+     * @return true for a member that has not left, or whose head may still serve
      */
-    boolean released(InstanceId id, long nowMillis) {
-        if (!left.contains(id)) {
+    boolean holds(UpstreamEntry entry, long nowMillis) {
+        Long life = lives.get(entry.id());
+        if (life == null || life != entry.startedAtEpochMillis()) {
             return false;
         }
+        boolean member =
+                entry.membership().map(Membership::replica).filter(key::equals).isPresent();
+        return (member && !left.contains(entry.id())) || !headStopped(nowMillis);
+    }
+
+    /**
+     * Tells whether the head cannot serve any more.
+     *
+     * @param nowMillis present time
+     * @return true when it is known to have stopped or has had the time to notice the loss
+     */
+    boolean headStopped(long nowMillis) {
         if (headGone) {
             return true;
         }
         return memberLostAt != Long.MAX_VALUE && nowMillis >= memberLostAt + stallMillis + MARGIN_MILLIS;
     }
 
-    private void noteHead(Map<InstanceId, UpstreamEntry> entries, Replica replica) {
+    private void noteHead(Map<InstanceId, UpstreamEntry> entries) {
         if (head.isEmpty()) {
             return;
         }
@@ -90,10 +109,10 @@
             return;
         }
         boolean newLife = entry.startedAtEpochMillis() != headLife;
-        boolean elsewhere = !replica.members().contains(entry);
-        boolean stopped = entry.membership()
-                .filter(membership -> membership.replica().equals(key) && membership.state() == MemberState.BROKEN)
-                .isPresent();
+        Optional<Membership> own =
+                entry.membership().filter(membership -> membership.replica().equals(key));
+        boolean elsewhere = own.isEmpty();
+        boolean stopped = own.isPresent() && own.get().state() == MemberState.BROKEN;
         if (newLife || elsewhere || stopped) {
             headGone = true;
         }
--- a/core/src/main/java/io/sesamehead/coordination/replica/LoadLimiter.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/LoadLimiter.java
@@ -32,7 +32,7 @@
             return true;
         }
         expire(nowMillis);
-        boolean allowed = withinConcurrency(count, view) && (!view.trafficSeen() || withinRate(count, view));
+        boolean allowed = withinConcurrency(view) && (!view.trafficSeen() || withinRate(count, view));
         if (!allowed) {
             return false;
         }
@@ -51,8 +51,9 @@
         return starts.isEmpty() || starts.size() + count <= allowed;
     }
 
-    private boolean withinConcurrency(int count, FleetView view) {
-        return ends.isEmpty() || ends.size() + count <= view.engine().concurrentLoads();
+    /** The last group may exceed the number: its loads and the others then share the weight store's full speed. */
+    private boolean withinConcurrency(FleetView view) {
+        return ends.size() < view.engine().concurrentLoads();
     }
 
     private void expire(long nowMillis) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
@@ -47,7 +47,7 @@
                 .forEach(domain -> ofDomain(domain, model).ifPresent(candidates::add));
         Comparator<Candidate> order = Comparator.comparingLong(Candidate::readyMillis)
                 .thenComparing(candidate -> groupsByFailureDomain.getOrDefault(failureDomain(candidate), 0))
-                .thenComparing(Comparator.comparingInt(Candidate::freeLeft).reversed());
+                .thenComparingInt(Candidate::freeLeft);
         return candidates.stream().min(order);
     }
 
--- a/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
@@ -34,6 +34,7 @@
     private final Map<ReplicaKey, DissolvingReplica> dissolving = new HashMap<>();
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
     private final Set<ReplicaKey> abandoned = new HashSet<>();
+    private final Map<String, Integer> mostGroups = new HashMap<>();
     private long groupsFormed;
 
     /**
@@ -62,6 +63,7 @@
         advanceForming(view, replicas, byId, nowMillis, actions);
         Map<String, Integer> healthy = inspectStanding(view, replicas, nowMillis);
         advanceDissolving(replicas, byId, nowMillis, actions);
+        noteMostGroups(healthy);
         List<UpstreamEntry> free = freeUpstreams(view, nowMillis);
         boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
@@ -148,7 +150,7 @@
     private Map<String, Integer> inspectStanding(FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         Map<String, Integer> healthy = new HashMap<>();
         leavingSince.keySet().retainAll(replicas.keySet());
-        dissolving.keySet().retainAll(replicas.keySet());
+        dissolving.values().removeIf(group -> !replicas.containsKey(group.key()) && group.headStopped(nowMillis));
         abandoned.retainAll(replicas.keySet());
         for (Replica replica : replicas.values()) {
             ReplicaKey key = replica.key();
@@ -161,6 +163,13 @@
         return healthy;
     }
 
+    /** Groups that are being dissolved count, so that a new holder of the lease replaces them too. */
+    private void noteMostGroups(Map<String, Integer> groups) {
+        Map<String, Integer> counts = new HashMap<>(groups);
+        dissolving.keySet().forEach(key -> key.model().ifPresent(model -> counts.merge(model, 1, Integer::sum)));
+        counts.forEach((model, count) -> mostGroups.merge(model, count, Math::max));
+    }
+
     private Optional<String> inspect(FleetView view, Replica replica, long nowMillis) {
         Optional<ModelProfile> model = replica.key().model().flatMap(view.engine()::model);
         boolean stalled = view.stalled().contains(replica.key());
@@ -209,7 +218,8 @@
             long nowMillis,
             List<ReplicaAction> actions) {
         for (DissolvingReplica group : dissolving.values()) {
-            group.advance(replicas.get(group.key()), byId, nowMillis, actions);
+            Replica replica = replicas.get(group.key());
+            group.advance(replica == null ? List.of() : replica.members(), byId, nowMillis, actions);
         }
     }
 
@@ -227,16 +237,13 @@
     }
 
     private boolean released(UpstreamEntry entry, long nowMillis) {
-        if (entry.membership().isEmpty()) {
-            return true;
-        }
-        ReplicaKey key = entry.membership().get().replica();
-        if (abandoned.contains(key)) {
-            return true;
+        for (DissolvingReplica group : dissolving.values()) {
+            if (group.holds(entry, nowMillis)) {
+                return false;
+            }
         }
-        return dissolvingOf(key)
-                .filter(group -> group.released(entry.id(), nowMillis))
-                .isPresent();
+        Optional<ReplicaKey> key = entry.membership().map(Membership::replica);
+        return key.isEmpty() || abandoned.contains(key.get()) || dissolving.containsKey(key.get());
     }
 
     /** Forms groups, the neediest model first. Returns false if a group waits for loads, which then go before copies. */
@@ -284,9 +291,11 @@
     }
 
     /** Drops the domains in which a group of the model would use up the upstreams kept for repairs. */
-    private static List<UpstreamEntry> withoutReserve(
+    private List<UpstreamEntry> withoutReserve(
             FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups) {
-        if (groups.getOrDefault(model.name(), 0) == 0 || use(view, model, groups) > HIGH_USE) {
+        int count = groups.getOrDefault(model.name(), 0);
+        boolean repair = count < mostGroups.getOrDefault(model.name(), 0);
+        if (count == 0 || repair || use(view, model, groups) > HIGH_USE) {
             return free;
         }
         Map<String, List<UpstreamEntry>> alive = MemberChoice.byFabricDomain(view.entries());
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/RetryAllowanceTest.java
@@ -0,0 +1,57 @@
+package io.sesamehead.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against repeats that multiply the load of failing upstreams, and against requests that crash them all. */
+final class RetryAllowanceTest {
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 260;
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final int DAEMONS = 12;
+
+    @Test
+    void allDaemonsTogetherStayWithinTheBudgetInAnyWindow() {
+        int calls = 0;
+        int repeats = 0;
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS);
+            for (long now = 0; now < WINDOW_MILLIS; now += 100) {
+                allowance.recordCall(now);
+                calls++;
+                for (int tries = 0; tries < 5; tries++) {
+                    repeats += allowance.tryRepeat(now, DAEMONS) ? 1 : 0;
+                }
+            }
+        }
+
+        assertThat(repeats).isPositive();
+        assertThat((double) repeats).isLessThanOrEqualTo(RATIO * calls + SLACK);
+    }
+
+    @Test
+    void spentBudgetReturnsAfterTheWindow() {
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS);
+        while (allowance.tryRepeat(0, DAEMONS)) {
+            assertThat(allowance.left(0, DAEMONS)).isLessThan(SLACK);
+        }
+
+        assertThat(allowance.tryRepeat(WINDOW_MILLIS - 1, DAEMONS)).isFalse();
+        assertThat(allowance.tryRepeat(WINDOW_MILLIS + 2_000, DAEMONS)).isTrue();
+    }
+
+    @Test
+    void requestIsRefusedAfterItsThirdCrashAndForgottenLater() {
+        CrashHistory crashes = new CrashHistory();
+        crashes.recordCrash(9, 0);
+        crashes.recordCrash(9, 1_000);
+        assertThat(crashes.refused(9, 1_000)).isFalse();
+
+        crashes.recordCrash(9, 2_000);
+
+        assertThat(crashes.refused(9, 2_000)).isTrue();
+        assertThat(crashes.refused(8, 2_000)).isFalse();
+        assertThat(crashes.refused(9, 200_000)).isFalse();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
@@ -0,0 +1,96 @@
+package io.sesamehead.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.coordination.replica.ReplicaKey;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls sent to a group that has stopped, and against false alarms on slow ones. */
+final class TargetTableTest {
+    private static final TargetKey GROUP = TargetKey.of(ReplicaKey.of("big", 7));
+    private static final long EVENT_MILLIS = 50;
+
+    private final TargetTable table = new TargetTable();
+
+    private long stream(long fromMillis, int events, long interval) {
+        long now = fromMillis;
+        for (int i = 0; i < events; i++) {
+            now += interval;
+            table.progressed(GROUP, now);
+        }
+        return now;
+    }
+
+    @Test
+    void silentGroupIsSuspectedWithinSixTenthsOfASecond() {
+        table.sent(GROUP, 0);
+        long last = stream(0, 20, EVENT_MILLIS);
+
+        assertThat(table.findStalled(last + 300)).isEmpty();
+        assertThat(table.findStalled(last + 500)).containsExactly(GROUP);
+        assertThat(table.suspected(GROUP, last + 600)).isTrue();
+    }
+
+    @Test
+    void groupThatIsFiveTimesSlowIsNoFalseAlarm() {
+        table.sent(GROUP, 0);
+        long now = 0;
+        for (int i = 0; i < 40; i++) {
+            now += 5 * EVENT_MILLIS;
+            assertThat(table.findStalled(now - 1)).isEmpty();
+            table.progressed(GROUP, now);
+        }
+    }
+
+    @Test
+    void progressThatAnotherDaemonSeesClearsTheGroupButNotTheOwnPath() {
+        table.sent(GROUP, 0);
+        long last = stream(0, 20, EVENT_MILLIS);
+        long now = last + 1_100;
+        table.report("other", List.of(new TargetReport(GROUP, 3, 20, false)), now);
+
+        assertThat(table.findStalled(now)).containsExactly(GROUP);
+        assertThat(table.suspected(GROUP, now)).isFalse();
+    }
+
+    @Test
+    void suspicionOfAnotherDaemonCounts() {
+        table.report("other", List.of(new TargetReport(GROUP, 3, 700, true)), 10);
+
+        assertThat(table.suspected(GROUP, 20)).isTrue();
+    }
+
+    @Test
+    void suspicionEndsByItself() {
+        table.sent(GROUP, 0);
+        table.findStalled(1_000);
+        table.ended(GROUP);
+
+        assertThat(table.suspected(GROUP, 1_001)).isTrue();
+        assertThat(table.suspected(GROUP, 10_000)).isFalse();
+    }
+
+    @Test
+    void ownPauseIsNotTheGroupsSilence() {
+        table.sent(GROUP, 0);
+        long last = stream(0, 20, EVENT_MILLIS);
+        table.excusePause(900);
+
+        assertThat(table.findStalled(last + 1_000)).isEmpty();
+    }
+
+    @Test
+    void loadIsTheSumOverDaemonsAndOutdatedReportsFade() {
+        table.sent(GROUP, 0);
+        table.report("b", List.of(new TargetReport(GROUP, 4, 0, false)), 10);
+        table.report("c", List.of(new TargetReport(GROUP, 5, 0, false)), 10);
+        assertThat(table.inFlight(GROUP)).isEqualTo(10);
+
+        table.report("b", List.of(new TargetReport(GROUP, 1, 0, false)), 200);
+        assertThat(table.inFlight(GROUP)).isEqualTo(7);
+        table.findStalled(1_300);
+
+        assertThat(table.inFlight(GROUP)).isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -0,0 +1,201 @@
+package io.sesamehead.coordination.replica;
+
+import io.sesamehead.coordination.catalog.EngineProfile;
+import io.sesamehead.coordination.catalog.ModelProfile;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Engines that carry orders out at once, with joins and copies that take their time. It records when an engine takes a
+ * join while the head of its present group serves.
+ */
+final class FakeEngines {
+    static final ModelProfile BIG = new ModelProfile("big", 4, 0.57, 1.0, 16_000, 1_600);
+    static final ModelProfile SMALL = new ModelProfile("small", 3, 0.43, 0.6, 12_000, 1_100);
+    static final EngineProfile PROFILE = new EngineProfile(18, List.of(BIG, SMALL), 5.95, 0.06, 50_700, 7, 4.5, 6, 300);
+    private static final long HELD_MILLIS = 200;
+    private static final double IDLE_FACTOR = 0.1;
+
+    private final Map<InstanceId, UpstreamEntry> entries = new LinkedHashMap<>();
+    private final Map<InstanceId, Long> busyUntil = new HashMap<>();
+    private final Map<InstanceId, String> copying = new HashMap<>();
+    private final Set<InstanceId> dead = new HashSet<>();
+    private final Set<ReplicaKey> stalled = new HashSet<>();
+    final List<String> violations = new ArrayList<>();
+    final Map<String, ModelDemand> demand = new HashMap<>();
+    boolean traffic;
+    int loads;
+    long now;
+
+    void add(String name, String fabricDomain) {
+        InstanceId id = new InstanceId(name);
+        entries.put(
+                id,
+                new UpstreamEntry(
+                        id,
+                        1,
+                        new ServiceName("pool"),
+                        new Endpoint("127.0.0.1", 1_000 + entries.size()),
+                        new FailureDomain("zone-" + fabricDomain.charAt(0)),
+                        18,
+                        false,
+                        fabricDomain,
+                        List.of(),
+                        List.of(),
+                        Optional.empty()));
+    }
+
+    void addDomains(int domains, int enginesEach) {
+        for (int domain = 0; domain < domains; domain++) {
+            for (int engine = 0; engine < enginesEach; engine++) {
+                add("e" + domain + "-" + engine, domain / 2 + "-" + domain);
+            }
+        }
+    }
+
+    /** The engine is gone without a word; the registry still lists it. */
+    void kill(InstanceId id) {
+        dead.add(id);
+        entry(id).membership().ifPresent(membership -> stalled.add(membership.replica()));
+    }
+
+    void unlist(InstanceId id) {
+        entries.remove(id);
+    }
+
+    void run(ReplicaPlanner planner, long millis) {
+        for (long end = now + millis; now < end; now += 50) {
+            settle();
+            stalled.retainAll(ReplicaIndex.of(entries.values()).keySet());
+            FleetView view = new FleetView(PROFILE, List.copyOf(entries.values()), stalled, demand, traffic);
+            for (ReplicaAction action : planner.plan(view, now)) {
+                planner.onResult(action, carryOut(action), now);
+            }
+        }
+    }
+
+    UpstreamEntry entry(InstanceId id) {
+        return entries.get(id);
+    }
+
+    List<Replica> serving(ModelProfile model) {
+        return ReplicaIndex.of(entries.values()).values().stream()
+                .filter(replica ->
+                        replica.key().model().filter(model.name()::equals).isPresent())
+                .filter(replica -> replica.serving(model.size()))
+                .filter(replica -> replica.members().stream().noneMatch(member -> dead.contains(member.id())))
+                .toList();
+    }
+
+    OrderResult carryOut(ReplicaAction action) {
+        UpstreamEntry entry = entries.get(action.target());
+        if (entry == null || dead.contains(action.target())) {
+            return OrderResult.UNKNOWN;
+        }
+        switch (action) {
+            case ReplicaAction.Join join -> join(entry, join);
+            case ReplicaAction.Open open -> state(entry, MemberState.OPEN);
+            case ReplicaAction.Leave leave -> {
+                if (entry.membership()
+                        .filter(m -> m.replica().equals(leave.replica()))
+                        .isPresent()) {
+                    put(entry, entry.staged(), List.of(), Optional.empty());
+                }
+            }
+            case ReplicaAction.Stage stage -> {
+                loads++;
+                copying.put(entry.id(), stage.model());
+                busyUntil.put(entry.id(), now + loadMillis(stage.model()));
+            }
+        }
+        return OrderResult.ACCEPTED;
+    }
+
+    private void join(UpstreamEntry entry, ReplicaAction.Join join) {
+        checkHead(entry, join);
+        boolean held = entry.loaded().contains(join.model());
+        boolean copied = entry.staged().contains(join.model());
+        long millis = held ? HELD_MILLIS : copied ? profile(join.model()).warmMillis() : loadMillis(join.model());
+        if (!held && !copied) {
+            loads++;
+        }
+        busyUntil.put(entry.id(), now + millis);
+        int rank = join.members().indexOf(entry.id());
+        put(
+                entry,
+                List.of(join.model()),
+                List.of(join.model()),
+                Optional.of(new Membership(join.replica(), rank, MemberState.JOINING)));
+    }
+
+    private void checkHead(UpstreamEntry entry, ReplicaAction.Join join) {
+        Optional<ReplicaKey> present = entry.membership().map(Membership::replica);
+        if (present.isEmpty() || present.get().equals(join.replica())) {
+            return;
+        }
+        Replica group = ReplicaIndex.of(entries.values()).get(present.get());
+        boolean headOpen = group.head()
+                .filter(head -> head.membership().orElseThrow().state() == MemberState.OPEN)
+                .isPresent();
+        if (headOpen) {
+            violations.add(entry.id() + " joins " + join.replica() + " while " + present.get() + " serves");
+        }
+    }
+
+    private void settle() {
+        for (InstanceId id : List.copyOf(busyUntil.keySet())) {
+            if (busyUntil.get(id) > now || !entries.containsKey(id) || dead.contains(id)) {
+                continue;
+            }
+            busyUntil.remove(id);
+            UpstreamEntry entry = entries.get(id);
+            String copied = copying.remove(id);
+            if (copied != null) {
+                put(entry, List.of(copied), entry.loaded(), entry.membership());
+            } else if (entry.membership().isPresent()) {
+                state(entry, MemberState.READY);
+            }
+        }
+    }
+
+    private void state(UpstreamEntry entry, MemberState state) {
+        Optional<Membership> changed =
+                entry.membership().map(membership -> new Membership(membership.replica(), membership.rank(), state));
+        put(entry, entry.staged(), entry.loaded(), changed);
+    }
+
+    private void put(UpstreamEntry entry, List<String> staged, List<String> loaded, Optional<Membership> membership) {
+        entries.put(
+                entry.id(),
+                new UpstreamEntry(
+                        entry.id(),
+                        entry.startedAtEpochMillis(),
+                        entry.service(),
+                        entry.endpoint(),
+                        entry.failureDomain(),
+                        entry.slots(),
+                        entry.leaving(),
+                        entry.fabricDomain(),
+                        staged,
+                        loaded,
+                        membership));
+    }
+
+    private long loadMillis(String model) {
+        return (long) (profile(model).loadMillis() * (traffic ? 1 : IDLE_FACTOR));
+    }
+
+    private static ModelProfile profile(String model) {
+        return PROFILE.model(model).orElseThrow();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/replica/ReplicaPlannerTest.java
@@ -0,0 +1,166 @@
+package io.sesamehead.coordination.replica;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.state.InstanceId;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against groups that are late, incomplete, or share a member with a group that still serves. */
+final class ReplicaPlannerTest {
+    private static final long STALL_MILLIS = 4_000;
+    /** Time between the start of the VMs and the first call. */
+    private static final long LEAD_MILLIS = 15_000;
+
+    private final FakeEngines engines = new FakeEngines();
+    private final ReplicaPlanner planner = new ReplicaPlanner(1, STALL_MILLIS);
+
+    @BeforeEach
+    void sixDomainsOfNine() {
+        engines.addDomains(6, 9);
+    }
+
+    private void start() {
+        engines.run(planner, LEAD_MILLIS);
+        engines.traffic = true;
+    }
+
+    @Test
+    void bothModelsServeInEachFailureDomainBeforeTrafficStarts() {
+        start();
+
+        assertThat(engines.serving(FakeEngines.BIG)).hasSizeGreaterThanOrEqualTo(6);
+        assertThat(engines.serving(FakeEngines.SMALL)).hasSizeGreaterThanOrEqualTo(6);
+        for (var model : List.of(FakeEngines.BIG, FakeEngines.SMALL)) {
+            assertThat(engines.serving(model).stream()
+                            .map(replica -> replica.members().get(0).failureDomain())
+                            .distinct())
+                    .hasSize(3);
+        }
+    }
+
+    @Test
+    void groupsStayWithinOneFabricDomain() {
+        start();
+
+        for (Replica replica : engines.serving(FakeEngines.BIG)) {
+            assertThat(replica.members().stream()
+                            .map(UpstreamEntry::fabricDomain)
+                            .distinct())
+                    .hasSize(1);
+        }
+    }
+
+    @Test
+    void lostMemberIsReplacedFromAPreparedSpareWithinThreeSeconds() {
+        start();
+        int before = engines.serving(FakeEngines.BIG).size();
+        InstanceId lost =
+                engines.serving(FakeEngines.BIG).get(0).members().get(2).id();
+
+        engines.kill(lost);
+        assertThat(engines.serving(FakeEngines.BIG)).hasSize(before - 1);
+        engines.run(planner, 3_000);
+
+        assertThat(engines.serving(FakeEngines.BIG)).hasSize(before);
+        assertThat(engines.violations).isEmpty();
+    }
+
+    @Test
+    void deadMemberThatIsStillListedIsNotChosenAgain() {
+        start();
+        Replica group = engines.serving(FakeEngines.SMALL).get(0);
+        InstanceId lost = group.members().get(1).id();
+
+        engines.kill(lost);
+        engines.run(planner, 3_000);
+
+        assertThat(engines.entry(lost).membership().orElseThrow().replica()).isEqualTo(group.key());
+    }
+
+    @Test
+    void membersOfASilentHeadWaitUntilItMustHaveNoticed() {
+        start();
+        Replica group = engines.serving(FakeEngines.BIG).get(0);
+        InstanceId head = group.members().get(0).id();
+        InstanceId member = group.members().get(1).id();
+
+        engines.kill(head);
+        engines.run(planner, STALL_MILLIS - 100);
+        assertThat(engines.entry(member).membership().map(Membership::replica).filter(key -> !key.equals(group.key())))
+                .isEmpty();
+        engines.run(planner, 5_000);
+
+        assertThat(engines.violations).isEmpty();
+    }
+
+    @Test
+    void newHolderAdoptsGroupsThatStandAndSendsThemNothing() {
+        start();
+        Set<ReplicaKey> standing = Set.copyOf(
+                engines.serving(FakeEngines.BIG).stream().map(Replica::key).toList());
+        int loads = engines.loads;
+
+        engines.run(new ReplicaPlanner(2, STALL_MILLIS), 5_000);
+
+        assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key)).containsAll(standing);
+        assertThat(engines.loads).isEqualTo(loads);
+    }
+
+    @Test
+    void newHolderFinishesGroupsThatForm() {
+        engines.run(planner, 1_000);
+
+        engines.run(new ReplicaPlanner(2, STALL_MILLIS), LEAD_MILLIS);
+
+        assertThat(engines.serving(FakeEngines.BIG)).hasSizeGreaterThanOrEqualTo(5);
+        assertThat(engines.violations).isEmpty();
+    }
+
+    @Test
+    void loadsUnderTrafficStayWithinTheRateAndTheConcurrency() {
+        engines.traffic = true;
+
+        engines.run(planner, 5_000);
+
+        assertThat(engines.loads).isLessThanOrEqualTo(FakeEngines.PROFILE.concurrentLoads());
+    }
+
+    @Test
+    void busierModelIsRepairedFirst() {
+        start();
+        engines.demand.putAll(Map.of(
+                "big", new ModelDemand(5, 0),
+                "small", new ModelDemand(100, 20)));
+        int before = engines.serving(FakeEngines.SMALL).size();
+
+        engines.run(planner, 3_000);
+
+        assertThat(engines.serving(FakeEngines.SMALL)).hasSizeGreaterThanOrEqualTo(before);
+        assertThat(engines.violations).isEmpty();
+    }
+
+    @Test
+    void repeatedLossesNeverPutAnEngineIntoTwoServingGroups() {
+        start();
+        SplittableRandom random = new SplittableRandom(42);
+        for (int loss = 0; loss < 12; loss++) {
+            List<Replica> serving =
+                    loss % 2 == 0 ? engines.serving(FakeEngines.BIG) : engines.serving(FakeEngines.SMALL);
+            if (!serving.isEmpty()) {
+                Replica hit = serving.get(random.nextInt(serving.size()));
+                engines.kill(
+                        hit.members().get(random.nextInt(hit.members().size())).id());
+            }
+            engines.run(planner, 1_500);
+        }
+
+        assertThat(engines.violations).isEmpty();
+        assertThat(engines.serving(FakeEngines.BIG)).isNotEmpty();
+        assertThat(engines.serving(FakeEngines.SMALL)).isNotEmpty();
+    }
+}
