--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/protocol/EventScannerTest.java
@@ -0,0 +1,53 @@
+package io.sesamehead.entry.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against events that reach a caller torn, doubled or out of place. */
+final class EventScannerTest {
+    private final EventScanner scanner = new EventScanner();
+    private final List<EventScanner.Event> events = new ArrayList<>();
+
+    private void feed(String text) {
+        assertThat(scanner.feed(text.getBytes(StandardCharsets.UTF_8), events::add))
+                .isTrue();
+    }
+
+    private static String text(EventScanner.Event event) {
+        return new String(event.bytes(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void eventsComeOutWholeHoweverTheBytesAreCut() {
+        String stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+        for (char letter : stream.toCharArray()) {
+            feed(String.valueOf(letter));
+        }
+
+        assertThat(events)
+                .extracting(EventScannerTest::text)
+                .containsExactly("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n");
+        assertThat(events.get(1).number()).hasValue(2);
+        assertThat(scanner.midEvent()).isFalse();
+    }
+
+    @Test
+    void tornEventIsHeldBack() {
+        feed("id: 1\ndata: a\n\nid: 2\nda");
+
+        assertThat(events).hasSize(1);
+        assertThat(scanner.midEvent()).isTrue();
+    }
+
+    @Test
+    void idThatIsNoNumberIsKeptAsText() {
+        feed("id: x-7\ndata: a\n\n");
+
+        assertThat(events.get(0).id()).contains("x-7");
+        assertThat(events.get(0).number()).isEmpty();
+    }
+}
