--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -16,8 +16,11 @@
  * use the keys, as of the moment at which the store was asked.
  */
 final class ConfigWatch {
-    /** Longest wait of one watch, in milliseconds: three answers fit into the shortest lease on keys. */
-    private static final long WATCH_MILLIS = 1_000;
+    /**
+     * Longest wait of one watch, in milliseconds. Knowledge is up to two waits old before the next answer, which must stay
+     * below the time in which a configuration takes force: beyond it, unknown routes and keys are not denied.
+     */
+    private static final long WATCH_MILLIS = 900;
     /** Pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
 
