Log each decision on a call, and explain a request from the logs

Cause: a failed call's line named its attempts but not what each was sent on; one budget for a part let frequent lines push out rare ones; nobody could follow one request through several logs. Change: lines for each sending, loss and refusal of an attempt and for good ends, and for groups that begin or cease to serve; the budget counts each event by itself. The command explain collects one request's lines and those on its targets, cause first; daemons' clocks are not compared.

--- a/cli/src/main/java/io/sesamehead/cli/Main.java
+++ b/cli/src/main/java/io/sesamehead/cli/Main.java
@@ -49,6 +49,7 @@
                 .put("groups", new GroupsCommand())
                 .put("drain", new DrainCommand())
                 .put("report", new ReportCommand(source))
+                .put("explain", new ExplainCommand())
                 .put("load", new LoadCommand(TokenSource::token, source))
                 .put("stand-in", new StandInCommand())
                 .put("stand-in platform", new StandInPlatformCommand())
--- /dev/null
+++ b/cli/src/main/java/io/sesamehead/cli/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Finds one request's story in the logs of entry daemons. */
+package io.sesamehead.cli.explain;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -281,10 +282,28 @@
         if (gate.table().isEmpty()) {
             return;
         }
+        Set<TargetKey> before = fleet.serving();
         fleet.update(registry.entries(), gate.table().get().config());
+        Set<TargetKey> now = fleet.serving();
+        logChange("serving", now, before);
+        logChange("not-serving", before, now);
         table.retain(fleet::exists);
     }
 
+    private void logChange(String event, Set<TargetKey> in, Set<TargetKey> notIn) {
+        for (TargetKey key : in) {
+            if (!notIn.contains(key)) {
+                log.write(
+                        EventLog.Part.GROUP,
+                        event,
+                        "target",
+                        key,
+                        "serving",
+                        fleet.allTargets().size());
+            }
+        }
+    }
+
     private void noteReadiness() {
         boolean now = isReady();
         if (now != ready) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EventLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EventLog.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -9,7 +10,7 @@
 import org.tinylog.Logger;
 
 /**
- * Structured log lines, {@code part: event=... field=value}, within a budget of lines a second for each part. Lines go
+ * Structured log lines, {@code part: event=... field=value}, within a budget of lines a second for each event. Lines go
  * through a bounded queue to a thread of their own: a reader of standard output that stands still costs lines, which are
  * counted, but never time on the event loop. Called on the event loop only.
  */
@@ -21,39 +22,40 @@
     /** The writer collects lines this long before it writes them, in milliseconds: one wake-up for many lines. */
     private static final long WRITE_INTERVAL_MILLIS = 200;
 
-    /** Parts of the daemon, with the lines that each may write in a second. */
+    /** Lines of one event in a second; the next line of the event says how many were left out. */
+    private static final int LINES_PER_SECOND = 30;
+
+    /** Parts of the daemon. */
     public enum Part {
         /** Start, stop and readiness. */
-        DAEMON("daemon", 20),
+        DAEMON("daemon"),
         /** One request's way. */
-        CALL("call", 40),
+        CALL("call"),
         /** Groups and what is believed of them. */
-        GROUP("group", 40),
+        GROUP("group"),
         /** Configuration and keys. */
-        CONFIG("config", 20),
+        CONFIG("config"),
         /** The registry of upstreams. */
-        REGISTRY("registry", 20),
+        REGISTRY("registry"),
         /** The lease of the controller. */
-        LEASE("lease", 20),
+        LEASE("lease"),
         /** Orders to upstreams. */
-        ORDER("order", 40),
+        ORDER("order"),
         /** The store. */
-        STORE("store", 20),
+        STORE("store"),
         /** Other daemons. */
-        PEER("peer", 20);
+        PEER("peer");
 
         private final String prefix;
-        private final int linesPerSecond;
 
-        Part(String prefix, int linesPerSecond) {
+        Part(String prefix) {
             this.prefix = prefix;
-            this.linesPerSecond = linesPerSecond;
         }
     }
 
     private final Clocks clocks;
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
-    private final Map<Part, Budget> budgets = new EnumMap<>(Part.class);
+    private final Map<Part, Map<String, Budget>> budgets = new EnumMap<>(Part.class);
     private final AtomicLong dropped = new AtomicLong();
 
     private static final class Budget {
@@ -77,20 +79,21 @@
     }
 
     /**
-     * Writes a line unless the part's budget is spent.
+     * Writes a line unless the event's budget is spent.
      *
      * @param part the part
      * @param event what happened, one word with hyphens
      * @param fields names and values in turn
      */
     public void write(Part part, String event, Object... fields) {
-        Budget budget = budgets.computeIfAbsent(part, key -> new Budget());
+        Budget budget =
+                budgets.computeIfAbsent(part, key -> new HashMap<>()).computeIfAbsent(event, key -> new Budget());
         long now = clocks.steadyMillis();
         if (now - budget.periodStart >= PERIOD_MILLIS) {
             budget.periodStart = now;
             budget.used = 0;
         }
-        if (budget.used >= part.linesPerSecond) {
+        if (budget.used >= LINES_PER_SECOND) {
             budget.leftOut++;
             dropped.incrementAndGet();
             return;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/Fleet.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/Fleet.java
@@ -66,6 +66,13 @@
         return all;
     }
 
+    /** Returns the names of all targets that serve now. */
+    Set<TargetKey> serving() {
+        Set<TargetKey> keys = new HashSet<>();
+        allTargets().forEach(target -> keys.add(target.key()));
+        return keys;
+    }
+
     /** Returns the upstreams of a service. */
     List<UpstreamEntry> upstreams(ServiceName service) {
         return upstreams.getOrDefault(service, List.of());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -168,6 +168,29 @@
 
     private void send(Target target, long expectedMillis) {
         tried.add(target.key());
+        environment
+                .log()
+                .write(
+                        EventLog.Part.CALL,
+                        "sent",
+                        "id",
+                        facts.requestId(),
+                        "attempt",
+                        tried.size(),
+                        "target",
+                        target.key(),
+                        "upstream",
+                        target.receiver().id(),
+                        "load",
+                        environment.table().inFlight(target.key()),
+                        "expected_ms",
+                        expectedMillis,
+                        "after",
+                        lastEventId.orElse("-"),
+                        "config",
+                        environment.configVersion(),
+                        "registry_age_ms",
+                        environment.registryAgeMillis());
         attempt = new Attempt(target, expectedMillis);
         attempt.start();
     }
@@ -285,6 +308,19 @@
 
     private void succeed(int status) {
         environment.metrics().count("calls_ended{kind=\"" + route.kind() + "\",end=\"" + status / 100 + "xx\"}");
+        environment
+                .log()
+                .write(
+                        EventLog.Part.CALL,
+                        "ended",
+                        "id",
+                        facts.requestId(),
+                        "status",
+                        status,
+                        "took_ms",
+                        now() - request.arrivedAtMillis(),
+                        "attempts",
+                        tried.size());
         finish();
     }
 
@@ -445,6 +481,17 @@
             end();
             unrunAttempts++;
             environment.metrics().count("attempts_refused_by_upstream");
+            environment
+                    .log()
+                    .write(
+                            EventLog.Part.CALL,
+                            "attempt-refused",
+                            "id",
+                            facts.requestId(),
+                            "target",
+                            target.key(),
+                            "status",
+                            head.status().code());
             if (!trySendAgain(false)) {
                 giveUp(
                         AnswerKind.NO_PLACE,
@@ -460,6 +507,21 @@
             }
             stop();
             environment.metrics().count("attempts_broken");
+            environment
+                    .log()
+                    .write(
+                            EventLog.Part.CALL,
+                            "attempt-lost",
+                            "id",
+                            facts.requestId(),
+                            "target",
+                            target.key(),
+                            "sent",
+                            sent,
+                            "begun",
+                            begun,
+                            "reason",
+                            reason);
             if (sent) {
                 ranAttempts++;
                 environment.recordCrash(request, tenant);
