Move the log lines of a call into a class of their own

Change: CallLog writes the lines and counts the ends of one call. Ruled out: shorter lines, since each names the inputs of its decision. Checked by the tests of entry and platform.

--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -0,0 +1,103 @@
+package io.sesamehead.entry.runtime;
+
+import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.dispatch.Target;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.entry.port.CallFacts;
+import java.util.List;
+import java.util.Optional;
+
+/** Log lines and counters of one call's way. */
+final class CallLog {
+    private final CallEnvironment environment;
+    private final CallFacts facts;
+    private final Route route;
+    private final long arrivedAtMillis;
+
+    CallLog(CallEnvironment environment, CallFacts facts, Route route, long arrivedAtMillis) {
+        this.environment = environment;
+        this.facts = facts;
+        this.route = route;
+        this.arrivedAtMillis = arrivedAtMillis;
+    }
+
+    void sent(int attempt, Target target, long expectedMillis, Optional<String> lastEventId) {
+        write(
+                "sent",
+                "attempt",
+                attempt,
+                "target",
+                target.key(),
+                "upstream",
+                target.receiver().id(),
+                "load",
+                environment.table().inFlight(target.key()),
+                "expected_ms",
+                expectedMillis,
+                "after",
+                lastEventId.orElse("-"),
+                "config",
+                environment.configVersion(),
+                "registry_age_ms",
+                environment.registryAgeMillis());
+    }
+
+    void moved(TargetKey from, Optional<String> lastEventId) {
+        write("moved", "target", from, "after", lastEventId.orElse("-"));
+    }
+
+    void attemptLost(Target target, boolean sent, boolean begun, String reason) {
+        environment.metrics().count("attempts_broken");
+        write("attempt-lost", "target", target.key(), "sent", sent, "begun", begun, "reason", reason);
+    }
+
+    void attemptRefused(Target target, int status) {
+        environment.metrics().count("attempts_refused_by_upstream");
+        write("attempt-refused", "target", target.key(), "status", status);
+    }
+
+    void ended(int status, int attempts) {
+        countEnd(status / 100 + "xx");
+        write("ended", "status", status, "took_ms", tookMillis(), "attempts", attempts);
+    }
+
+    void failed(String end, String reason, List<TargetKey> tried, int ran) {
+        countEnd(end);
+        write(
+                "failed",
+                "end",
+                end,
+                "reason",
+                reason,
+                "route",
+                route.name(),
+                "kind",
+                route.kind(),
+                "took_ms",
+                tookMillis(),
+                "attempts",
+                tried,
+                "ran",
+                ran,
+                "config",
+                environment.configVersion(),
+                "registry_age_ms",
+                environment.registryAgeMillis());
+    }
+
+    private void countEnd(String end) {
+        environment.metrics().count("calls_ended{kind=\"" + route.kind() + "\",end=\"" + end + "\"}");
+    }
+
+    private long tookMillis() {
+        return environment.clocks().steadyMillis() - arrivedAtMillis;
+    }
+
+    private void write(String event, Object... fields) {
+        Object[] all = new Object[fields.length + 2];
+        all[0] = "id";
+        all[1] = facts.requestId();
+        System.arraycopy(fields, 0, all, 2, fields.length);
+        environment.log().write(EventLog.Part.CALL, event, all);
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -50,6 +50,7 @@
     private final Optional<Tenant> tenant;
     private final ServiceName service;
     private final Responder responder;
+    private final CallLog log;
     private final long expiresAtMillis;
     private final List<TargetKey> tried = new ArrayList<>();
 
@@ -77,6 +78,7 @@
         this.tenant = tenant;
         this.service = service;
         this.responder = responder;
+        this.log = new CallLog(environment, facts, route, request.arrivedAtMillis());
         this.lastEventId = facts.lastEventId();
         long allowed = Math.min(facts.remainingMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
         this.expiresAtMillis = request.arrivedAtMillis() + allowed;
@@ -108,17 +110,7 @@
         if (!route.idempotent()) {
             return;
         }
-        environment
-                .log()
-                .write(
-                        EventLog.Part.CALL,
-                        "moved",
-                        "id",
-                        facts.requestId(),
-                        "from",
-                        key,
-                        "after",
-                        lastEventId.orElse("-"));
+        log.moved(key, lastEventId);
         attempt.failed(true, "target is silent");
     }
 
@@ -168,29 +160,7 @@
 
     private void send(Target target, long expectedMillis) {
         tried.add(target.key());
-        environment
-                .log()
-                .write(
-                        EventLog.Part.CALL,
-                        "sent",
-                        "id",
-                        facts.requestId(),
-                        "attempt",
-                        tried.size(),
-                        "target",
-                        target.key(),
-                        "upstream",
-                        target.receiver().id(),
-                        "load",
-                        environment.table().inFlight(target.key()),
-                        "expected_ms",
-                        expectedMillis,
-                        "after",
-                        lastEventId.orElse("-"),
-                        "config",
-                        environment.configVersion(),
-                        "registry_age_ms",
-                        environment.registryAgeMillis());
+        log.sent(tried.size(), target, expectedMillis, lastEventId);
         attempt = new Attempt(target, expectedMillis);
         attempt.start();
     }
@@ -266,61 +236,19 @@
     }
 
     private void fail(AnswerKind kind, long retryAfterMillis, String reason) {
-        logEnd(kind.type(), reason);
+        log.failed(kind.type(), reason, tried, ranAttempts);
         environment.answer(responder, kind, retryAfterMillis);
         finish();
     }
 
     private void breakOff(String reason) {
-        logEnd("broken-off", reason);
+        log.failed("broken-off", reason, tried, ranAttempts);
         responder.breakOff();
         finish();
     }
 
-    private void logEnd(String end, String reason) {
-        environment.metrics().count("calls_ended{kind=\"" + route.kind() + "\",end=\"" + end + "\"}");
-        environment
-                .log()
-                .write(
-                        EventLog.Part.CALL,
-                        "failed",
-                        "id",
-                        facts.requestId(),
-                        "end",
-                        end,
-                        "reason",
-                        reason,
-                        "route",
-                        route.name(),
-                        "kind",
-                        route.kind(),
-                        "took_ms",
-                        now() - request.arrivedAtMillis(),
-                        "attempts",
-                        tried,
-                        "ran",
-                        ranAttempts,
-                        "config",
-                        environment.configVersion(),
-                        "registry_age_ms",
-                        environment.registryAgeMillis());
-    }
-
     private void succeed(int status) {
-        environment.metrics().count("calls_ended{kind=\"" + route.kind() + "\",end=\"" + status / 100 + "xx\"}");
-        environment
-                .log()
-                .write(
-                        EventLog.Part.CALL,
-                        "ended",
-                        "id",
-                        facts.requestId(),
-                        "status",
-                        status,
-                        "took_ms",
-                        now() - request.arrivedAtMillis(),
-                        "attempts",
-                        tried.size());
+        log.ended(status, tried.size());
         finish();
     }
 
@@ -480,18 +408,7 @@
             environment.table().progressed(target.key(), now());
             end();
             unrunAttempts++;
-            environment.metrics().count("attempts_refused_by_upstream");
-            environment
-                    .log()
-                    .write(
-                            EventLog.Part.CALL,
-                            "attempt-refused",
-                            "id",
-                            facts.requestId(),
-                            "target",
-                            target.key(),
-                            "status",
-                            head.status().code());
+            log.attemptRefused(target, head.status().code());
             if (!trySendAgain(false)) {
                 giveUp(
                         AnswerKind.NO_PLACE,
@@ -506,22 +423,7 @@
                 return;
             }
             stop();
-            environment.metrics().count("attempts_broken");
-            environment
-                    .log()
-                    .write(
-                            EventLog.Part.CALL,
-                            "attempt-lost",
-                            "id",
-                            facts.requestId(),
-                            "target",
-                            target.key(),
-                            "sent",
-                            sent,
-                            "begun",
-                            begun,
-                            "reason",
-                            reason);
+            log.attemptLost(target, sent, begun, reason);
             if (sent) {
                 ranAttempts++;
                 environment.recordCrash(request, tenant);
