--- a/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
@@ -36,6 +36,7 @@
     private final Set<ReplicaKey> abandoned = new HashSet<>();
     private final Map<String, Integer> mostGroups = new HashMap<>();
     private long groupsFormed;
+    private PlanSummary summary = new PlanSummary(0, 0, 0, 0, 0, 0, 0);
 
     /**
      * Creates a planner for one term of the lease.
@@ -65,11 +66,13 @@
         advanceDissolving(replicas, byId, nowMillis, actions);
         noteMostGroups(healthy);
         List<UpstreamEntry> free = freeUpstreams(view, nowMillis);
+        int standing = healthy.values().stream().mapToInt(Integer::intValue).sum() - forming.size();
         boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
         if (loadsLeft) {
             staging.plan(view, byNeed(view, healthy), free, limiter, nowMillis, actions);
         }
+        summary = summarize(view, standing, free);
         return actions;
     }
 
@@ -97,12 +100,41 @@
     }
 
     /**
-     * Returns how many groups are being formed.
+     * Returns where the upstreams stood after the last step.
      *
-     * @return the count
+     * @return the counts
      */
-    public int formingCount() {
-        return forming.size();
+    public PlanSummary summary() {
+        return summary;
+    }
+
+    private PlanSummary summarize(FleetView view, int standing, List<UpstreamEntry> free) {
+        Set<InstanceId> used = new HashSet<>();
+        forming.values().forEach(group -> used.addAll(group.members()));
+        Set<InstanceId> freeIds = new HashSet<>();
+        free.forEach(entry -> freeIds.add(entry.id()));
+        int held = 0;
+        for (UpstreamEntry entry : view.entries()) {
+            boolean serves = entry.membership()
+                    .map(Membership::replica)
+                    .filter(key -> !dissolving.containsKey(key) && !abandoned.contains(key))
+                    .isPresent();
+            if (!serves && !used.contains(entry.id()) && !freeIds.contains(entry.id())) {
+                held++;
+            }
+        }
+        int prepared = (int) free.stream()
+                .filter(entry ->
+                        view.engine().models().stream().anyMatch(model -> MemberChoice.hasModel(entry, model.name())))
+                .count();
+        return new PlanSummary(
+                standing,
+                forming.size(),
+                dissolving.size(),
+                free.size(),
+                prepared,
+                held,
+                view.entries().size());
     }
 
     private Optional<FormingReplica> formingOf(ReplicaKey key) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -7,6 +7,7 @@
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.replica.FleetView;
 import io.sesamehead.coordination.replica.OrderResult;
+import io.sesamehead.coordination.replica.PlanSummary;
 import io.sesamehead.coordination.replica.Replica;
 import io.sesamehead.coordination.replica.ReplicaAction;
 import io.sesamehead.coordination.replica.ReplicaIndex;
@@ -24,6 +25,9 @@
 
 /** The controller's work under one term of the lease: plans the groups of each model service and sends the orders. */
 final class ControllerTerm {
+    /** Interval of the line that sums up the groups, in milliseconds. */
+    private static final long REPORT_MILLIS = 1_000;
+
     private final long epoch;
     private final long stallMillis;
     private final Clocks clocks;
@@ -36,6 +40,7 @@
     private final BooleanSupplier maySend;
     private final Runnable onFenced;
     private final Map<ServiceName, ReplicaPlanner> planners = new HashMap<>();
+    private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     ControllerTerm(
             long epoch,
@@ -84,6 +89,42 @@
         for (ReplicaAction action : planner.plan(view, now)) {
             send(planner, byId.get(action.target().value()), action);
         }
+        report(service, planner.summary(), view, now);
+    }
+
+    private void report(ServiceName service, PlanSummary summary, FleetView view, long nowMillis) {
+        if (nowMillis - reportedAtMillis < REPORT_MILLIS) {
+            return;
+        }
+        reportedAtMillis = nowMillis;
+        metrics.set("groups{state=\"serving\"}", summary.serving());
+        metrics.set("groups{state=\"forming\"}", summary.forming());
+        metrics.set("groups{state=\"dissolving\"}", summary.dissolving());
+        metrics.set("upstreams_stranded{state=\"free\"}", summary.free());
+        metrics.set("upstreams_stranded{state=\"held\"}", summary.held());
+        log.write(
+                EventLog.Part.GROUP,
+                "plan",
+                "service",
+                service,
+                "serving",
+                summary.serving(),
+                "forming",
+                summary.forming(),
+                "dissolving",
+                summary.dissolving(),
+                "free",
+                summary.free(),
+                "prepared",
+                summary.prepared(),
+                "held",
+                summary.held(),
+                "listed",
+                summary.listed(),
+                "stalled",
+                view.stalled().size(),
+                "demand",
+                view.demand());
     }
 
     private List<Target> targets() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/DaemonMetrics.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/DaemonMetrics.java
@@ -50,6 +50,17 @@
         registry.register(name, (Gauge<Long>) value::getAsLong);
     }
 
+    /**
+     * Sets a value that its owner reports now and then.
+     *
+     * @param name its name
+     * @param value the value
+     */
+    public void set(String name, long value) {
+        Counter counter = counter(name);
+        counter.inc(value - counter.getCount());
+    }
+
     /**
      * Records a time.
      *
