--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -0,0 +1,121 @@
+package io.sesamehead.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.coordination.catalog.EngineProfile;
+import io.sesamehead.coordination.catalog.ModelProfile;
+import io.sesamehead.coordination.replica.ReplicaKey;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against calls that wait where they cannot be on time, and against refused callers that come back together. */
+final class DispatcherTest {
+    private static final int SLOTS = 18;
+    private static final ModelProfile MODEL = new ModelProfile("big", 4, 1, 1.0, 16_000, 1_600);
+    private static final EngineProfile ENGINE =
+            new EngineProfile(SLOTS, List.of(MODEL), 5.95, 0.06, 50_700, 7, 4.5, 6, 2.5, 300);
+    private static final CallShape FRESH = new CallShape(1_400, 300, 8_000, 0);
+    private static final long NOW = 1_000;
+
+    private final TargetTable table = new TargetTable();
+    private final ServiceTimes times = new ServiceTimes();
+    private final Dispatcher dispatcher = new Dispatcher(new FailureDomain("a"), table, times, new SplittableRandom(7));
+
+    private static Target target(int number, String failureDomain, double slowness) {
+        ReplicaKey key = ReplicaKey.of("big", number);
+        UpstreamEntry head = new UpstreamEntry(
+                new InstanceId("i-" + number),
+                1,
+                new ServiceName("pool"),
+                new Endpoint("127.0.0.1", number),
+                new FailureDomain(failureDomain),
+                SLOTS,
+                false,
+                "d",
+                List.of(),
+                List.of(),
+                Optional.empty());
+        return new Target(TargetKey.of(key), head, SLOTS, slowness, slowness, Optional.of(ENGINE));
+    }
+
+    private void load(Target target, int calls) {
+        for (int i = 0; i < calls; i++) {
+            table.sent(target.key(), NOW);
+        }
+    }
+
+    private TargetKey chosen(CallShape call, Target... targets) {
+        return ((DispatchDecision.Send) dispatcher.decide(call, List.of(targets), NOW))
+                .target()
+                .key();
+    }
+
+    @Test
+    void leastLoadedTargetIsChosen() {
+        Target busy = target(1, "a", 1);
+        Target idle = target(2, "b", 1);
+        load(busy, 6);
+
+        assertThat(chosen(FRESH, busy, idle)).isEqualTo(idle.key());
+    }
+
+    @Test
+    void slowGroupIsUsedOnlyWhenTheOthersAreFarAhead() {
+        Target near = target(1, "a", 1);
+        Target far = target(2, "a", 2.5);
+        load(near, 8);
+        assertThat(chosen(FRESH, near, far)).isEqualTo(near.key());
+
+        load(near, 9);
+
+        assertThat(chosen(FRESH, near, far)).isEqualTo(far.key());
+    }
+
+    @Test
+    void callWithoutAnyTargetIsRefusedAtOnce() {
+        DispatchDecision decision = dispatcher.decide(FRESH, List.of(), NOW);
+
+        assertThat(decision).isInstanceOfSatisfying(DispatchDecision.Refuse.class, refuse -> {
+            assertThat(refuse.reason()).isEqualTo(DispatchDecision.Reason.NO_TARGET);
+            assertThat(refuse.retryAfterMillis()).isBetween(50L, FRESH.remainingMillis() / 3);
+        });
+    }
+
+    /** The load: a burst on one full group. A call that would queue past its objective is refused instead of waiting. */
+    @Test
+    void burstBeyondThePlacesIsRefusedAndReturnsSpread() {
+        Target only = target(1, "a", 1);
+        List<Long> returns = new ArrayList<>();
+        int sent = 0;
+        for (int call = 0; call < 60; call++) {
+            switch (dispatcher.decide(FRESH, List.of(only), NOW)) {
+                case DispatchDecision.Send send -> {
+                    sent++;
+                    load(only, 1);
+                }
+                case DispatchDecision.Refuse refuse -> returns.add(refuse.retryAfterMillis());
+            }
+        }
+
+        assertThat(sent).isBetween(SLOTS, SLOTS + 8);
+        assertThat(returns.stream().distinct().count()).isGreaterThan(10);
+        assertThat(returns).allMatch(millis -> millis <= FRESH.remainingMillis() / 3);
+    }
+
+    @Test
+    void callerThatCameBackMayQueueALittle() {
+        Target only = target(1, "a", 1);
+        load(only, SLOTS + 2);
+        CallShape returned = new CallShape(1_400, 300, 6_000, 2_000);
+
+        assertThat(dispatcher.decide(returned, List.of(only), NOW)).isInstanceOf(DispatchDecision.Send.class);
+    }
+}
