Revert groups over several fabric domains

The slow groups use up the spares that repair the others, lose members in several domains, and their pauses look like silence. What binds is the weight store: loads of 12 to 16 s, six at a time, against two engines lost each three seconds.

--- a/core/src/main/java/io/sesamehead/coordination/catalog/EngineProfile.java
+++ b/core/src/main/java/io/sesamehead/coordination/catalog/EngineProfile.java
@@ -14,7 +14,6 @@
  * @param stepsPerEvent token steps that one event of a stream holds
  * @param loadsPerSecond loads from the weight store that may begin in a second
  * @param concurrentLoads loads that run at once without slowing one another down
- * @param farFactor factor on all times of a group whose members are in several fabric domains
  * @param formMillis time in which the head of a complete group starts to serve, in milliseconds
  */
 public record EngineProfile(
@@ -26,7 +25,6 @@
         int stepsPerEvent,
         double loadsPerSecond,
         int concurrentLoads,
-        double farFactor,
         long formMillis) {
     /** Copies the models. */
     public EngineProfile {
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -15,8 +15,6 @@
     private static final double CHANCE_CALLS = 1.5;
     /** Calls that a target in another failure domain must be ahead to be preferred. */
     private static final double DISTANCE_CALLS = 0.5;
-    /** Load, as a part of the places, that other targets must be ahead before one that is twice as slow is used. */
-    private static final double SLOW_PART = 0.4;
     /** Part of the objective that an estimate may use up. */
     private static final double OBJECTIVE_PART = 0.9;
     /** Places beyond a target's own that a call without any chance of being on time may queue for. */
@@ -104,7 +102,7 @@
         if (!target.receiver().failureDomain().equals(here)) {
             calls += DISTANCE_CALLS;
         }
-        return calls / target.slots() + (target.slowness() - 1) * SLOW_PART;
+        return calls / target.slots();
     }
 
     private long returnMillis(long waitMillis, CallShape call) {
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Target.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Target.java
@@ -10,14 +10,7 @@
  * @param key identity of the group or upstream
  * @param receiver the upstream that the connection goes to
  * @param slots calls that run at once
- * @param pace factor on all of its times, below 1 is faster
- * @param slowness factor on its times compared with other groups of its model, 1 or more
+ * @param pace factor on the times of its model, below 1 is faster
  * @param engine times of a model service, empty for a plain service
  */
-public record Target(
-        TargetKey key,
-        UpstreamEntry receiver,
-        int slots,
-        double pace,
-        double slowness,
-        Optional<EngineProfile> engine) {}
+public record Target(TargetKey key, UpstreamEntry receiver, int slots, double pace, Optional<EngineProfile> engine) {}
--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -17,7 +17,7 @@
     /** Time after which an unanswered order is sent again, in milliseconds. */
     private static final long RESEND_MILLIS = 350;
     /** Added to the time in which a head notices a missing member, for clocks and messages, in milliseconds. */
-    private static final long MARGIN_MILLIS = 400;
+    private static final long MARGIN_MILLIS = 700;
 
     private final ReplicaKey key;
     private final Optional<InstanceId> head;
--- a/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/MemberChoice.java
@@ -51,28 +51,6 @@
         return candidates.stream().min(order);
     }
 
-    /**
-     * Finds members in several fabric domains, those with the fewest prepared neighbours first: they are the least likely
-     * to form a group within their domain.
-     *
-     * @param free upstreams to choose from
-     * @param model the group's model
-     */
-    static Optional<Candidate> far(List<UpstreamEntry> free, ModelProfile model) {
-        List<UpstreamEntry> usable = new ArrayList<>(
-                free.stream().filter(entry -> hasModel(entry, model.name())).toList());
-        if (usable.size() < model.size()) {
-            return Optional.empty();
-        }
-        Map<String, List<UpstreamEntry>> domains = byFabricDomain(usable);
-        usable.sort(Comparator.<UpstreamEntry>comparingInt(
-                        entry -> domains.get(entry.fabricDomain()).size())
-                .thenComparing(UpstreamEntry::fabricDomain)
-                .thenComparing(UpstreamEntry::id));
-        List<UpstreamEntry> members = List.copyOf(usable.subList(0, model.size()));
-        return Optional.of(new Candidate(members, 0, model.warmMillis(), usable.size() - model.size()));
-    }
-
     static Map<String, List<UpstreamEntry>> byFabricDomain(List<UpstreamEntry> entries) {
         Map<String, List<UpstreamEntry>> domains = new HashMap<>();
         for (UpstreamEntry entry : entries) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/Replica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/Replica.java
@@ -56,15 +56,6 @@
         return complete(size) && state(members.get(0)).state() == MemberState.OPEN;
     }
 
-    /**
-     * Tells whether the members are in several fabric domains, which makes the group slow.
-     *
-     * @return true if not all members share a fabric domain
-     */
-    public boolean far() {
-        return members.stream().map(UpstreamEntry::fabricDomain).distinct().count() > 1;
-    }
-
     private static Membership state(UpstreamEntry member) {
         return member.membership().orElseThrow();
     }
--- a/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
@@ -22,8 +22,6 @@
     private static final double RESERVE_SHARE = 0.2;
     /** Part of a model's places in use above which the reserve is given up for another group. */
     private static final double HIGH_USE = 0.6;
-    /** Part of a model's places in use above which a slow group over several fabric domains is better than none. */
-    private static final double FAR_USE = 0.8;
     /** Time that calls have to end at a group with a leaving member, in milliseconds: a stream's usual length. */
     private static final long LEAVING_GRACE_MILLIS = 1_500;
 
@@ -309,9 +307,6 @@
         List<UpstreamEntry> offered = withoutReserve(view, model, free, groups);
         Optional<MemberChoice.Candidate> choice =
                 MemberChoice.best(offered, model, !view.trafficSeen(), groupsByFailureDomain(view, model));
-        if (choice.isEmpty() && view.trafficSeen() && use(view, model, groups) > FAR_USE) {
-            choice = MemberChoice.far(free, model);
-        }
         if (choice.isEmpty()) {
             return Formed.NO;
         }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -21,7 +21,7 @@
     private static final int SLOTS = 18;
     private static final ModelProfile MODEL = new ModelProfile("big", 4, 1, 1.0, 16_000, 1_600);
     private static final EngineProfile ENGINE =
-            new EngineProfile(SLOTS, List.of(MODEL), 5.95, 0.06, 50_700, 7, 4.5, 6, 2.5, 300);
+            new EngineProfile(SLOTS, List.of(MODEL), 5.95, 0.06, 50_700, 7, 4.5, 6, 300);
     private static final CallShape FRESH = new CallShape(1_400, 300, 8_000, 0);
     private static final long NOW = 1_000;
 
@@ -29,7 +29,7 @@
     private final ServiceTimes times = new ServiceTimes();
     private final Dispatcher dispatcher = new Dispatcher(new FailureDomain("a"), table, times, new SplittableRandom(7));
 
-    private static Target target(int number, String failureDomain, double slowness) {
+    private static Target target(int number, String failureDomain) {
         ReplicaKey key = ReplicaKey.of("big", number);
         UpstreamEntry head = new UpstreamEntry(
                 new InstanceId("i-" + number),
@@ -43,7 +43,7 @@
                 List.of(),
                 List.of(),
                 Optional.empty());
-        return new Target(TargetKey.of(key), head, SLOTS, slowness, slowness, Optional.of(ENGINE));
+        return new Target(TargetKey.of(key), head, SLOTS, 1, Optional.of(ENGINE));
     }
 
     private void load(Target target, int calls) {
@@ -60,25 +60,13 @@
 
     @Test
     void leastLoadedTargetIsChosen() {
-        Target busy = target(1, "a", 1);
-        Target idle = target(2, "b", 1);
+        Target busy = target(1, "a");
+        Target idle = target(2, "b");
         load(busy, 6);
 
         assertThat(chosen(FRESH, busy, idle)).isEqualTo(idle.key());
     }
 
-    @Test
-    void slowGroupIsUsedOnlyWhenTheOthersAreFarAhead() {
-        Target near = target(1, "a", 1);
-        Target far = target(2, "a", 2.5);
-        load(near, 8);
-        assertThat(chosen(FRESH, near, far)).isEqualTo(near.key());
-
-        load(near, 9);
-
-        assertThat(chosen(FRESH, near, far)).isEqualTo(far.key());
-    }
-
     @Test
     void callWithoutAnyTargetIsRefusedAtOnce() {
         DispatchDecision decision = dispatcher.decide(FRESH, List.of(), NOW);
@@ -92,7 +80,7 @@
     /** The load: a burst on one full group. A call that would queue past its objective is refused instead of waiting. */
     @Test
     void burstBeyondThePlacesIsRefusedAndReturnsSpread() {
-        Target only = target(1, "a", 1);
+        Target only = target(1, "a");
         List<Long> returns = new ArrayList<>();
         int sent = 0;
         for (int call = 0; call < 60; call++) {
@@ -112,7 +100,7 @@
 
     @Test
     void callerThatCameBackMayQueueALittle() {
-        Target only = target(1, "a", 1);
+        Target only = target(1, "a");
         load(only, SLOTS + 2);
         CallShape returned = new CallShape(1_400, 300, 6_000, 2_000);
 
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -22,8 +22,7 @@
 final class FakeEngines {
     static final ModelProfile BIG = new ModelProfile("big", 4, 0.57, 1.0, 16_000, 1_600);
     static final ModelProfile SMALL = new ModelProfile("small", 3, 0.43, 0.6, 12_000, 1_100);
-    static final EngineProfile PROFILE =
-            new EngineProfile(18, List.of(BIG, SMALL), 5.95, 0.06, 50_700, 7, 4.5, 6, 2.5, 300);
+    static final EngineProfile PROFILE = new EngineProfile(18, List.of(BIG, SMALL), 5.95, 0.06, 50_700, 7, 4.5, 6, 300);
     private static final long HELD_MILLIS = 200;
     private static final double IDLE_FACTOR = 0.1;
 
--- a/core/src/test/java/io/sesamehead/coordination/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/ReplicaPlannerTest.java
@@ -130,24 +130,6 @@
         assertThat(engines.loads).isLessThanOrEqualTo(FakeEngines.PROFILE.concurrentLoads());
     }
 
-    /** Twenty of fifty upstreams stood idle in a played day because no fabric domain had enough of them. */
-    @Test
-    void scatteredSparesFormASlowGroupOnlyWhenPlacesAreShort() {
-        start();
-        int before = engines.serving(FakeEngines.SMALL).size();
-        engines.demand.put("small", new ModelDemand(30, 0));
-        engines.run(planner, 4_000);
-        assertThat(engines.serving(FakeEngines.SMALL)).hasSize(before);
-
-        engines.demand.put("small", new ModelDemand(100, 40));
-        engines.run(planner, 4_000);
-
-        assertThat(engines.serving(FakeEngines.SMALL)).hasSizeGreaterThan(before);
-        assertThat(engines.serving(FakeEngines.SMALL).stream().filter(Replica::far))
-                .isNotEmpty();
-        assertThat(engines.violations).isEmpty();
-    }
-
     @Test
     void busierModelIsRepairedFirst() {
         start();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/Fleet.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/Fleet.java
@@ -91,10 +91,12 @@
             Optional<ModelProfile> model = replica.key().model().flatMap(engine::model);
             if (model.isPresent() && replica.serving(model.get().size())) {
                 UpstreamEntry head = replica.head().orElseThrow();
-                double slowness = replica.far() ? Math.max(1, engine.farFactor()) : 1;
-                double pace = model.get().pace() * slowness;
                 Target target = new Target(
-                        TargetKey.of(replica.key()), head, engine.slots(), pace, slowness, Optional.of(engine));
+                        TargetKey.of(replica.key()),
+                        head,
+                        engine.slots(),
+                        model.get().pace(),
+                        Optional.of(engine));
                 byModel.computeIfAbsent(model.get().name(), name -> new ArrayList<>())
                         .add(target);
             }
@@ -107,7 +109,7 @@
         for (UpstreamEntry entry : members) {
             if (!entry.leaving()) {
                 TargetKey key = TargetKey.of(entry.id(), entry.startedAtEpochMillis());
-                list.add(new Target(key, entry, Math.max(1, entry.slots()), 1, 1, Optional.empty()));
+                list.add(new Target(key, entry, Math.max(1, entry.slots()), 1, Optional.empty()));
             }
         }
         return list;
