--- a/entry/src/main/java/io/sesamehead/entry/runtime/EventLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EventLog.java
@@ -116,6 +116,15 @@
         return dropped.get();
     }
 
+    /**
+     * Returns the lines that wait to be written.
+     *
+     * @return the count
+     */
+    public int waiting() {
+        return queue.size();
+    }
+
     /** Writes what is queued; called once at the end of the process. */
     public void flush() {
         StringBuilder lines = new StringBuilder();
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLogTest.java
@@ -0,0 +1,50 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against a log that costs calls their time, or leaves lines out without saying so. */
+final class EventLogTest {
+    private long now;
+
+    private final EventLog log = new EventLog(new Clocks() {
+        @Override
+        public long steadyMillis() {
+            return now;
+        }
+
+        @Override
+        public long bootMillis() {
+            return now;
+        }
+    });
+
+    /** No writer runs here, as if the reader of standard output stood still. */
+    @Test
+    void floodWithoutAReaderNeverBlocksAndEveryLineIsAccountedFor() {
+        int lines = 0;
+        for (int second = 0; second < 100; second++) {
+            now += 1_000;
+            for (int line = 0; line < 100; line++) {
+                log.write(EventLog.Part.CALL, "failed", "id", line);
+                lines++;
+            }
+        }
+
+        assertThat(log.dropped() + log.waiting()).isEqualTo(lines);
+        assertThat(log.waiting()).isLessThanOrEqualTo(1_024);
+    }
+
+    @Test
+    void frequentEventLeavesTheBudgetOfRareOnesAlone() {
+        for (int line = 0; line < 1_000; line++) {
+            log.write(EventLog.Part.CALL, "ended", "id", line);
+        }
+        long dropped = log.dropped();
+
+        log.write(EventLog.Part.CALL, "failed", "id", "x");
+
+        assertThat(log.dropped()).isEqualTo(dropped);
+    }
+}
