Test the change of the controller's lease without a store

Change: LeaseTaskTest runs two daemons' tasks in frozen time over one fake store: one holder at a time at each step, a holder cut off from the store, a lost answer, a holder that is heard, a lease given back, a fenced holder. Ruled out: nothing failed, so no fault is mended here.

--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
@@ -0,0 +1,209 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.coordination.lease.LeaseHolder;
+import io.sesamehead.coordination.lease.LeaseSettings;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Incarnation;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against two controllers at once, and against a long time without one. */
+final class LeaseTaskTest {
+    private static final long TTL_MILLIS = 1_500;
+    private static final long DRIFT_MILLIS = 100;
+    private static final long LONGEST_ORDER_MILLIS = 300;
+    private static final long STEP_MILLIS = 10;
+    /** Bound of the users' pages for a whole recovery, of which the change of the holder may take a part. */
+    private static final long TAKEOVER_MILLIS = 4_000;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final FakeStore store = new FakeStore();
+    private final FakeClocks clocks = new FakeClocks();
+    private LeaseTask first;
+    private LeaseTask second;
+
+    private LeaseTask task(String daemon, long incarnation) {
+        LeaseHolder holder = new LeaseHolder(
+                new DaemonId(daemon),
+                new Incarnation(incarnation),
+                new LeaseSettings(TTL_MILLIS, DRIFT_MILLIS, LONGEST_ORDER_MILLIS));
+        return new LeaseTask(
+                channel.eventLoop(),
+                clocks,
+                store,
+                holder,
+                TTL_MILLIS,
+                new EventLog(clocks),
+                new SplittableRandom(incarnation));
+    }
+
+    @BeforeEach
+    void startTwo() {
+        channel.freezeTime();
+        first = task("a", 1);
+        second = task("b", 2);
+        first.start();
+        second.start();
+        run(3_000);
+    }
+
+    private void run(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            clocks.now += STEP_MILLIS;
+            channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+            assertThat(first.epoch().isPresent() && second.epoch().isPresent())
+                    .as("both hold the lease")
+                    .isFalse();
+        }
+    }
+
+    private long runUntilHeld(LeaseTask task, long limitMillis) {
+        long passed = 0;
+        while (task.epoch().isEmpty() && passed < limitMillis) {
+            run(STEP_MILLIS);
+            passed += STEP_MILLIS;
+        }
+        return passed;
+    }
+
+    @Test
+    void oneOfTwoHoldsTheLeaseAndKeepsIt() {
+        OptionalLong epoch = first.epoch();
+        assertThat(epoch).hasValue(1);
+
+        run(10_000);
+
+        assertThat(first.epoch()).isEqualTo(epoch);
+        assertThat(second.epoch()).isEmpty();
+    }
+
+    @Test
+    void successorFollowsAHolderThatIsCutOffFromTheStore() {
+        store.unreachableFor = "a";
+
+        long took = runUntilHeld(second, TAKEOVER_MILLIS);
+
+        assertThat(took).isLessThan(TAKEOVER_MILLIS);
+        assertThat(second.epoch()).hasValue(2);
+        assertThat(first.epoch()).isEmpty();
+    }
+
+    @Test
+    void holderThatIsHeardKeepsTheOthersFromAskingTheStore() {
+        int before = store.lists;
+        for (int report = 0; report < 20; report++) {
+            Lease held = first.held().orElseThrow();
+            second.heard(held.holder(), held.holderIncarnation(), held.epoch(), held.renewals());
+            run(150);
+        }
+
+        assertThat(store.lists).isEqualTo(before);
+    }
+
+    @Test
+    void writeWhoseAnswerIsLostIsReadBackAndNotRepeatedBlindly() {
+        store.loseNextAnswer = true;
+
+        run(5_000);
+
+        assertThat(first.epoch()).hasValue(1);
+        assertThat(store.lease.orElseThrow().content().orElseThrow().holder()).isEqualTo(new DaemonId("a"));
+    }
+
+    @Test
+    void leaseGivenBackIsTakenAtOnce() {
+        first.stop(0);
+
+        assertThat(runUntilHeld(second, TAKEOVER_MILLIS)).isLessThan(1_000);
+    }
+
+    @Test
+    void holderThatAnUpstreamFencedOffStops() {
+        first.fenced();
+
+        assertThat(first.epoch()).isEmpty();
+    }
+
+    private static final class FakeClocks implements Clocks {
+        private long now = 1_000_000;
+
+        @Override
+        public long steadyMillis() {
+            return now;
+        }
+
+        @Override
+        public long bootMillis() {
+            return now;
+        }
+    }
+
+    /** Holds the one lease. The daemon in {@code unreachableFor} gets no answer and has no effect. */
+    private static final class FakeStore implements ObjectStore {
+        private Optional<StoredObject<Lease>> lease = Optional.empty();
+        private String unreachableFor = "";
+        private boolean loseNextAnswer;
+        private int lists;
+        private long revision = 1;
+
+        @Override
+        public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
+            lists++;
+            List<StoredObject<T>> objects = lease.stream()
+                    .map(object -> new StoredObject<>(
+                            object.name(), object.revision(), object.content().map(kind.type()::cast)))
+                    .toList();
+            done.accept(new StoreAnswer.Done<>(new Listing<>(objects, revision)));
+        }
+
+        @Override
+        public <T> void watch(ObjectKind<T> kind, long from, long waitMillis, Consumer<StoreAnswer<Changes<T>>> done) {
+            throw new UnsupportedOperationException("the lease is not watched");
+        }
+
+        @Override
+        public <T> void write(
+                ObjectKind<T> kind,
+                String name,
+                OptionalLong expected,
+                T content,
+                Consumer<StoreAnswer<StoredObject<T>>> done) {
+            Lease written = (Lease) content;
+            if (written.holder().value().equals(unreachableFor)) {
+                done.accept(new StoreAnswer.NoAnswer<>("cut off"));
+                return;
+            }
+            OptionalLong present =
+                    lease.map(object -> OptionalLong.of(object.revision())).orElse(OptionalLong.empty());
+            if (!present.equals(expected)) {
+                done.accept(new StoreAnswer.Conflict<>());
+                return;
+            }
+            revision++;
+            lease = Optional.of(new StoredObject<>(name, revision, Optional.of(written)));
+            if (loseNextAnswer) {
+                loseNextAnswer = false;
+                done.accept(new StoreAnswer.NoAnswer<>("answer lost"));
+                return;
+            }
+            done.accept(new StoreAnswer.Done<>(new StoredObject<>(name, revision, Optional.of(content))));
+        }
+    }
+}
