Name the planner of reported groups after the fleet

Cause: core had two classes named ReplicaPlanner, one for the product's own assignment and one for groups that upstreams report; a reader could not tell them apart. Change: the second is FleetPlanner, after the FleetView that it decides from. No behaviour changed.

--- a/core/src/main/java/io/sesamehead/coordination/replica/ReplicaPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -17,7 +17,7 @@
  * Plans the groups of one service for the holder of the controller lease. All that must outlast a holder is in the
  * upstreams' own reports: a new planner adopts the groups that stand and finishes those that form. Not thread-safe.
  */
-public final class ReplicaPlanner {
+public final class FleetPlanner {
     /** Part of a fabric domain's upstreams that stays free for repairs. */
     private static final double RESERVE_SHARE = 0.2;
     /** Part of a model's places in use above which the reserve is given up for another group. */
@@ -44,7 +44,7 @@
      * @param controllerEpoch epoch of the lease, above those of all earlier holders
      * @param stallMillis time in which a head notices that a member is missing, in milliseconds
      */
-    public ReplicaPlanner(long controllerEpoch, long stallMillis) {
+    public FleetPlanner(long controllerEpoch, long stallMillis) {
         this.controllerEpoch = controllerEpoch;
         this.stallMillis = stallMillis;
     }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -73,7 +73,7 @@
         entries.remove(id);
     }
 
-    void run(ReplicaPlanner planner, long millis) {
+    void run(FleetPlanner planner, long millis) {
         for (long end = now + millis; now < end; now += 50) {
             settle();
             stalled.retainAll(ReplicaIndex.of(entries.values()).keySet());
--- a/core/src/test/java/io/sesamehead/coordination/replica/ReplicaPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against groups that are late, incomplete, or share a member with a group that still serves. */
-final class ReplicaPlannerTest {
+final class FleetPlannerTest {
     private static final long STALL_MILLIS = 4_000;
     /** Time between the start of the VMs and the first call. */
     private static final long LEAD_MILLIS = 15_000;
 
     private final FakeEngines engines = new FakeEngines();
-    private final ReplicaPlanner planner = new ReplicaPlanner(1, STALL_MILLIS);
+    private final FleetPlanner planner = new FleetPlanner(1, STALL_MILLIS);
 
     @BeforeEach
     void sixDomainsOfNine() {
@@ -105,7 +105,7 @@
                 engines.serving(FakeEngines.BIG).stream().map(Replica::key).toList());
         int loads = engines.loads;
 
-        engines.run(new ReplicaPlanner(2, STALL_MILLIS), 5_000);
+        engines.run(new FleetPlanner(2, STALL_MILLIS), 5_000);
 
         assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key)).containsAll(standing);
         assertThat(engines.loads).isEqualTo(loads);
@@ -115,7 +115,7 @@
     void newHolderFinishesGroupsThatForm() {
         engines.run(planner, 1_000);
 
-        engines.run(new ReplicaPlanner(2, STALL_MILLIS), LEAD_MILLIS);
+        engines.run(new FleetPlanner(2, STALL_MILLIS), LEAD_MILLIS);
 
         assertThat(engines.serving(FakeEngines.BIG)).hasSizeGreaterThanOrEqualTo(5);
         assertThat(engines.violations).isEmpty();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -5,6 +5,7 @@
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.replica.FleetPlanner;
 import io.sesamehead.coordination.replica.FleetView;
 import io.sesamehead.coordination.replica.OrderResult;
 import io.sesamehead.coordination.replica.PlanSummary;
@@ -12,7 +13,6 @@
 import io.sesamehead.coordination.replica.ReplicaAction;
 import io.sesamehead.coordination.replica.ReplicaIndex;
 import io.sesamehead.coordination.replica.ReplicaKey;
-import io.sesamehead.coordination.replica.ReplicaPlanner;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.UpstreamOrders;
 import io.sesamehead.state.ServiceName;
@@ -39,7 +39,7 @@
     private final DaemonMetrics metrics;
     private final BooleanSupplier maySend;
     private final Runnable onFenced;
-    private final Map<ServiceName, ReplicaPlanner> planners = new HashMap<>();
+    private final Map<ServiceName, FleetPlanner> planners = new HashMap<>();
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     ControllerTerm(
@@ -83,7 +83,7 @@
         List<UpstreamEntry> entries = fleet.upstreams(service);
         FleetView view =
                 new FleetView(engine, entries, stalled(entries), loads.demand(targets(), table, now), trafficSeen);
-        ReplicaPlanner planner = planners.computeIfAbsent(service, name -> new ReplicaPlanner(epoch, stallMillis));
+        FleetPlanner planner = planners.computeIfAbsent(service, name -> new FleetPlanner(epoch, stallMillis));
         Map<String, UpstreamEntry> byId = new HashMap<>();
         entries.forEach(entry -> byId.put(entry.id().value(), entry));
         for (ReplicaAction action : planner.plan(view, now)) {
@@ -141,7 +141,7 @@
         return stalled;
     }
 
-    private void send(ReplicaPlanner planner, UpstreamEntry target, ReplicaAction action) {
+    private void send(FleetPlanner planner, UpstreamEntry target, ReplicaAction action) {
         if (target == null || !maySend.getAsBoolean()) {
             planner.onResult(action, OrderResult.UNKNOWN, clocks.steadyMillis());
             return;
@@ -151,7 +151,7 @@
         orders.send(target, action, epoch, result -> onResult(planner, action, result));
     }
 
-    private void onResult(ReplicaPlanner planner, ReplicaAction action, OrderResult result) {
+    private void onResult(FleetPlanner planner, ReplicaAction action, OrderResult result) {
         metrics.count("orders_ended{result=\"" + result + "\"}");
         if (result != OrderResult.ACCEPTED) {
             log.write(EventLog.Part.ORDER, "ended", "result", result, "order", action);
