Remove methods that nothing calls

No behaviour changed; the modules compile with the linter. Ruled out: use by reflection, of which there is none.

--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -39,14 +39,4 @@
         staged = List.copyOf(staged);
         loaded = List.copyOf(loaded);
     }
-
-    /**
-     * Tells whether this is the same process as another entry.
-     *
-     * @param other the other entry
-     * @return true if name and start are equal
-     */
-    public boolean sameLife(UpstreamEntry other) {
-        return id.equals(other.id) && startedAtEpochMillis == other.startedAtEpochMillis;
-    }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -179,16 +179,6 @@
         }
     }
 
-    boolean busy() {
-        return busy || partialSinceMillis >= 0;
-    }
-
-    void close() {
-        if (channel != null) {
-            channel.close();
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         callers.closed(this);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/Callers.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/Callers.java
@@ -101,10 +101,6 @@
         return refusing;
     }
 
-    int busyConnections() {
-        return (int) connections.stream().filter(CallerConnection::busy).count();
-    }
-
     int openConnections() {
         return connections.size();
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -121,10 +121,6 @@
         }
     }
 
-    Optional<TargetKey> currentTarget() {
-        return attempt == null ? Optional.empty() : Optional.of(attempt.target.key());
-    }
-
     private void dispatch() {
         List<Target> candidates = new ArrayList<>();
         for (Target target : environment.fleet().targets(service, facts.model())) {
