Derive what a step of the controller needs once

Cause: read-through. The controller wrapped a call in a method of one line and read the clock for each group; the daemon compared two sets by hand, rebuilt the list of targets for each log line, and asked twice for one suspicion. Change: the present time is passed on, the sets are compared by the library, and each value is computed once. Ruled out for now: one index of groups for the fleet, the controller and the planner, and one place for the choice of the least loaded target, which both change more than a read-through should.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -2,7 +2,6 @@
 
 import io.sesamehead.coordination.catalog.EngineProfile;
 import io.sesamehead.coordination.catalog.ServiceProfile;
-import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.replica.FleetPlanner;
@@ -81,8 +80,8 @@
     private void step(ServiceName service, EngineProfile engine, boolean trafficSeen) {
         long now = clocks.steadyMillis();
         List<UpstreamEntry> entries = fleet.upstreams(service);
-        FleetView view =
-                new FleetView(engine, entries, stalled(entries), loads.demand(targets(), table, now), trafficSeen);
+        FleetView view = new FleetView(
+                engine, entries, stalled(entries, now), loads.demand(fleet.allTargets(), table, now), trafficSeen);
         FleetPlanner planner = planners.computeIfAbsent(service, name -> new FleetPlanner(epoch, stallMillis));
         Map<String, UpstreamEntry> byId = new HashMap<>();
         entries.forEach(entry -> byId.put(entry.id().value(), entry));
@@ -127,14 +126,10 @@
                 view.demand());
     }
 
-    private List<Target> targets() {
-        return fleet.allTargets();
-    }
-
-    private Set<ReplicaKey> stalled(List<UpstreamEntry> entries) {
+    private Set<ReplicaKey> stalled(List<UpstreamEntry> entries, long nowMillis) {
         Set<ReplicaKey> stalled = new HashSet<>();
         for (Replica replica : ReplicaIndex.of(entries).values()) {
-            if (table.suspected(TargetKey.of(replica.key()), clocks.steadyMillis())) {
+            if (table.suspected(TargetKey.of(replica.key()), nowMillis)) {
                 stalled.add(replica.key());
             }
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.runtime;
 
+import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -246,17 +247,18 @@
     }
 
     private void onStalled(TargetKey key) {
+        boolean everywhere = table.suspected(key, clocks.steadyMillis());
         log.write(
                 EventLog.Part.GROUP,
                 "silent",
                 "target",
                 key,
                 "everywhere",
-                table.suspected(key, clocks.steadyMillis()),
+                everywhere,
                 "own_calls",
                 table.ownInFlight(key));
         metrics.count("targets_silent");
-        if (table.suspected(key, clocks.steadyMillis())) {
+        if (everywhere) {
             peers.send();
         }
         environment.onStalled(key);
@@ -292,23 +294,13 @@
         Set<TargetKey> before = fleet.serving();
         fleet.update(registry.entries(), gate.table().get().config());
         Set<TargetKey> now = fleet.serving();
-        logChange("serving", now, before);
-        logChange("not-serving", before, now);
+        Sets.difference(now, before).forEach(key -> logTarget("serving", key, now.size()));
+        Sets.difference(before, now).forEach(key -> logTarget("not-serving", key, now.size()));
         table.retain(fleet::exists);
     }
 
-    private void logChange(String event, Set<TargetKey> in, Set<TargetKey> notIn) {
-        for (TargetKey key : in) {
-            if (!notIn.contains(key)) {
-                log.write(
-                        EventLog.Part.GROUP,
-                        event,
-                        "target",
-                        key,
-                        "serving",
-                        fleet.allTargets().size());
-            }
-        }
+    private void logTarget(String event, TargetKey key, int serving) {
+        log.write(EventLog.Part.GROUP, event, "target", key, "serving", serving);
     }
 
     private void noteReadiness() {
