Keep suspects of different daemons apart

Cause: a request that was in flight on a crashed upstream is a suspect, and its second crash quarantines it.

Change: each upstream of a service takes the suspects of one daemon, chosen by the order of names over live daemons and assigned upstreams (SuspectShare). Upstreams that do not serve keep their place, so a crash moves no share. The benchmark's caller takes an attempt only when the upstream may run it, as CompletionRunner does; it used up attempts on upstreams that it only asked about.

--- a/bench/src/main/java/io/sesamehead/bench/request/CrashRun.java
+++ b/bench/src/main/java/io/sesamehead/bench/request/CrashRun.java
@@ -8,12 +8,14 @@
 import io.sesamehead.coordination.request.RequestRun;
 import io.sesamehead.coordination.request.RetryBudget;
 import io.sesamehead.coordination.request.SuspectDecision;
+import io.sesamehead.coordination.request.SuspectShare;
 import io.sesamehead.coordination.request.Suspects;
 import io.sesamehead.coordination.routing.RouteRequest;
 import io.sesamehead.coordination.routing.Router;
 import io.sesamehead.coordination.routing.StragglerDetector;
 import io.sesamehead.coordination.routing.UpstreamId;
 import io.sesamehead.state.AttemptId;
+import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.RequestId;
 import io.sesamehead.state.ServiceName;
 import java.util.HashSet;
@@ -24,6 +26,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 /** Daemons, groups, innocent callers and one caller that repeats a request which crashes its group. */
@@ -61,24 +64,41 @@
      */
     record Figures(int groupsLost, int innocentsNotWhole) {}
 
-    private record Daemon(Suspects suspects, Router router) {}
+    private record Daemon(Suspects suspects, SuspectShare share, Router router) {}
 
-    private record Call(Daemon daemon, RequestRun run, Fingerprint fingerprint) {}
+    /**
+     * A call at a daemon.
+     *
+     * @param begun attempts so far; the next one is asked for before it counts, as {@code CompletionRunner} does
+     */
+    private record Call(Daemon daemon, RequestId id, RequestRun run, Fingerprint fingerprint, AtomicInteger begun) {
+        AttemptId nextAttempt() {
+            return new AttemptId(id, begun.get() + 1);
+        }
+
+        AttemptId begin() {
+            begun.incrementAndGet();
+            return run.begin().orElseThrow();
+        }
+    }
 
     private record Attempt(Call call, AttemptId id, UpstreamId upstream) {}
 
     private CrashRun(long seed, boolean useSuspects) {
         this.useSuspects = useSuspects;
-        daemons = IntStream.range(0, DAEMONS)
-                .mapToObj(i -> new Daemon(
-                        new Suspects(Suspects.DEFAULT_QUARANTINE_MILLIS),
-                        new Router(new StragglerDetector(), new Random(seed * DAEMONS + i))))
-                .toList();
         for (int i = 0; i < GROUPS; i++) {
             UpstreamId group = new UpstreamId("assistant-" + i);
             serving.add(group);
             running.put(group, new LinkedHashSet<>());
         }
+        ImmutableSet<DaemonId> ids =
+                IntStream.range(0, DAEMONS).mapToObj(CrashRun::daemon).collect(ImmutableSet.toImmutableSet());
+        daemons = IntStream.range(0, DAEMONS)
+                .mapToObj(i -> new Daemon(
+                        new Suspects(Suspects.DEFAULT_QUARANTINE_MILLIS),
+                        SuspectShare.of(daemon(i), ids, ImmutableSet.copyOf(serving)),
+                        new Router(new StragglerDetector(), new Random(seed * DAEMONS + i))))
+                .toList();
     }
 
     static Figures measure(long seed, boolean useSuspects) {
@@ -90,6 +110,10 @@
         return new Figures(run.groupsLost, run.innocents - run.whole - open);
     }
 
+    private static DaemonId daemon(int number) {
+        return new DaemonId("daemon-" + number);
+    }
+
     private void sendInnocent() {
         innocents++;
         send(daemons.get(innocents % DAEMONS), new Fingerprint("innocent-" + innocents));
@@ -102,7 +126,8 @@
 
     private void send(Daemon daemon, Fingerprint fingerprint) {
         RequestId id = new RequestId(fingerprint.value() + "-" + badSent);
-        attempt(new Call(daemon, new RequestRun(id, true, time.nowMillis() + 30_000), fingerprint), Set.of());
+        RequestRun run = new RequestRun(id, true, time.nowMillis() + 30_000);
+        attempt(new Call(daemon, id, run, fingerprint, new AtomicInteger()), Set.of());
     }
 
     private void attempt(Call call, Set<UpstreamId> avoided) {
@@ -115,12 +140,14 @@
         RouteRequest request = new RouteRequest(SERVICE, candidates, OptionalLong.empty());
         UpstreamId group =
                 call.daemon().router().route(request, time.nowMillis()).orElseThrow();
-        AttemptId id = call.run().begin().orElseThrow();
+        AttemptId id = call.nextAttempt();
         SuspectDecision decision = useSuspects
-                ? call.daemon().suspects().begin(id, call.fingerprint(), group, time.nowMillis())
+                ? call.daemon()
+                        .suspects()
+                        .begin(id, call.fingerprint(), group, call.daemon().share(), time.nowMillis())
                 : new SuspectDecision.Run();
         if (decision instanceof SuspectDecision.Run) {
-            start(new Attempt(call, id, group));
+            start(new Attempt(call, call.begin(), group));
             return;
         }
         call.daemon().router().finish(group, time.nowMillis());
@@ -128,7 +155,6 @@
             ended(call);
             return;
         }
-        call.run().ended(id, new AttemptEnd.Lost("not sent"), unlimited(), time.nowMillis());
         if (decision instanceof SuspectDecision.ChooseAnother) {
             Set<UpstreamId> more = new HashSet<>(avoided);
             more.add(group);
--- a/core/src/main/java/io/sesamehead/coordination/request/SuspectDecision.java
+++ b/core/src/main/java/io/sesamehead/coordination/request/SuspectDecision.java
@@ -5,7 +5,7 @@
     /** The attempt may go out and is recorded as running on the upstream. */
     record Run() implements SuspectDecision {}
 
-    /** Another suspect runs on the upstream: choose another one. */
+    /** Another suspect runs on the upstream, or the upstream takes the suspects of another daemon: choose another one. */
     record ChooseAnother() implements SuspectDecision {}
 
     /** The same suspect runs in another attempt: try again when that has ended. */
--- a/core/src/main/java/io/sesamehead/coordination/request/SuspectTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/request/SuspectTable.java
@@ -33,7 +33,7 @@
     }
 
     synchronized SuspectDecision begin(
-            AttemptId attempt, Fingerprint fingerprint, UpstreamId upstream, long nowMillis) {
+            AttemptId attempt, Fingerprint fingerprint, UpstreamId upstream, SuspectShare share, long nowMillis) {
         OptionalLong quarantine = quarantineRemainingMillis(fingerprint, nowMillis);
         if (quarantine.isPresent()) {
             return new SuspectDecision.Quarantined(quarantine.getAsLong());
@@ -42,7 +42,7 @@
             if (running.values().stream().anyMatch(other -> other.fingerprint().equals(fingerprint))) {
                 return new SuspectDecision.Wait();
             }
-            if (runsSuspect(upstream)) {
+            if (!share.allows(upstream) || runsSuspect(upstream)) {
                 return new SuspectDecision.ChooseAnother();
             }
         }
--- a/core/src/main/java/io/sesamehead/coordination/request/Suspects.java
+++ b/core/src/main/java/io/sesamehead/coordination/request/Suspects.java
@@ -7,7 +7,7 @@
 
 /**
  * Limits the upstreams that one request can crash. All requests in flight on an upstream that crashes become suspects. A
- * suspect runs only where no other suspect runs; its second crash quarantines it. Thread-safe: all state is in one
+ * suspect runs only in its daemon's {@link SuspectShare} and where no other suspect runs; its second crash quarantines it. Thread-safe: all state is in one
  * {@link SuspectTable}.
  */
 public final class Suspects {
@@ -31,11 +31,13 @@
      * @param attempt the attempt
      * @param fingerprint the request's fingerprint
      * @param upstream the upstream
+     * @param share upstreams on which suspects of this daemon may run
      * @param nowMillis present time, in milliseconds
      * @return the decision
      */
-    public SuspectDecision begin(AttemptId attempt, Fingerprint fingerprint, UpstreamId upstream, long nowMillis) {
-        return table.begin(attempt, fingerprint, upstream, nowMillis);
+    public SuspectDecision begin(
+            AttemptId attempt, Fingerprint fingerprint, UpstreamId upstream, SuspectShare share, long nowMillis) {
+        return table.begin(attempt, fingerprint, upstream, share, nowMillis);
     }
 
     /**
--- a/core/src/test/java/io/sesamehead/coordination/request/SuspectsTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/request/SuspectsTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableSet;
 import io.sesamehead.coordination.routing.UpstreamId;
 import io.sesamehead.state.AttemptId;
+import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.RequestId;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,6 +18,9 @@
     private static final long QUARANTINE = 1_000;
     private static final UpstreamId A = new UpstreamId("a");
     private static final UpstreamId B = new UpstreamId("b");
+    private static final DaemonId ONE = new DaemonId("one");
+    private static final DaemonId TWO = new DaemonId("two");
+    private static final SuspectShare ALL = SuspectShare.of(ONE, ImmutableSet.of(ONE), ImmutableSet.of(A, B));
 
     private final Suspects suspects = new Suspects(QUARANTINE);
     private int numbers;
@@ -31,29 +36,60 @@
 
     @Test
     void suspectsRunApartAndInnocentOnesAreCleared() {
-        suspects.begin(attempt(), print("x"), A, 0);
-        suspects.begin(attempt(), print("y"), A, 0);
+        suspects.begin(attempt(), print("x"), A, ALL, 0);
+        suspects.begin(attempt(), print("y"), A, ALL, 0);
         assertThat(suspects.crashed(A, 0)).containsOnlyKeys(print("x"), print("y"));
 
         AttemptId again = attempt();
-        assertThat(suspects.begin(again, print("x"), B, 0)).isEqualTo(new SuspectDecision.Run());
-        assertThat(suspects.begin(attempt(), print("x"), A, 0)).isEqualTo(new SuspectDecision.Wait());
-        assertThat(suspects.begin(attempt(), print("y"), B, 0)).isEqualTo(new SuspectDecision.ChooseAnother());
-        assertThat(suspects.begin(attempt(), print("other"), B, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(again, print("x"), B, ALL, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("x"), A, ALL, 0)).isEqualTo(new SuspectDecision.Wait());
+        assertThat(suspects.begin(attempt(), print("y"), B, ALL, 0)).isEqualTo(new SuspectDecision.ChooseAnother());
+        assertThat(suspects.begin(attempt(), print("other"), B, ALL, 0)).isEqualTo(new SuspectDecision.Run());
         suspects.completed(again);
-        assertThat(suspects.begin(attempt(), print("y"), B, 0)).isEqualTo(new SuspectDecision.Run());
-        assertThat(suspects.begin(attempt(), print("x"), B, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("y"), B, ALL, 0)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("x"), B, ALL, 0)).isEqualTo(new SuspectDecision.Run());
+    }
+
+    /** Guards against quarantining an innocent suspect that met another daemon's crashing request. */
+    @Test
+    void suspectsOfTwoDaemonsNeverShareAnUpstream() {
+        ImmutableSet<DaemonId> daemons = ImmutableSet.of(TWO, ONE);
+        SuspectShare first = SuspectShare.of(ONE, daemons, ImmutableSet.of(B, A));
+        SuspectShare second = SuspectShare.of(TWO, daemons, ImmutableSet.of(A, B));
+        assertThat(first.upstreams()).hasSize(1).doesNotContainAnyElementsOf(second.upstreams());
+        assertThat(second.upstreams()).hasSize(1);
+
+        UpstreamId foreign = second.upstreams().asList().getFirst();
+        suspects.begin(attempt(), print("x"), foreign, first, 0);
+        suspects.crashed(foreign, 0);
+        assertThat(suspects.begin(attempt(), print("x"), foreign, first, 0))
+                .isEqualTo(new SuspectDecision.ChooseAnother());
+        assertThat(suspects.begin(attempt(), print("other"), foreign, first, 0)).isEqualTo(new SuspectDecision.Run());
+    }
+
+    /** Guards against suspects that wait for ever at a daemon without a share. */
+    @Test
+    void daemonWithoutShareUsesAllUpstreams() {
+        DaemonId leaving = new DaemonId("zero");
+        ImmutableSet<UpstreamId> assigned = ImmutableSet.of(A);
+        for (SuspectShare share : List.of(
+                SuspectShare.of(TWO, ImmutableSet.of(ONE, TWO), assigned),
+                SuspectShare.of(leaving, ImmutableSet.of(ONE), assigned),
+                SuspectShare.of(leaving, ImmutableSet.of(), assigned))) {
+            assertThat(share.upstreams()).isEmpty();
+            assertThat(share.allows(A)).isTrue();
+        }
     }
 
     @Test
     void secondCrashQuarantinesForATimeAndAThirdAtOnceAgain() {
         for (long now : new long[] {0, 100}) {
-            suspects.begin(attempt(), print("x"), A, now);
+            suspects.begin(attempt(), print("x"), A, ALL, now);
             suspects.crashed(A, now);
         }
 
-        assertThat(suspects.begin(attempt(), print("x"), A, 300)).isEqualTo(new SuspectDecision.Quarantined(800));
-        assertThat(suspects.begin(attempt(), print("x"), A, 1_100)).isEqualTo(new SuspectDecision.Run());
+        assertThat(suspects.begin(attempt(), print("x"), A, ALL, 300)).isEqualTo(new SuspectDecision.Quarantined(800));
+        assertThat(suspects.begin(attempt(), print("x"), A, ALL, 1_100)).isEqualTo(new SuspectDecision.Run());
         assertThat(suspects.crashed(A, 1_100)).containsEntry(print("x"), 2);
         assertThat(suspects.quarantineRemainingMillis(print("x"), 1_100)).hasValue(QUARANTINE);
         assertThat(suspects.quarantineRemainingMillis(print("x"), 10 * QUARANTINE))
@@ -83,7 +119,7 @@
                 boolean fatal = random.nextInt(5) == 0;
                 Fingerprint fingerprint = print(fatal ? "fatal" : "innocent" + random.nextInt(30));
                 AttemptId attempt = attempt();
-                boolean runs = table.begin(attempt, fingerprint, upstream, step) instanceof SuspectDecision.Run;
+                boolean runs = table.begin(attempt, fingerprint, upstream, ALL, step) instanceof SuspectDecision.Run;
                 if (runs && fatal) {
                     table.crashed(upstream, step);
                     crashes++;
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/CompletionRunner.java
@@ -129,7 +129,9 @@
 
     private Optional<Outcome> onGroup(CompletionTask task, UpstreamId upstream, ServingGroup serving) {
         AttemptId expected = task.nextAttempt();
-        SuspectDecision decision = suspects.begin(expected, task.fingerprint(), upstream, nowMillis.getAsLong());
+        long now = nowMillis.getAsLong();
+        SuspectDecision decision =
+                suspects.begin(expected, task.fingerprint(), upstream, groups.suspectShare(task.service(), now), now);
         switch (decision) {
             case SuspectDecision.Run ignored -> {}
             case SuspectDecision.ChooseAnother ignored -> {
--- a/daemon/src/main/java/io/sesamehead/daemon/runtime/ServingGroups.java
+++ b/daemon/src/main/java/io/sesamehead/daemon/runtime/ServingGroups.java
@@ -1,11 +1,14 @@
 package io.sesamehead.daemon.runtime;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.sesamehead.coordination.group.ServeDecision;
 import io.sesamehead.coordination.group.ServeGate;
+import io.sesamehead.coordination.request.SuspectShare;
 import io.sesamehead.coordination.routing.Router;
 import io.sesamehead.coordination.routing.UpstreamId;
 import io.sesamehead.state.AcceptedRelease;
+import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Evidence;
 import io.sesamehead.state.Group;
 import io.sesamehead.state.ServiceName;
@@ -60,6 +63,22 @@
         return result.buildOrThrow();
     }
 
+    /**
+     * Returns the groups on which suspects of this daemon may run.
+     *
+     * @param service the service
+     * @param nowMillis present monotonic time, in milliseconds
+     * @return the share
+     */
+    public SuspectShare suspectShare(ServiceName service, long nowMillis) {
+        ImmutableSet<DaemonId> live =
+                ImmutableSet.copyOf(tables.directory().liveIds(nowMillis, tables.failureDomain()));
+        ImmutableSet<UpstreamId> assigned = tables.assignments().groups(tables.failureDomain(), service).stream()
+                .map(group -> UpstreamId.of(group.id()))
+                .collect(ImmutableSet.toImmutableSet());
+        return SuspectShare.of(tables.self().daemon(), live, assigned);
+    }
+
     /**
      * Tells whether work in flight on a group must be moved. A member that is leaving finishes what it runs.
      *
