Leave out unreachable targets and slow down orders to dead upstreams

A plain upstream that takes no connections stayed a candidate until its registry entry lapsed, and each call to it waited 0.8 s for the connection. A member of a dissolving group that never answers was told to leave every 350 ms.

Change: a failed connection leaves the target out at this daemon for 1 s, doubling up to 4 s, until it answers again. Other daemons are not told, and the controller does not dissolve a group for it, because the fault may be on this daemon's side. The pause between leave orders doubles up to 1.4 s. The suspicions of other daemons are counted per target; each dispatch walked all rows of all reports before, which grows with the product of daemons and targets.

Ruled out: reporting an unreachable target as suspected. A daemon that is cut off would take healthy targets from all others.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -85,7 +85,7 @@
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target target : targets) {
-            if (table.suspected(target.key(), nowMillis)) {
+            if (!table.usable(target.key(), nowMillis)) {
                 continue;
             }
             double score = score(target);
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -24,6 +24,10 @@
     private static final int SLOW_FACTOR = 6;
     /** Time after which a suspicion is tested by sending calls again, in milliseconds: a repair takes about as long. */
     private static final long SUSPICION_MILLIS = 2_500;
+    /** Time for which a target is left out after a failed connection, in milliseconds: about the wait for one. */
+    private static final long UNREACHABLE_MILLIS = 1_000;
+    /** Longest such time, in milliseconds: a target that comes back is used again within a few seconds. */
+    private static final long MAX_UNREACHABLE_MILLIS = 4_000;
     /** Longest silence granted to a slow target, in milliseconds. */
     private static final long MAX_STALL_MILLIS = 1_500;
     /** Weight of a new interval in the average. */
@@ -33,12 +37,15 @@
     private final Map<String, PeerRows> peers = new HashMap<>();
     private final Map<TargetKey, Integer> peerInFlight = new HashMap<>();
     private final Map<TargetKey, Long> peerProgressAt = new HashMap<>();
+    private final Map<TargetKey, Integer> peerSuspicions = new HashMap<>();
 
     private static final class Own {
         private int inFlight;
         private long progressAt;
         private double intervalMillis;
         private long suspectedUntil = Long.MIN_VALUE;
+        private long unreachableUntil = Long.MIN_VALUE;
+        private long unreachableMillis;
 
         private boolean suspected(long nowMillis) {
             return nowMillis < suspectedUntil;
@@ -76,6 +83,25 @@
         row.intervalMillis += (interval - row.intervalMillis) * INTERVAL_WEIGHT;
         row.progressAt = nowMillis;
         row.suspectedUntil = Long.MIN_VALUE;
+        row.unreachableUntil = Long.MIN_VALUE;
+        row.unreachableMillis = 0;
+    }
+
+    /**
+     * Records that no connection to a target could be made. Others are not told: the fault may be on this daemon's side.
+     *
+     * @param key the target
+     * @param nowMillis present steady time
+     */
+    public void unreachable(TargetKey key, long nowMillis) {
+        Own row = own.get(key);
+        if (row == null) {
+            return;
+        }
+        row.unreachableMillis = row.unreachableMillis == 0
+                ? UNREACHABLE_MILLIS
+                : Math.min(MAX_UNREACHABLE_MILLIS, 2 * row.unreachableMillis);
+        row.unreachableUntil = nowMillis + row.unreachableMillis;
     }
 
     /**
@@ -102,6 +128,9 @@
         for (TargetReport row : rows) {
             peerInFlight.merge(row.key(), row.inFlight(), Integer::sum);
             peerProgressAt.merge(row.key(), nowMillis - row.silentMillis(), Math::max);
+            if (row.suspected()) {
+                peerSuspicions.merge(row.key(), 1, Integer::sum);
+            }
         }
     }
 
@@ -136,17 +165,20 @@
      */
     public boolean suspected(TargetKey key, long nowMillis) {
         Own row = own.get(key);
-        if (row != null && row.suspected(nowMillis)) {
-            return true;
-        }
-        for (PeerRows peer : peers.values()) {
-            for (TargetReport report : peer.rows()) {
-                if (report.suspected() && report.key().equals(key)) {
-                    return true;
-                }
-            }
-        }
-        return false;
+        return (row != null && row.suspected(nowMillis)) || peerSuspicions.containsKey(key);
+    }
+
+    /**
+     * Tells whether a target gets calls of this daemon.
+     *
+     * @param key the target
+     * @param nowMillis present steady time
+     * @return false while the target is suspected, or after connections to it have failed here
+     */
+    public boolean usable(TargetKey key, long nowMillis) {
+        Own row = own.get(key);
+        boolean reachable = row == null || nowMillis >= row.unreachableUntil;
+        return reachable && !suspected(key, nowMillis);
     }
 
     /**
@@ -251,6 +283,10 @@
             peerInFlight.computeIfPresent(
                     row.key(),
                     (key, count) -> count <= row.inFlight() ? null : Integer.valueOf(count - row.inFlight()));
+            if (row.suspected()) {
+                peerSuspicions.computeIfPresent(
+                        row.key(), (key, count) -> count <= 1 ? null : Integer.valueOf(count - 1));
+            }
         }
     }
 }
--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -14,8 +14,10 @@
  * started anew, has reported the loss itself, or has had the time in which it must notice it.
  */
 final class DissolvingReplica {
-    /** Time after which an unanswered order is sent again, in milliseconds. */
+    /** Time after which an unanswered order is first sent again, in milliseconds; it doubles with each repeat. */
     private static final long RESEND_MILLIS = 350;
+    /** Longest such time, in milliseconds: an upstream that comes back within its registry entry is told soon. */
+    private static final long MAX_RESEND_MILLIS = 1_400;
     /** Added to the time in which a head notices a missing member, for clocks and messages, in milliseconds. */
     private static final long MARGIN_MILLIS = 700;
 
@@ -24,11 +26,13 @@
     private final long headLife;
     private final long stallMillis;
     private final Map<InstanceId, Long> lives = new HashMap<>();
-    private final Map<InstanceId, Long> sentAt = new HashMap<>();
+    private final Map<InstanceId, Sending> sent = new HashMap<>();
     private final Set<InstanceId> left = new HashSet<>();
     private long memberLostAt;
     private boolean headGone;
 
+    private record Sending(long atMillis, long pauseMillis) {}
+
     DissolvingReplica(Replica replica, boolean memberMissing, long startMillis, long stallMillis) {
         this.key = replica.key();
         this.head = replica.head().map(UpstreamEntry::id);
@@ -122,11 +126,12 @@
         if (left.contains(id)) {
             return;
         }
-        Long sent = sentAt.get(id);
-        if (sent != null && nowMillis - sent < RESEND_MILLIS) {
+        Sending last = sent.get(id);
+        if (last != null && nowMillis - last.atMillis() < last.pauseMillis()) {
             return;
         }
-        sentAt.put(id, nowMillis);
+        long pause = last == null ? RESEND_MILLIS : Math.min(MAX_RESEND_MILLIS, 2 * last.pauseMillis());
+        sent.put(id, new Sending(nowMillis, pause));
         actions.add(new ReplicaAction.Leave(id, key));
     }
 }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
@@ -71,6 +71,45 @@
         assertThat(table.suspected(GROUP, 10_000)).isFalse();
     }
 
+    /** Guards against each call waiting for a connection to the same target that takes none. */
+    @Test
+    void unreachableTargetIsLeftOutAndTestedAtGrowingIntervals() {
+        table.sent(GROUP, 0);
+        table.unreachable(GROUP, 800);
+        assertThat(table.usable(GROUP, 801)).isFalse();
+        assertThat(table.usable(GROUP, 1_801)).isTrue();
+
+        table.unreachable(GROUP, 2_000);
+        assertThat(table.usable(GROUP, 3_900)).isFalse();
+        assertThat(table.usable(GROUP, 4_001)).isTrue();
+
+        table.progressed(GROUP, 4_100);
+        table.unreachable(GROUP, 5_000);
+        assertThat(table.usable(GROUP, 6_001)).isTrue();
+    }
+
+    /** Guards against a daemon that is cut off itself taking a target away from all others. */
+    @Test
+    void unreachableTargetIsNotReportedAsStopped() {
+        table.sent(GROUP, 0);
+        table.unreachable(GROUP, 800);
+
+        assertThat(table.suspected(GROUP, 810)).isFalse();
+        assertThat(table.reports(810)).noneMatch(TargetReport::suspected);
+    }
+
+    /** Guards against a suspicion that outlives the report that carried it. */
+    @Test
+    void suspicionOfAnotherDaemonEndsWithItsNextReport() {
+        table.report("other", List.of(new TargetReport(GROUP, 3, 700, true)), 10);
+        table.report("third", List.of(new TargetReport(GROUP, 1, 700, true)), 10);
+        table.report("other", List.of(new TargetReport(GROUP, 3, 10, false)), 160);
+        assertThat(table.suspected(GROUP, 170)).isTrue();
+
+        table.report("third", List.of(), 170);
+        assertThat(table.suspected(GROUP, 180)).isFalse();
+    }
+
     @Test
     void ownPauseIsNotTheGroupsSilence() {
         table.sent(GROUP, 0);
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -35,6 +35,7 @@
     final Map<String, ModelDemand> demand = new HashMap<>();
     boolean traffic;
     int loads;
+    int unanswered;
     long now;
 
     void add(String name, String fabricDomain) {
@@ -100,6 +101,7 @@
     OrderResult carryOut(ReplicaAction action) {
         UpstreamEntry entry = entries.get(action.target());
         if (entry == null || dead.contains(action.target())) {
+            unanswered++;
             return OrderResult.UNKNOWN;
         }
         switch (action) {
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -82,6 +82,16 @@
         assertThat(engines.entry(lost).membership().orElseThrow().replica()).isEqualTo(group.key());
     }
 
+    /** Guards against three orders a second to an upstream that never answers while the registry still lists it. */
+    @Test
+    void ordersToADeadMemberGetRare() {
+        start();
+        engines.kill(engines.serving(FakeEngines.SMALL).get(0).members().get(1).id());
+        engines.run(planner, 5_000);
+
+        assertThat(engines.unanswered).isBetween(2, 5);
+    }
+
     @Test
     void membersOfASilentHeadWaitUntilItMustHaveNoticed() {
         start();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -178,7 +178,7 @@
 
     Optional<Target> leastLoaded(List<Target> targets) {
         return targets.stream()
-                .filter(target -> !table.suspected(target.key(), clocks.steadyMillis()))
+                .filter(target -> table.usable(target.key(), clocks.steadyMillis()))
                 .min(Comparator.comparingInt(target -> table.inFlight(target.key())));
     }
 
@@ -204,6 +204,7 @@
     }
 
     void unreachable(Target target) {
+        table.unreachable(target.key(), clocks.steadyMillis());
         log.write(
                 EventLog.Part.GROUP,
                 "unreachable",
