Report through relays in deployments of more than 32 daemons

Cause: each daemon sent its report to all others every 150 ms. With 125 daemons that is about 830 datagrams a second sent and as many received on a quarter of a core, and grows with the square of the daemons.

Change: beyond 32 other daemons each one reports to one relay of its failure domain, chosen by rendezvous hash (ReportRelays). The relay sends sums over all daemons to those that report to it and sums over these to the relays of other failure domains. A relay that is silent for 700 ms is left for the next one; an earlier choice is tried again every 5 s. A daemon takes its own part out of the sums. Newly suspected targets and requests that broke their upstreams still go to all daemons at once, from the first that finds out. The list of daemons in the store is a class of its own and names failure domains. Datagrams of up to 16 KB are taken; larger ones than 2 KB were cut before. A silent lease holder is asked about after 700 ms instead of 500, below the lease's 1.5 s.

Ruled out: longer intervals in place of relays. Groups are suspected after 400 ms of silence towards all daemons, which reports older than that do not show.

Deployments with up to 33 daemons report as before.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -52,7 +52,7 @@
         }
     }
 
-    private record PeerRows(long receivedAt, List<TargetReport> rows) {}
+    private record PeerRows(long receivedAt, int daemons, List<TargetReport> rows) {}
 
     /**
      * Records that a call is sent.
@@ -124,7 +124,19 @@
      * @param nowMillis present steady time
      */
     public void report(String daemon, List<TargetReport> rows, long nowMillis) {
-        drop(peers.put(daemon, new PeerRows(nowMillis, List.copyOf(rows))));
+        report(daemon, 1, rows, nowMillis);
+    }
+
+    /**
+     * Takes the report of one sender in place of its earlier one.
+     *
+     * @param sender a daemon, or a relay that sends the sums of several
+     * @param daemons how many daemons the report speaks for
+     * @param rows their calls by target
+     * @param nowMillis present steady time
+     */
+    public void report(String sender, int daemons, List<TargetReport> rows, long nowMillis) {
+        drop(peers.put(sender, new PeerRows(nowMillis, daemons, List.copyOf(rows))));
         for (TargetReport row : rows) {
             peerInFlight.merge(row.key(), row.inFlight(), Integer::sum);
             peerProgressAt.merge(row.key(), nowMillis - row.silentMillis(), Math::max);
@@ -168,6 +180,16 @@
         return (row != null && row.suspected(nowMillis)) || peerSuspicions.containsKey(key);
     }
 
+    /**
+     * Tells whether another daemon suspects a target.
+     *
+     * @param key the target
+     * @return true while a report says so
+     */
+    public boolean suspectedElsewhere(TargetKey key) {
+        return peerSuspicions.containsKey(key);
+    }
+
     /**
      * Tells whether a target gets calls of this daemon.
      *
@@ -227,6 +249,55 @@
         return rows;
     }
 
+    /**
+     * Sums up this daemon's rows and those of chosen senders.
+     *
+     * @param chosen decides which senders are included
+     * @param nowMillis present steady time
+     * @return one row for each target that any of them told of
+     */
+    public List<TargetReport> sums(Predicate<String> chosen, long nowMillis) {
+        Map<TargetKey, TargetReport> sums = new HashMap<>();
+        reports(nowMillis).forEach(row -> sums.put(row.key(), row));
+        peers.forEach((sender, peer) -> {
+            if (chosen.test(sender)) {
+                long age = nowMillis - peer.receivedAt();
+                peer.rows().forEach(row -> sums.merge(row.key(), row.aged(age), TargetReport::plus));
+            }
+        });
+        return List.copyOf(sums.values());
+    }
+
+    /**
+     * Forgets the reports of chosen senders.
+     *
+     * @param chosen decides which senders are forgotten
+     */
+    public void drop(Predicate<String> chosen) {
+        Iterator<Map.Entry<String, PeerRows>> senders = peers.entrySet().iterator();
+        while (senders.hasNext()) {
+            Map.Entry<String, PeerRows> sender = senders.next();
+            if (chosen.test(sender.getKey())) {
+                senders.remove();
+                drop(sender.getValue());
+            }
+        }
+    }
+
+    /**
+     * Counts the daemons for which chosen senders speak.
+     *
+     * @param chosen decides which senders are included
+     * @return the count without this daemon
+     */
+    public int daemons(Predicate<String> chosen) {
+        int count = 0;
+        for (Map.Entry<String, PeerRows> peer : peers.entrySet()) {
+            count += chosen.test(peer.getKey()) ? peer.getValue().daemons() : 0;
+        }
+        return count;
+    }
+
     /**
      * Forgets targets that exist no more.
      *
@@ -248,12 +319,12 @@
     }
 
     /**
-     * Returns how many other daemons report.
+     * Returns how many other daemons report, themselves or through a relay.
      *
      * @return the count
      */
     public int peerCount() {
-        return peers.size();
+        return daemons(sender -> true);
     }
 
     private static long limitMillis(Own row, long floorMillis) {
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
@@ -110,6 +110,19 @@
         assertThat(table.suspected(GROUP, 180)).isFalse();
     }
 
+    /** Guards against a relay that counts calls twice or hides the only daemon that hears a group. */
+    @Test
+    void sumsHoldTheChosenSendersAndThisDaemon() {
+        table.sent(GROUP, 0);
+        table.report("leaf", List.of(new TargetReport(GROUP, 3, 100, false)), 50);
+        table.report("relay", 40, List.of(new TargetReport(GROUP, 30, 20, true)), 50);
+
+        assertThat(table.sums("leaf"::equals, 90)).containsExactly(new TargetReport(GROUP, 4, 90, false));
+        assertThat(table.sums(sender -> true, 90)).containsExactly(new TargetReport(GROUP, 34, 60, true));
+        assertThat(table.peerCount()).isEqualTo(41);
+        assertThat(table.daemons("leaf"::equals)).isEqualTo(1);
+    }
+
     @Test
     void ownPauseIsNotTheGroupsSilence() {
         table.sent(GROUP, 0);
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/membership/ReportRelaysTest.java
@@ -0,0 +1,120 @@
+package io.sesamehead.coordination.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.FailureDomain;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against reports that grow with the square of the daemons, and against daemons that a dead relay leaves alone. */
+final class ReportRelaysTest {
+    private static final int DAEMONS = 120;
+    private static final int DOMAINS = 3;
+
+    private final Map<DaemonId, FailureDomain> all = IntStream.range(0, DAEMONS)
+            .boxed()
+            .collect(Collectors.toMap(i -> new DaemonId("d" + i), i -> new FailureDomain("zone-" + i % DOMAINS)));
+    private final Map<DaemonId, ReportRelays> views = new HashMap<>();
+
+    private void build() {
+        all.forEach((id, domain) -> {
+            ReportRelays relays = new ReportRelays(id, domain);
+            Map<DaemonId, FailureDomain> others = new HashMap<>(all);
+            others.remove(id);
+            relays.listed(others);
+            views.put(id, relays);
+        });
+    }
+
+    private Set<DaemonId> chosen(FailureDomain domain, long now) {
+        return views.entrySet().stream()
+                .filter(entry -> all.get(entry.getKey()).equals(domain))
+                .flatMap(entry -> entry.getValue().relays(now).stream())
+                .collect(Collectors.toSet());
+    }
+
+    @Test
+    void fewDaemonsAllReportToAll() {
+        ReportRelays relays = new ReportRelays(new DaemonId("self"), new FailureDomain("zone-0"));
+        relays.listed(Map.of(new DaemonId("other"), new FailureDomain("zone-1")));
+
+        assertThat(relays.mesh()).isTrue();
+    }
+
+    @Test
+    void daemonsOfADomainChooseTheSameRelayOfTheirDomain() {
+        build();
+        for (FailureDomain domain : Set.copyOf(all.values())) {
+            Set<DaemonId> relays = chosen(domain, 0);
+            assertThat(relays).hasSize(1);
+            DaemonId relay = relays.iterator().next();
+            assertThat(all.get(relay)).isEqualTo(domain);
+            assertThat(views.get(relay).relaying(0)).isTrue();
+            assertThat(views.get(relay).relays(0)).isEmpty();
+        }
+    }
+
+    @Test
+    void silentRelayIsLeftForTheNextAndTakenUpAgainWhenItIsHeard() {
+        build();
+        FailureDomain domain = new FailureDomain("zone-0");
+        DaemonId first = chosen(domain, 0).iterator().next();
+        DaemonId leaf = views.entrySet().stream()
+                .filter(entry -> all.get(entry.getKey()).equals(domain))
+                .filter(entry -> entry.getValue().relays(0).contains(first))
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+        ReportRelays relays = views.get(leaf);
+
+        assertThat(relays.relays(600)).containsExactly(first);
+        List<DaemonId> later = relays.relays(800);
+        assertThat(later).doesNotContain(first);
+        for (long now = 900; now < 5_700; now += 200) {
+            later.forEach(relay -> relays.heardRelay(relay, 800));
+            relays.heardRelay(later.isEmpty() ? leaf : later.get(0), now);
+            assertThat(relays.relays(now)).doesNotContain(first);
+        }
+        assertThat(relays.relays(5_900)).contains(first);
+        relays.heardRelay(first, 6_000);
+        assertThat(relays.relays(6_100)).containsExactly(first);
+    }
+
+    @Test
+    void relayTellsTwoOfEachDomainAndThoseItHears() {
+        build();
+        ReportRelays relays = views.get(new DaemonId("d0"));
+        assertThat(relays.relaysToTell(0)).hasSizeBetween(2 * DOMAINS - 1, 2 * DOMAINS);
+
+        DaemonId third = all.keySet().stream()
+                .filter(id -> !relays.relaysToTell(0).contains(id) && !id.equals(new DaemonId("d0")))
+                .findFirst()
+                .orElseThrow();
+        relays.heardSums(third, 100);
+        assertThat(relays.relaysToTell(200)).contains(third);
+        assertThat(relays.relaysToTell(2_000)).doesNotContain(third);
+    }
+
+    @Test
+    void daemonRelaysOnlyWhileOthersReportToIt() {
+        build();
+        DaemonId first = chosen(new FailureDomain("zone-0"), 0).iterator().next();
+        DaemonId leaf = all.keySet().stream()
+                .filter(id -> all.get(id).equals(new FailureDomain("zone-0")) && !id.equals(first))
+                .findFirst()
+                .orElseThrow();
+        ReportRelays relays = views.get(leaf);
+        assertThat(relays.relaying(0)).isFalse();
+
+        relays.heardLeaf(first, 100);
+        assertThat(relays.leaves(200)).containsExactly(first);
+        assertThat(relays.relaying(200)).isTrue();
+        assertThat(relays.relaying(2_000)).isFalse();
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/port/ObjectKind.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/ObjectKind.java
@@ -3,7 +3,6 @@
 import io.sesamehead.coordination.catalog.ServingConfig;
 import io.sesamehead.coordination.lease.Lease;
 import io.sesamehead.coordination.replica.UpstreamEntry;
-import io.sesamehead.state.Endpoint;
 
 /**
  * A kind of object in the store.
@@ -52,10 +51,10 @@
     }
 
     /** Where the daemons receive one another's reports. */
-    record Daemons() implements ObjectKind<Endpoint> {
+    record Daemons() implements ObjectKind<DaemonEndpoint> {
         @Override
-        public Class<Endpoint> type() {
-            return Endpoint.class;
+        public Class<DaemonEndpoint> type() {
+            return DaemonEndpoint.class;
         }
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -3,14 +3,22 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
+import io.sesamehead.coordination.lease.Lease;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
+import io.sesamehead.entry.protocol.generated.ModelLoad;
 import io.sesamehead.entry.protocol.generated.TargetLoad;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Incarnation;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Converts reports between daemons. */
 public final class ReportCodec {
+    /** Reports do not carry the lease's time to live; the receiver knows it. */
+    private static final long UNKNOWN_TTL = 0;
+
     private ReportCodec() {}
 
     /**
@@ -43,6 +51,52 @@
         return rows;
     }
 
+    /**
+     * Reads the holder of the controller lease that a report tells of.
+     *
+     * @param report the report
+     * @return the lease without its time, or empty if the report names none
+     */
+    public static Optional<Lease> holder(DaemonReport report) {
+        if (report.getLeaseEpoch() == 0) {
+            return Optional.empty();
+        }
+        boolean relayed = !report.getLeaseHolder().isEmpty();
+        return Optional.of(new Lease(
+                new DaemonId(relayed ? report.getLeaseHolder() : report.getDaemon()),
+                new Incarnation(relayed ? report.getLeaseHolderIncarnation() : report.getIncarnation()),
+                report.getLeaseEpoch(),
+                UNKNOWN_TTL,
+                report.getLeaseRenewals()));
+    }
+
+    /**
+     * Writes the holder of the controller lease.
+     *
+     * @param report the report under way
+     * @param held the lease
+     */
+    public static void setHolder(DaemonReport.Builder report, Lease held) {
+        report.setLeaseEpoch(held.epoch()).setLeaseRenewals(held.renewals());
+        if (!held.holder().value().equals(report.getDaemon())) {
+            report.setLeaseHolder(held.holder().value())
+                    .setLeaseHolderIncarnation(held.holderIncarnation().value());
+        }
+    }
+
+    /**
+     * Writes counts of refused calls.
+     *
+     * @param refused counts by model
+     * @return the messages
+     */
+    public static List<ModelLoad> models(Map<String, Integer> refused) {
+        List<ModelLoad> loads = new ArrayList<>();
+        refused.forEach((model, count) -> loads.add(
+                ModelLoad.newBuilder().setModel(model).setRefused(count).build()));
+        return loads;
+    }
+
     /**
      * Writes a load.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -14,6 +14,7 @@
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
+import io.sesamehead.coordination.membership.ReportRelays;
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.port.ObjectStore;
@@ -128,7 +129,10 @@
         LeaseHolder holder =
                 new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
         this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_MILLIS, log, random);
-        this.peers = new PeerReports(loop, clocks, settings, incarnation, store, table, crashes, loads, lease, log);
+        ReportRelays relays = new ReportRelays(new DaemonId(settings.daemon()), settings.failureDomain());
+        PeerDirectory directory = new PeerDirectory(loop, settings, store, relays, log);
+        this.peers = new PeerReports(
+                loop, clocks, settings, incarnation, directory, relays, table, crashes, loads, lease, log);
         ServiceTimes times = new ServiceTimes();
         Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
         this.environment = new CallEnvironment(
@@ -259,7 +263,7 @@
                 table.ownInFlight(key));
         metrics.count("targets_silent");
         if (everywhere) {
-            peers.send();
+            peers.announceStopped(key);
         }
         environment.onStalled(key);
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -26,8 +26,8 @@
     static final String NAME = "controller";
     /** Interval at which a daemon without the lease looks at it, in milliseconds. */
     private static final long LOOK_MILLIS = 200;
-    /** Silence of the holder after which the store is asked, in milliseconds: three of its reports. */
-    private static final long SILENCE_MILLIS = 500;
+    /** Silence of the holder after which the store is asked, in milliseconds: three of its reports, also through relays. */
+    private static final long SILENCE_MILLIS = 700;
     /** Interval of renewals, in milliseconds: a third of the lease's time. */
     private static final long RENEW_MILLIS = 500;
     /** Pause after a failed call, in milliseconds. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -5,64 +5,67 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.coordination.membership.ReportRelays;
 import io.sesamehead.entry.port.EntrySettings;
-import io.sesamehead.entry.port.Listing;
-import io.sesamehead.entry.port.ObjectKind;
-import io.sesamehead.entry.port.ObjectStore;
-import io.sesamehead.entry.port.StoreAnswer;
-import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.entry.protocol.ReportCodec;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
-import io.sesamehead.entry.protocol.generated.ModelLoad;
+import io.sesamehead.entry.protocol.generated.ReportKind;
 import io.sesamehead.state.DaemonId;
-import io.sesamehead.state.Endpoint;
-import io.sesamehead.state.Incarnation;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
- * Tells the other daemons what this one has in flight, and takes their reports. The store lists where they receive; a
- * lost datagram is made good by the next.
+ * Tells the other daemons what this one has in flight, and takes their reports. Few daemons report to all; many report
+ * through relays, see {@link ReportRelays}. A lost datagram is made good by the next.
  */
 final class PeerReports {
     /** Interval of reports, in milliseconds: a few calls arrive at one daemon in it. */
     private static final long REPORT_MILLIS = 150;
-    /** Interval at which the list of daemons is read, in milliseconds; a changed VM is known to all after two. */
-    private static final long LIST_MILLIS = 4_000;
-    /** The same while few other daemons are known, in milliseconds. */
-    private static final long FIRST_LIST_MILLIS = 1_000;
-    /** Pause after a failed call, in milliseconds. */
-    private static final long RETRY_MILLIS = 500;
-    /** Other daemons, up to this number, are looked for at the shorter interval. */
-    private static final int FEW_PEERS = 2;
+    /** The same with relays, in milliseconds: a report and its sum together reach all within the stall time. */
+    private static final long RELAYED_REPORT_MILLIS = 180;
+    /** Largest datagram taken, in bytes: the sums of a few hundred targets. */
+    private static final int MAX_DATAGRAM_BYTES = 16_384;
+    /** Sender under which the sums over all daemons are kept. */
+    private static final String ALL = "all daemons";
+    /** Prefix of the sender under which an urgent report is kept. */
+    private static final String URGENT = "urgent ";
 
     private final EventLoop loop;
     private final Clocks clocks;
     private final EntrySettings settings;
     private final long incarnation;
-    private final ObjectStore store;
+    private final PeerDirectory directory;
+    private final ReportRelays relays;
     private final TargetTable table;
     private final CrashHistory crashes;
     private final ModelLoads loads;
     private final LeaseTask lease;
     private final EventLog log;
-    private final Map<String, InetSocketAddress> peers = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
     private final List<Long> newCrashes = new ArrayList<>();
+    private final RelayNews news = new RelayNews();
+    private Map<TargetKey, Integer> reported = Map.of();
     private Channel channel;
     private long sequence;
-    private boolean registered;
     private boolean trafficSeen;
 
     PeerReports(
@@ -70,7 +73,8 @@
             Clocks clocks,
             EntrySettings settings,
             long incarnation,
-            ObjectStore store,
+            PeerDirectory directory,
+            ReportRelays relays,
             TargetTable table,
             CrashHistory crashes,
             ModelLoads loads,
@@ -80,7 +84,8 @@
         this.clocks = clocks;
         this.settings = settings;
         this.incarnation = incarnation;
-        this.store = store;
+        this.directory = directory;
+        this.relays = relays;
         this.table = table;
         this.crashes = crashes;
         this.loads = loads;
@@ -88,16 +93,24 @@
         this.log = log;
     }
 
+    /** Opens the port and begins to report. */
     void start() throws InterruptedException {
         channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(new Receiver())
                 .bind(settings.peers().host(), settings.peers().port())
                 .sync()
                 .channel();
-        loop.execute(this::list);
-        loop.scheduleWithFixedDelay(this::send, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        directory.start();
+        loop.schedule(this::sendAndRepeat, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops reporting and receiving. */
+    void stop() {
+        channel.close();
+        channel = null;
     }
 
     /** Counts a request that was running when its upstream broke off, here and at the other daemons. */
@@ -114,33 +127,125 @@
         return trafficSeen;
     }
 
-    /** Sends the report now, because it says something that others act on at once. */
-    void send() {
-        if (channel == null || peers.isEmpty()) {
+    /** Tells all daemons of a target that has stopped, unless another one has said so. */
+    void announceStopped(TargetKey key) {
+        if (relays.mesh()) {
+            send();
+        } else if (!table.suspectedElsewhere(key)) {
+            sendUrgent();
+        }
+    }
+
+    private void sendAndRepeat() {
+        if (channel == null) {
+            return;
+        }
+        send();
+        long next = relays.mesh() ? REPORT_MILLIS : RELAYED_REPORT_MILLIS;
+        loop.schedule(this::sendAndRepeat, next, TimeUnit.MILLISECONDS);
+    }
+
+    private void send() {
+        if (channel == null || directory.addresses().isEmpty()) {
             return;
         }
-        byte[] bytes = report().toByteArray();
-        for (InetSocketAddress peer : peers.values()) {
-            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer));
+        if (relays.mesh()) {
+            DaemonReport.Builder report = own();
+            report.addAllCrashedRequests(newCrashes);
+            newCrashes.clear();
+            ReportCodec.models(loads.takeUnreported()).forEach(report::addModels);
+            write(report, directory.addresses());
+        } else {
+            sendThroughRelays();
         }
         channel.flush();
     }
 
-    private DaemonReport report() {
+    private void sendThroughRelays() {
+        long now = clocks.steadyMillis();
+        if (!newCrashes.isEmpty()) {
+            sendUrgent();
+        }
+        Map<String, Integer> refused = loads.takeUnreported();
+        List<DaemonId> upwards = relays.relays(now);
+        DaemonReport.Builder own = own();
+        if (upwards.isEmpty()) {
+            news.refused(refused, true);
+        } else {
+            ReportCodec.models(refused).forEach(own::addModels);
+            write(own, directory.addresses(upwards));
+        }
+        if (relays.relaying(now)) {
+            sendSums(now);
+        }
+        news.clear();
+    }
+
+    private void sendSums(long nowMillis) {
+        Set<DaemonId> leaves = relays.leaves(nowMillis);
+        Set<String> names = leaves.stream().map(DaemonId::value).collect(Collectors.toSet());
+        DaemonReport.Builder some = sums(ReportKind.RELAY_SUMS, table.sums(names::contains, nowMillis))
+                .setDaemons(1 + table.daemons(names::contains));
+        ReportCodec.models(news.refused(false)).forEach(some::addModels);
+        news.lease(false).ifPresent(heard -> ReportCodec.setHolder(some, heard));
+        write(some, directory.addresses(relays.relaysToTell(nowMillis)));
+        DaemonReport.Builder all = sums(ReportKind.ALL_SUMS, table.sums(sender -> !sender.equals(ALL), nowMillis))
+                .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)));
+        ReportCodec.models(news.refused(true)).forEach(all::addModels);
+        news.lease(true).ifPresent(heard -> ReportCodec.setHolder(all, heard));
+        write(all, directory.addresses(leaves));
+    }
+
+    private void sendUrgent() {
+        if (channel == null) {
+            return;
+        }
+        DaemonReport.Builder report = header(ReportKind.URGENT);
+        for (TargetReport row : table.reports(clocks.steadyMillis())) {
+            if (row.suspected()) {
+                report.addTargets(ReportCodec.load(row.without(row.inFlight())));
+            }
+        }
+        report.addAllCrashedRequests(newCrashes);
+        newCrashes.clear();
+        write(report, directory.addresses());
+        channel.flush();
+    }
+
+    private DaemonReport.Builder own() {
+        DaemonReport.Builder report = header(ReportKind.OWN);
+        Map<TargetKey, Integer> rows = new HashMap<>();
+        for (TargetReport row : table.reports(clocks.steadyMillis())) {
+            report.addTargets(ReportCodec.load(row));
+            rows.put(row.key(), row.inFlight());
+        }
+        reported = rows;
+        return report;
+    }
+
+    private DaemonReport.Builder sums(ReportKind kind, List<TargetReport> rows) {
+        DaemonReport.Builder report = header(kind);
+        rows.forEach(row -> report.addTargets(ReportCodec.load(row)));
+        return report;
+    }
+
+    private DaemonReport.Builder header(ReportKind kind) {
         sequence++;
         DaemonReport.Builder report = DaemonReport.newBuilder()
+                .setKind(kind)
                 .setDaemon(settings.daemon())
                 .setIncarnation(incarnation)
                 .setSequence(sequence)
                 .setTrafficSeen(trafficSeen);
-        lease.held().ifPresent(held -> report.setLeaseEpoch(held.epoch()).setLeaseRenewals(held.renewals()));
-        table.reports(clocks.steadyMillis()).forEach(row -> report.addTargets(ReportCodec.load(row)));
-        loads.takeUnreported()
-                .forEach((model, count) ->
-                        report.addModels(ModelLoad.newBuilder().setModel(model).setRefused(count)));
-        report.addAllCrashedRequests(newCrashes);
-        newCrashes.clear();
-        return report.build();
+        lease.held().ifPresent(held -> ReportCodec.setHolder(report, held));
+        return report;
+    }
+
+    private void write(DaemonReport.Builder report, Collection<InetSocketAddress> receivers) {
+        byte[] bytes = report.build().toByteArray();
+        for (InetSocketAddress receiver : receivers) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
+        }
     }
 
     private void receive(DaemonReport report) {
@@ -154,58 +259,65 @@
         }
         sequences.put(sender, report.getSequence());
         long now = clocks.steadyMillis();
-        table.report(report.getDaemon(), ReportCodec.loads(report), now);
-        report.getModelsList().forEach(load -> loads.refusedElsewhere(load.getModel(), load.getRefused(), now));
+        takeRows(report, now);
         report.getCrashedRequestsList().forEach(fingerprint -> crashes.recordCrash(fingerprint, now));
         trafficSeen |= report.getTrafficSeen();
-        if (report.getLeaseEpoch() > 0) {
-            lease.heard(
-                    new DaemonId(report.getDaemon()),
-                    new Incarnation(report.getIncarnation()),
-                    report.getLeaseEpoch(),
-                    report.getLeaseRenewals());
-        }
-    }
-
-    private void list() {
-        store.list(ObjectKind.DAEMONS, true, this::onListing);
+        ReportCodec.holder(report).ifPresent(this::takeHolder);
     }
 
-    private void onListing(StoreAnswer<Listing<Endpoint>> answer) {
-        if (!(answer instanceof StoreAnswer.Done<Listing<Endpoint>>(Listing<Endpoint> listing))) {
-            loop.schedule(this::list, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        peers.clear();
-        OptionalLong ownRevision = OptionalLong.empty();
-        boolean current = false;
-        for (StoredObject<Endpoint> object : listing.objects()) {
-            if (object.name().equals(settings.daemon())) {
-                ownRevision = OptionalLong.of(object.revision());
-                current = object.content().filter(settings.peers()::equals).isPresent();
-            } else if (object.content().isPresent()) {
-                Endpoint peer = object.content().get();
-                peers.put(object.name(), new InetSocketAddress(peer.host(), peer.port()));
+    private void takeRows(DaemonReport report, long nowMillis) {
+        DaemonId sender = new DaemonId(report.getDaemon());
+        List<TargetReport> rows = ReportCodec.loads(report);
+        switch (report.getKind()) {
+            case OWN -> {
+                table.report(sender.value(), rows, nowMillis);
+                takeRefused(report, nowMillis);
+                if (!relays.mesh()) {
+                    relays.heardLeaf(sender, nowMillis);
+                    news.heard(report, true);
+                }
             }
+            case RELAY_SUMS -> {
+                relays.heardSums(sender, nowMillis);
+                if (!relays.mesh() && relays.relaying(nowMillis)) {
+                    table.report(sender.value(), report.getDaemons(), rows, nowMillis);
+                    takeRefused(report, nowMillis);
+                    news.heard(report, false);
+                }
+            }
+            case ALL_SUMS -> {
+                relays.heardRelay(sender, nowMillis);
+                if (relays.mesh() || relays.relaying(nowMillis)) {
+                    table.drop(ALL::equals);
+                    return;
+                }
+                table.drop(other -> !other.equals(ALL) && !other.startsWith(URGENT));
+                List<TargetReport> others = rows.stream()
+                        .map(row -> row.without(reported.getOrDefault(row.key(), 0)))
+                        .toList();
+                table.report(ALL, report.getDaemons() - 1, others, nowMillis);
+                takeRefused(report, nowMillis);
+            }
+            case URGENT -> table.report(URGENT + sender.value(), 0, rows, nowMillis);
+            case UNRECOGNIZED ->
+                log.write(EventLog.Part.PEER, "unknown-kind", "from", sender, "kind", report.getKindValue());
         }
-        if (!current && !registered) {
-            register(ownRevision);
-        }
-        long next = peers.size() <= FEW_PEERS ? FIRST_LIST_MILLIS : LIST_MILLIS;
-        loop.schedule(this::list, next, TimeUnit.MILLISECONDS);
     }
 
-    private void register(OptionalLong expected) {
-        store.write(ObjectKind.DAEMONS, settings.daemon(), expected, settings.peers(), answer -> {
-            registered = answer instanceof StoreAnswer.Done<StoredObject<Endpoint>>;
-            log.write(EventLog.Part.PEER, "registered", "endpoint", settings.peers(), "done", registered);
-        });
+    private void takeRefused(DaemonReport report, long nowMillis) {
+        report.getModelsList().forEach(load -> loads.refusedElsewhere(load.getModel(), load.getRefused(), nowMillis));
+    }
+
+    private void takeHolder(Lease held) {
+        if (!held.holder().value().equals(settings.daemon())) {
+            lease.heard(held.holder(), held.holderIncarnation(), held.epoch(), held.renewals());
+        }
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            var report = ReportCodec.decode(ByteBufUtil.getBytes(packet.content()));
+            Optional<DaemonReport> report = ReportCodec.decode(ByteBufUtil.getBytes(packet.content()));
             if (report.isPresent()) {
                 receive(report.get());
             } else {
