Share knowledge of the store through the relays

A daemon that hears this leaves the store alone. It asks the store itself when the relay is silent, too old or ahead by more than the report holds, and for each new configuration. Ages are measured by the relay and count from the receiver's own stamp that the relay echoes, so that a delayed report looks older, never younger. The controller always watches the registry itself. Beside it, registry changes are gathered for 500 ms instead of 200.

Ruled out: passing the configuration itself between daemons. It changes rarely and can be larger than a datagram; each daemon reads it once.

Figures: StoreSharingTest: a daemon that hears a relay makes no call in 20 s.

--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -0,0 +1,112 @@
+package io.sesamehead.entry.protocol;
+
+import io.sesamehead.coordination.replica.MemberState;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.ReplicaKey;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.entry.protocol.generated.MemberStage;
+import io.sesamehead.entry.protocol.generated.UpstreamChange;
+import io.sesamehead.entry.protocol.generated.UpstreamRecord;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.Optional;
+
+/** Converts changes of the registry of upstreams that relays pass on. */
+public final class UpstreamRecordCodec {
+    private UpstreamRecordCodec() {}
+
+    /**
+     * Writes a change.
+     *
+     * @param change the change
+     * @return the message
+     */
+    public static UpstreamChange encode(Changes.Change<UpstreamEntry> change) {
+        UpstreamChange.Builder message = UpstreamChange.newBuilder()
+                .setName(change.object().name())
+                .setRevision(change.object().revision())
+                .setDeleted(change.deleted());
+        change.object().content().ifPresent(entry -> message.setUpstream(record(entry)));
+        return message.build();
+    }
+
+    /**
+     * Reads a change.
+     *
+     * @param message the message
+     * @return the change
+     * @throws IllegalArgumentException if a field holds what its type does not allow
+     */
+    public static Changes.Change<UpstreamEntry> decode(UpstreamChange message) {
+        Optional<UpstreamEntry> entry =
+                message.hasUpstream() ? Optional.of(entry(message.getName(), message.getUpstream())) : Optional.empty();
+        return new Changes.Change<>(
+                new StoredObject<>(message.getName(), message.getRevision(), entry), message.getDeleted());
+    }
+
+    private static UpstreamRecord record(UpstreamEntry entry) {
+        UpstreamRecord.Builder record = UpstreamRecord.newBuilder()
+                .setStartedAtMillis(entry.startedAtEpochMillis())
+                .setService(entry.service().value())
+                .setHost(entry.endpoint().host())
+                .setPort(entry.endpoint().port())
+                .setFailureDomain(entry.failureDomain().value())
+                .setSlots(entry.slots())
+                .setLeaving(entry.leaving())
+                .setFabricDomain(entry.fabricDomain())
+                .addAllStaged(entry.staged())
+                .addAllLoaded(entry.loaded());
+        entry.membership()
+                .ifPresent(membership -> record.setGroup(membership.replica().group())
+                        .setGroupEpoch(membership.replica().epoch())
+                        .setRank(membership.rank())
+                        .setStage(stage(membership.state())));
+        return record.build();
+    }
+
+    private static UpstreamEntry entry(String name, UpstreamRecord record) {
+        Optional<Membership> membership = record.getGroup().isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Membership(
+                        new ReplicaKey(record.getGroup(), record.getGroupEpoch()),
+                        record.getRank(),
+                        state(record.getStage())));
+        return new UpstreamEntry(
+                new InstanceId(name),
+                record.getStartedAtMillis(),
+                new ServiceName(record.getService()),
+                new Endpoint(record.getHost(), record.getPort()),
+                new FailureDomain(record.getFailureDomain()),
+                record.getSlots(),
+                record.getLeaving(),
+                record.getFabricDomain(),
+                record.getStagedList(),
+                record.getLoadedList(),
+                membership);
+    }
+
+    private static MemberStage stage(MemberState state) {
+        return switch (state) {
+            case JOINING -> MemberStage.JOINING;
+            case READY -> MemberStage.READY;
+            case OPEN -> MemberStage.OPEN;
+            case CLOSING -> MemberStage.CLOSING;
+            case BROKEN -> MemberStage.BROKEN;
+        };
+    }
+
+    private static MemberState state(MemberStage stage) {
+        return switch (stage) {
+            case JOINING -> MemberState.JOINING;
+            case READY -> MemberState.READY;
+            case OPEN -> MemberState.OPEN;
+            case CLOSING -> MemberState.CLOSING;
+            case BROKEN -> MemberState.BROKEN;
+            case UNRECOGNIZED -> throw new IllegalArgumentException("unknown stage of a group member");
+        };
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -131,8 +131,18 @@
         this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_MILLIS, log, random);
         ReportRelays relays = new ReportRelays(new DaemonId(settings.daemon()), settings.failureDomain());
         PeerDirectory directory = new PeerDirectory(loop, settings, store, relays, log);
+        this.configWatch = new ConfigWatch(loop, clocks, store, gate, log, this::onFleetChange);
+        this.registryWatch = new RegistryWatch(
+                loop,
+                clocks,
+                store,
+                registry,
+                log,
+                this::onFleetChange,
+                () -> lease.epoch().isPresent());
+        StoreFeed feed = new StoreSharing(clocks, gate, registry, configWatch, registryWatch, log);
         this.peers = new PeerReports(
-                loop, clocks, settings, incarnation, directory, relays, table, crashes, loads, lease, log);
+                loop, clocks, settings, incarnation, directory, relays, table, crashes, loads, lease, feed, log);
         ServiceTimes times = new ServiceTimes();
         Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
         this.environment = new CallEnvironment(
@@ -153,15 +163,6 @@
                 log,
                 metrics);
         this.callers = new Callers(environment, new CallRouter(environment, random));
-        this.configWatch = new ConfigWatch(loop, clocks, store, gate, log, this::onFleetChange);
-        this.registryWatch = new RegistryWatch(
-                loop,
-                clocks,
-                store,
-                registry,
-                log,
-                this::onFleetChange,
-                () -> lease.epoch().isPresent());
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -59,7 +59,9 @@
     private final CrashHistory crashes;
     private final ModelLoads loads;
     private final LeaseTask lease;
+    private final StoreFeed store;
     private final EventLog log;
+    private final Map<DaemonId, Long> stamps = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
     private final List<Long> newCrashes = new ArrayList<>();
     private final RelayNews news = new RelayNews();
@@ -79,6 +81,7 @@
             CrashHistory crashes,
             ModelLoads loads,
             LeaseTask lease,
+            StoreFeed store,
             EventLog log) {
         this.loop = loop;
         this.clocks = clocks;
@@ -90,6 +93,7 @@
         this.crashes = crashes;
         this.loads = loads;
         this.lease = lease;
+        this.store = store;
         this.log = log;
     }
 
@@ -168,7 +172,7 @@
         }
         Map<String, Integer> refused = loads.takeUnreported();
         List<DaemonId> upwards = relays.relays(now);
-        DaemonReport.Builder own = own();
+        DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis());
         if (upwards.isEmpty()) {
             news.refused(refused, true);
         } else {
@@ -193,7 +197,22 @@
                 .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)));
         ReportCodec.models(news.refused(true)).forEach(all::addModels);
         news.lease(true).ifPresent(heard -> ReportCodec.setHolder(all, heard));
-        write(all, directory.addresses(leaves));
+        all.setStore(store.view());
+        byte[] bytes = all.build().toByteArray();
+        for (DaemonId leaf : leaves) {
+            writeEchoed(bytes, leaf);
+        }
+    }
+
+    /** Adds the receiver's own stamp; fields that are appended to a message are merged into it. */
+    private void writeEchoed(byte[] bytes, DaemonId leaf) {
+        byte[] echo = DaemonReport.newBuilder()
+                .setEchoMillis(stamps.getOrDefault(leaf, 0L))
+                .build()
+                .toByteArray();
+        for (InetSocketAddress receiver : directory.addresses(List.of(leaf))) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes, echo), receiver));
+        }
     }
 
     private void sendUrgent() {
@@ -274,6 +293,7 @@
                 takeRefused(report, nowMillis);
                 if (!relays.mesh()) {
                     relays.heardLeaf(sender, nowMillis);
+                    stamps.put(sender, report.getStampMillis());
                     news.heard(report, true);
                 }
             }
@@ -297,6 +317,9 @@
                         .toList();
                 table.report(ALL, report.getDaemons() - 1, others, nowMillis);
                 takeRefused(report, nowMillis);
+                if (report.getEchoMillis() > 0) {
+                    store.take(report.getStore(), report.getEchoMillis());
+                }
             }
             case URGENT -> table.report(URGENT + sender.value(), 0, rows, nowMillis);
             case UNRECOGNIZED ->
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -15,14 +15,24 @@
 final class RegistryWatch {
     /** Longest wait of one watch, in milliseconds: a connection that went silent is noticed within the drain bound. */
     private static final long WATCH_MILLIS = 1_200;
-    /** Pause before the next watch after changes, in milliseconds: changes that come together cost one call. */
-    private static final long GATHER_MILLIS = 200;
+    /** Pause before the next watch after changes, in milliseconds: a quarter of the drain bound; each call is priced. */
+    private static final long GATHER_MILLIS = 500;
     /** The same at the controller, whose orders follow one another through the registry, in milliseconds. */
     private static final long CONTROLLER_GATHER_MILLIS = 40;
     /** Failures shorter than this are no outage in which entries lapse, in milliseconds: below one heartbeat. */
     private static final long SHORT_FAILURE_MILLIS = 800;
     /** Pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
+    /** The same in a deployment with relays, in milliseconds: together the daemons stay below the store's rate. */
+    private static final long RELAYED_RETRY_MILLIS = 600;
+    /** Age of what a relay knows, in milliseconds, up to which it is taken: a watch, a pause and two reports. */
+    private static final long RELAYED_MILLIS = 2_400;
+    /** Time without the full word of a relay after which the store is asked, in milliseconds: four reports. */
+    private static final long BEHIND_MILLIS = 700;
+    /** Interval of looking whether a relay still tells, in milliseconds. */
+    private static final long LOOK_MILLIS = 100;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final EventLoop loop;
     private final Clocks clocks;
@@ -31,6 +41,10 @@
     private final EventLog log;
     private final Runnable onChange;
     private final BooleanSupplier controller;
+    private final RecentChanges recent = new RecentChanges();
+    private boolean relaysHeard;
+    private long relayedAt = NEVER;
+    private long revision;
     private boolean failing;
     private long failingSince;
 
@@ -55,6 +69,69 @@
         list();
     }
 
+    /** Returns the revision up to which changes are known, or 0 before the first answer. */
+    long revision() {
+        return revision;
+    }
+
+    /** Returns the changes that a relay passes on now. */
+    RecentChanges.Repeat recentChanges() {
+        return recent.upTo(revision, clocks.steadyMillis());
+    }
+
+    /**
+     * Takes a relay's word of the registry.
+     *
+     * @param told revision up to which the relay knows it
+     * @param ageMillis time since the store answered the relay, in milliseconds
+     * @param changes the last changes up to that revision
+     */
+    void relayed(long told, long ageMillis, RecentChanges.Repeat changes) {
+        long now = clocks.steadyMillis();
+        if (revision == 0 || ageMillis > RELAYED_MILLIS) {
+            return;
+        }
+        relaysHeard = true;
+        if (told > revision && changes.since() <= revision) {
+            List<Changes.Change<UpstreamEntry>> unknown = changes.changes().stream()
+                    .filter(change -> change.object().revision() > revision)
+                    .toList();
+            revision = told;
+            apply(unknown, now);
+        }
+        if (told <= revision) {
+            relayedAt = now;
+            noteAnswer(now - ageMillis);
+        }
+    }
+
+    private boolean relayed() {
+        return revision > 0 && clocks.steadyMillis() - relayedAt <= BEHIND_MILLIS;
+    }
+
+    private void resume() {
+        if (relayed()) {
+            watch();
+        } else {
+            list();
+        }
+    }
+
+    private void apply(List<Changes.Change<UpstreamEntry>> changes, long nowMillis) {
+        for (Changes.Change<UpstreamEntry> change : changes) {
+            if (!registry.apply(change, nowMillis)) {
+                log.write(
+                        EventLog.Part.REGISTRY,
+                        "unreadable",
+                        "entry",
+                        change.object().name());
+            }
+        }
+        if (!changes.isEmpty()) {
+            onChange.run();
+        }
+    }
+
     private void list() {
         store.list(ObjectKind.UPSTREAMS, false, this::onListing);
     }
@@ -64,47 +141,51 @@
             retry(answer);
             return;
         }
-        noteAnswer();
+        noteAnswer(clocks.steadyMillis());
+        recent.clear();
+        revision = listing.revision();
         List<String> unreadable = registry.replaceAll(listing.objects(), clocks.steadyMillis());
         unreadable.forEach(name -> log.write(EventLog.Part.REGISTRY, "unreadable", "entry", name));
         log.write(
                 EventLog.Part.REGISTRY, "listed", "entries", listing.objects().size(), "revision", listing.revision());
         onChange.run();
-        watch(listing.revision());
+        watch();
     }
 
-    private void watch(long revision) {
-        store.watch(ObjectKind.UPSTREAMS, revision, WATCH_MILLIS, this::onChanges);
+    /** Asks the store, or waits while a relay tells all changes. */
+    private void watch() {
+        if (!controller.getAsBoolean() && relayed()) {
+            loop.schedule(this::watch, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        long since = revision;
+        store.watch(ObjectKind.UPSTREAMS, since, WATCH_MILLIS, answer -> onChanges(since, answer));
     }
 
-    private void onChanges(StoreAnswer<Changes<UpstreamEntry>> answer) {
+    private void onChanges(long since, StoreAnswer<Changes<UpstreamEntry>> answer) {
         if (!(answer instanceof StoreAnswer.Done<Changes<UpstreamEntry>>(Changes<UpstreamEntry> changes))) {
             retry(answer);
             return;
         }
-        noteAnswer();
         long now = clocks.steadyMillis();
-        for (Changes.Change<UpstreamEntry> change : changes.changes()) {
-            if (!registry.apply(change, now)) {
-                log.write(
-                        EventLog.Part.REGISTRY,
-                        "unreadable",
-                        "entry",
-                        change.object().name());
-            }
+        noteAnswer(now);
+        if (changes.revision() < revision) {
+            watch();
+            return;
         }
+        recent.add(since, changes, now);
+        revision = changes.revision();
+        apply(changes.changes(), now);
         if (changes.changes().isEmpty()) {
-            watch(changes.revision());
+            watch();
             return;
         }
-        onChange.run();
         long gather = controller.getAsBoolean() ? CONTROLLER_GATHER_MILLIS : GATHER_MILLIS;
-        loop.schedule(() -> watch(changes.revision()), gather, TimeUnit.MILLISECONDS);
+        loop.schedule(this::watch, gather, TimeUnit.MILLISECONDS);
     }
 
-    private void noteAnswer() {
-        long now = clocks.steadyMillis();
-        registry.storeAnswered(now, failing && now - failingSince > SHORT_FAILURE_MILLIS);
+    private void noteAnswer(long answeredAtMillis) {
+        registry.storeAnswered(answeredAtMillis, failing && answeredAtMillis - failingSince > SHORT_FAILURE_MILLIS);
         if (failing) {
             failing = false;
             log.write(EventLog.Part.REGISTRY, "store-reached");
@@ -118,6 +199,7 @@
             failingSince = clocks.steadyMillis();
             log.write(EventLog.Part.REGISTRY, "store-lost", "answer", answer);
         }
-        loop.schedule(this::list, historyGone ? 0 : RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        long pause = relaysHeard ? RELAYED_RETRY_MILLIS : RETRY_MILLIS;
+        loop.schedule(historyGone ? this::list : this::resume, historyGone ? 0 : pause, TimeUnit.MILLISECONDS);
     }
 }
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/StoreSharing.java
@@ -0,0 +1,79 @@
+package io.sesamehead.entry.runtime;
+
+import io.sesamehead.coordination.catalog.CatalogGate;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.protocol.UpstreamRecordCodec;
+import io.sesamehead.entry.protocol.generated.StoreView;
+import io.sesamehead.entry.protocol.generated.UpstreamChange;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Shares what daemons know of the store. Ages are measured by the relay alone and counted from a moment of the receiver
+ * before the relay spoke, so that delays on the way make knowledge look older, never younger.
+ */
+final class StoreSharing implements StoreFeed {
+    private final Clocks clocks;
+    private final CatalogGate gate;
+    private final UpstreamRegistry registry;
+    private final ConfigWatch configWatch;
+    private final RegistryWatch registryWatch;
+    private final EventLog log;
+
+    StoreSharing(
+            Clocks clocks,
+            CatalogGate gate,
+            UpstreamRegistry registry,
+            ConfigWatch configWatch,
+            RegistryWatch registryWatch,
+            EventLog log) {
+        this.clocks = clocks;
+        this.gate = gate;
+        this.registry = registry;
+        this.configWatch = configWatch;
+        this.registryWatch = registryWatch;
+        this.log = log;
+    }
+
+    @Override
+    public StoreView view() {
+        configWatch.shared();
+        StoreView.Builder view = StoreView.newBuilder();
+        gate.table()
+                .ifPresent(table -> view.setConfigVersion(table.config().version())
+                        .setConfigAgeMillis(gate.ageMillis(clocks.bootMillis())));
+        if (registryWatch.revision() > 0) {
+            RecentChanges.Repeat recent = registryWatch.recentChanges();
+            view.setRegistryRevision(registryWatch.revision())
+                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAt()))
+                    .setChangesSince(recent.since());
+            recent.changes().forEach(change -> view.addChanges(UpstreamRecordCodec.encode(change)));
+        }
+        return view.build();
+    }
+
+    @Override
+    public void take(StoreView view, long stampMillis) {
+        long sinceStamp = clocks.bootMillis() - stampMillis;
+        if (view.getConfigVersion() > 0) {
+            configWatch.relayed(view.getConfigVersion(), stampMillis - view.getConfigAgeMillis());
+        }
+        if (view.getRegistryRevision() > 0) {
+            List<Changes.Change<UpstreamEntry>> changes = new ArrayList<>();
+            for (UpstreamChange change : view.getChangesList()) {
+                try {
+                    changes.add(UpstreamRecordCodec.decode(change));
+                } catch (IllegalArgumentException e) {
+                    // Without this change the rest would leave a gap; the store is asked instead.
+                    log.write(EventLog.Part.REGISTRY, "unreadable", "entry", change.getName(), "cause", e);
+                    return;
+                }
+            }
+            registryWatch.relayed(
+                    view.getRegistryRevision(),
+                    view.getRegistryAgeMillis() + sinceStamp,
+                    new RecentChanges.Repeat(view.getChangesSince(), changes));
+        }
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -33,7 +33,7 @@
         if (!first && (afterFailure || nowMillis - answeredAt > OUTAGE_MILLIS)) {
             returnUntil = nowMillis + RETURN_MILLIS;
         }
-        answeredAt = nowMillis;
+        answeredAt = Math.max(answeredAt, nowMillis);
     }
 
     /** Takes a complete list in place of what is known. Returns the unreadable names. */
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
@@ -21,6 +21,7 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreAnswer;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.entry.protocol.generated.StoreView;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
@@ -118,6 +119,7 @@
                 new CrashHistory(),
                 new ModelLoads(),
                 lease,
+                new NoFeed(),
                 log);
         return new Daemon(table, relays, lease, reports);
     }
@@ -212,6 +214,16 @@
         assertThat(onLoop(() -> store.leaseReads) - before).isLessThan(DAEMONS);
     }
 
+    private static final class NoFeed implements StoreFeed {
+        @Override
+        public StoreView view() {
+            return StoreView.getDefaultInstance();
+        }
+
+        @Override
+        public void take(StoreView view, long stampMillis) {}
+    }
+
     /** Lives on the event loop. */
     private static final class SharedStore implements ObjectStore {
         private final Map<String, DaemonEndpoint> daemons = new LinkedHashMap<>();
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
@@ -0,0 +1,312 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.sesamehead.coordination.catalog.CallLimits;
+import io.sesamehead.coordination.catalog.CatalogGate;
+import io.sesamehead.coordination.catalog.ServingConfig;
+import io.sesamehead.coordination.replica.MemberState;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.ReplicaKey;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.entry.protocol.generated.StoreView;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against daemons that all ask the store, and against knowledge from a relay that is older than it looks. */
+final class StoreSharingTest {
+    private static final long STEP_MILLIS = 20;
+    private static final long REPORT_MILLIS = 180;
+    private static final long KEY_LEASE_MILLIS = 3_600;
+    /** Time within which a configuration must be in force, from the users' pages. */
+    private static final long CONVERGE_MILLIS = 2_000;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final FakeClocks clocks = new FakeClocks();
+    private final World world = new World();
+    private Node relay;
+    private Node leaf;
+    private boolean relaySilent;
+    private long stamp;
+
+    private final class Node {
+        private final StoreAccess store = new StoreAccess();
+        private final CatalogGate gate = new CatalogGate(KEY_LEASE_MILLIS);
+        private final UpstreamRegistry registry = new UpstreamRegistry();
+        private final StoreSharing sharing;
+
+        private Node() {
+            EventLog log = new EventLog(clocks);
+            ConfigWatch config = new ConfigWatch(channel.eventLoop(), clocks, store, gate, log, () -> {});
+            RegistryWatch upstreams =
+                    new RegistryWatch(channel.eventLoop(), clocks, store, registry, log, () -> {}, () -> false);
+            sharing = new StoreSharing(clocks, gate, registry, config, upstreams, log);
+            config.start();
+            upstreams.start();
+        }
+
+        private long version() {
+            return gate.table().map(table -> table.config().version()).orElse(0L);
+        }
+    }
+
+    @BeforeEach
+    void startTwo() {
+        channel.freezeTime();
+        world.configure(7);
+        for (int i = 0; i < 40; i++) {
+            world.put("i-" + i, MemberState.READY);
+        }
+        relay = new Node();
+        leaf = new Node();
+        run(3_000);
+    }
+
+    private void run(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            clocks.now += STEP_MILLIS;
+            channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+            if (clocks.now % REPORT_MILLIS < STEP_MILLIS) {
+                if (!relaySilent) {
+                    leaf.sharing.take(relay.sharing.view(), stamp);
+                }
+                stamp = clocks.now;
+            }
+        }
+    }
+
+    @Test
+    void daemonThatHearsARelayLeavesTheStoreAlone() {
+        int before = leaf.store.calls;
+        run(20_000);
+
+        assertThat(leaf.store.calls).isEqualTo(before);
+        assertThat(relay.store.calls).isGreaterThan(20);
+        assertThat(leaf.gate.ageMillis(clocks.now)).isLessThan(CONVERGE_MILLIS);
+    }
+
+    @Test
+    void changesOfTheRegistryComeFromTheRelay() {
+        int before = leaf.store.calls;
+        for (int i = 0; i < 30; i++) {
+            world.put("i-" + i, MemberState.OPEN);
+            if (i % 10 == 0) {
+                world.remove("i-" + (30 + i / 10));
+            }
+            run(100);
+        }
+        run(1_000);
+
+        assertThat(leaf.store.calls).isEqualTo(before);
+        assertThat(leaf.registry.entries()).containsExactlyInAnyOrderElementsOf(world.upstreams.values());
+    }
+
+    /** Guards against a gap: more changes at once than a report holds, or reports that were lost. */
+    @Test
+    void daemonThatMissedChangesAsksTheStore() {
+        for (int i = 0; i < 40; i++) {
+            world.put("i-" + i, MemberState.BROKEN);
+        }
+        run(2_000);
+        assertThat(leaf.registry.entries()).containsExactlyInAnyOrderElementsOf(world.upstreams.values());
+
+        relaySilent = true;
+        run(400);
+        world.remove("i-3");
+        run(1_500);
+        assertThat(leaf.registry.entries()).hasSize(39);
+    }
+
+    @Test
+    void newConfigurationIsInForceWithinItsBound() {
+        world.configure(9);
+        run(CONVERGE_MILLIS - REPORT_MILLIS);
+
+        assertThat(leaf.version()).isEqualTo(9);
+    }
+
+    /** Guards against a lease on keys that outlives the relay's own contact with the store. */
+    @Test
+    void knowledgeAgesWhenTheRelayLosesTheStore() {
+        relay.store.down = true;
+        leaf.store.down = true;
+        run(KEY_LEASE_MILLIS + 200);
+
+        assertThat(leaf.gate.fresh(clocks.now)).isFalse();
+    }
+
+    /** Guards against daemons that depend on a relay that the store turns away. */
+    @Test
+    void daemonAsksTheStoreItselfWhenTheRelayHasLostIt() {
+        relay.store.down = true;
+        run(5_000);
+        world.configure(11);
+        run(CONVERGE_MILLIS - REPORT_MILLIS);
+
+        assertThat(leaf.version()).isEqualTo(11);
+        assertThat(leaf.gate.fresh(clocks.now)).isTrue();
+    }
+
+    @Test
+    void silentRelayIsReplacedByTheStoreBeforeTheKeysLapse() {
+        relaySilent = true;
+        for (int i = 0; i < 50; i++) {
+            run(200);
+            assertThat(leaf.gate.ageMillis(clocks.now)).isLessThan(KEY_LEASE_MILLIS);
+        }
+        assertThat(leaf.store.calls).isGreaterThan(4);
+    }
+
+    /** Guards against counting the age from the arrival: a report can be held up on its way. */
+    @Test
+    void ageCountsFromAMomentBeforeTheRelaySpoke() {
+        StoreView view = relay.sharing.view();
+        long spoken = clocks.now;
+        long age = relay.gate.ageMillis(spoken);
+        relaySilent = true;
+        leaf.store.down = true;
+        run(3_000);
+        leaf.sharing.take(view, spoken - 100);
+
+        assertThat(leaf.gate.ageMillis(clocks.now)).isGreaterThanOrEqualTo(3_000);
+        assertThat(leaf.gate.ageMillis(clocks.now)).isLessThanOrEqualTo(3_000 + age + 100);
+    }
+
+    private static final class FakeClocks implements Clocks {
+        private long now = 1_000_000;
+
+        @Override
+        public long steadyMillis() {
+            return now;
+        }
+
+        @Override
+        public long bootMillis() {
+            return now;
+        }
+    }
+
+    private static final class World {
+        private final Map<String, UpstreamEntry> upstreams = new LinkedHashMap<>();
+        private final List<StoredObject<UpstreamEntry>> puts = new ArrayList<>();
+        private final List<Long> deletions = new ArrayList<>();
+        private long revision = 1;
+        private StoredObject<ServingConfig> config;
+
+        private void configure(long version) {
+            revision++;
+            ServingConfig content = new ServingConfig(version, List.of(), Map.of(), CallLimits.DEFAULT, true, Map.of());
+            config = new StoredObject<>("main", revision, Optional.of(content));
+        }
+
+        private void put(String name, MemberState state) {
+            revision++;
+            UpstreamEntry entry = new UpstreamEntry(
+                    new InstanceId(name),
+                    1,
+                    new ServiceName("pool"),
+                    new Endpoint("127.0.0.1", 80),
+                    new FailureDomain("a"),
+                    18,
+                    false,
+                    "d",
+                    List.of("big"),
+                    List.of("big"),
+                    Optional.of(new Membership(ReplicaKey.of("big", 4), 1, state)));
+            upstreams.put(name, entry);
+            puts.add(new StoredObject<>(name, revision, Optional.of(entry)));
+        }
+
+        private void remove(String name) {
+            revision++;
+            puts.add(new StoredObject<>(name, revision, Optional.of(upstreams.remove(name))));
+            deletions.add(revision);
+        }
+    }
+
+    private final class StoreAccess implements ObjectStore {
+        private int calls;
+        private boolean down;
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
+            calls++;
+            if (down) {
+                done.accept(new StoreAnswer.NoAnswer<>("down"));
+                return;
+            }
+            List<StoredObject<T>> objects = new ArrayList<>();
+            if (kind instanceof ObjectKind.Configuration) {
+                objects.add((StoredObject<T>) world.config);
+            } else {
+                world.upstreams.forEach((name, entry) ->
+                        objects.add((StoredObject<T>) new StoredObject<>(name, 1, Optional.of(entry))));
+            }
+            done.accept(new StoreAnswer.Done<>(new Listing<>(objects, world.revision)));
+        }
+
+        @Override
+        public <T> void watch(ObjectKind<T> kind, long from, long waitMillis, Consumer<StoreAnswer<Changes<T>>> done) {
+            calls++;
+            answerWatch(kind, from, clocks.now + waitMillis, done);
+        }
+
+        @SuppressWarnings("unchecked")
+        private <T> void answerWatch(
+                ObjectKind<T> kind, long from, long until, Consumer<StoreAnswer<Changes<T>>> done) {
+            if (down) {
+                channel.eventLoop()
+                        .schedule(() -> done.accept(new StoreAnswer.NoAnswer<>("down")), 50, TimeUnit.MILLISECONDS);
+                return;
+            }
+            List<Changes.Change<T>> changes = new ArrayList<>();
+            if (kind instanceof ObjectKind.Configuration) {
+                if (world.config.revision() > from) {
+                    changes.add(new Changes.Change<>((StoredObject<T>) world.config, false));
+                }
+            } else {
+                world.puts.stream()
+                        .filter(put -> put.revision() > from)
+                        .forEach(put -> changes.add(
+                                new Changes.Change<>((StoredObject<T>) put, world.deletions.contains(put.revision()))));
+            }
+            if (!changes.isEmpty() || clocks.now >= until) {
+                done.accept(new StoreAnswer.Done<>(new Changes<>(changes, world.revision)));
+                return;
+            }
+            channel.eventLoop()
+                    .schedule(() -> answerWatch(kind, from, until, done), STEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public <T> void write(
+                ObjectKind<T> kind,
+                String name,
+                OptionalLong expected,
+                T content,
+                Consumer<StoreAnswer<StoredObject<T>>> done) {
+            throw new UnsupportedOperationException("nothing is written here");
+        }
+    }
+}
