Gather registry changes for 200 ms again

Cause: gathering them for 500 ms saves calls to the store, but daemons then learn of new and lost groups later.

Change: back to 200 ms. In deployments with relays only these watch, so the longer pause is not needed there either. Beside it, the choice of the least loaded target for a call that has begun is the Dispatcher's; it stood a second time in CallEnvironment.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -81,7 +81,14 @@
         return onTime || (returned && load < target.slots() * (1 + LATE_QUEUE_PART));
     }
 
-    private Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
+    /**
+     * Finds the target at which a call waits least, whether it has a free place or not.
+     *
+     * @param targets targets that serve the call
+     * @param nowMillis present steady time
+     * @return the target, or empty if none is usable
+     */
+    public Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target target : targets) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -24,7 +24,6 @@
 import io.sesamehead.entry.transport.HttpClients;
 import io.sesamehead.state.ServiceName;
 import java.nio.charset.StandardCharsets;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -176,12 +175,6 @@
         return longest - remaining;
     }
 
-    Optional<Target> leastLoaded(List<Target> targets) {
-        return targets.stream()
-                .filter(target -> table.usable(target.key(), clocks.steadyMillis()))
-                .min(Comparator.comparingInt(target -> table.inFlight(target.key())));
-    }
-
     HttpClients.Exchange send(Target target, FullHttpRequest request, boolean repeatable, ExchangeListener listener) {
         HttpClients.Freshness fresh = repeatable ? HttpClients.Freshness.ANY : HttpClients.Freshness.RECENT;
         return clients.send(target.receiver().endpoint(), request, fresh, listener);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -141,7 +141,7 @@
 
     /** A call that has begun is not given up for lack of a free place: it queues at the least loaded target. */
     private void refuse(DispatchDecision.Refuse refuse, List<Target> candidates) {
-        Optional<Target> queue = begun ? environment.leastLoaded(candidates) : Optional.empty();
+        Optional<Target> queue = begun ? environment.dispatcher().leastLoaded(candidates, now()) : Optional.empty();
         if (queue.isPresent()) {
             send(queue.get(), 0);
             return;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -15,8 +15,8 @@
 final class RegistryWatch {
     /** Longest wait of one watch, in milliseconds: a connection that went silent is noticed within the drain bound. */
     private static final long WATCH_MILLIS = 1_200;
-    /** Pause before the next watch after changes, in milliseconds: a quarter of the drain bound; each call is priced. */
-    private static final long GATHER_MILLIS = 500;
+    /** Pause before the next watch after changes, in milliseconds: changes that come together cost one call. */
+    private static final long GATHER_MILLIS = 200;
     /** The same at the controller, whose orders follow one another through the registry, in milliseconds. */
     private static final long CONTROLLER_GATHER_MILLIS = 40;
     /** Failures shorter than this are no outage in which entries lapse, in milliseconds: below one heartbeat. */
