--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -342,6 +342,7 @@
         metrics.gauge("connections_open", callers::openConnections);
         metrics.gauge("upstream_connections_opened", clients::opened);
         metrics.gauge("peers_heard", table::peerCount);
+        metrics.gauge("daemons_relayed", peers::relayedDaemons);
         metrics.gauge("controller", () -> lease.epoch().isPresent() ? 1 : 0);
         metrics.gauge("log_lines_dropped", log::dropped);
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -67,6 +67,7 @@
     private final RelayNews news = new RelayNews();
     private Map<TargetKey, Integer> reported = Map.of();
     private Channel channel;
+    private String relay = "";
     private long sequence;
     private boolean trafficSeen;
 
@@ -131,6 +132,11 @@
         return trafficSeen;
     }
 
+    /** Returns how many daemons report to this one as their relay. */
+    int relayedDaemons() {
+        return relays.leaves(clocks.steadyMillis()).size();
+    }
+
     /** Tells all daemons of a target that has stopped, unless another one has said so. */
     void announceStopped(TargetKey key) {
         if (relays.mesh()) {
@@ -172,6 +178,7 @@
         }
         Map<String, Integer> refused = loads.takeUnreported();
         List<DaemonId> upwards = relays.relays(now);
+        noteRelay(upwards);
         DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis());
         if (upwards.isEmpty()) {
             news.refused(refused, true);
@@ -185,6 +192,22 @@
         news.clear();
     }
 
+    private void noteRelay(List<DaemonId> upwards) {
+        String now = upwards.isEmpty() ? settings.daemon() : upwards.get(0).value();
+        if (!now.equals(relay)) {
+            log.write(
+                    EventLog.Part.PEER,
+                    "relay",
+                    "before",
+                    relay,
+                    "now",
+                    now,
+                    "listed",
+                    directory.addresses().size());
+            relay = now;
+        }
+    }
+
     private void sendSums(long nowMillis) {
         Set<DaemonId> leaves = relays.leaves(nowMillis);
         Set<String> names = leaves.stream().map(DaemonId::value).collect(Collectors.toSet());
