Give a loop that is behind 40 ms to read each socket again

Cause: a turn of a loop that is behind takes longer than 10 ms, so that the delayed dispatch can come in the same turn as the read. Change: 40 ms. Ruled out: counting turns of the loop, which Netty does not show.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -34,8 +34,8 @@
     /** Requests that a caller may send ahead of their turn. */
     private static final int MAX_PIPELINED = 16;
 
-    /** Time in which a loop that is behind reads each socket again, in milliseconds: a few turns. */
-    private static final long RECHECK_MILLIS = 10;
+    /** Time in which a loop that is behind reads each socket again, in milliseconds: above the length of a slow turn. */
+    private static final long RECHECK_MILLIS = 40;
 
     private final Callers callers;
     private final ArrayDeque<CallRequest> waiting = new ArrayDeque<>();
