Spread calls and tolerate later reports where relays sum them up

Sums reach a daemon up to 0.4 s after the calls they count. A call that waited 400 ms for its first event then found its group silent towards all, so healthy groups were suspected and dissolved; and 125 daemons with the same sums chose the same few least loaded groups.

Change: where calls are known as sums, a group is suspected 450 ms later, and a call goes to the less loaded of two groups drawn at random, or to the least loaded one if that has no place.

Ruled out: more chance in the least-loaded choice.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -13,6 +13,8 @@
 public final class Dispatcher {
     /** Differences of load below this many calls are left to chance, so that daemons do not all choose alike. */
     private static final double CHANCE_CALLS = 1.5;
+    /** Targets compared where calls are known as sums: two choices bring most of the gain over one. */
+    private static final int SAMPLE = 2;
     /** Calls that a target in another failure domain must be ahead to be preferred. */
     private static final double DISTANCE_CALLS = 0.5;
     /** Part of the objective that an estimate may use up. */
@@ -89,12 +91,34 @@
      * @return the target, or empty if none is usable
      */
     public Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
+        List<Target> usable = targets.stream()
+                .filter(target -> table.usable(target.key(), nowMillis))
+                .toList();
+        Optional<Target> sampled = table.knowsSums() ? least(sample(usable)) : Optional.empty();
+        boolean hasPlace = sampled.isPresent()
+                && table.inFlight(sampled.get().key()) < sampled.get().slots();
+        return hasPlace ? sampled : least(usable);
+    }
+
+    /**
+     * Draws the targets to choose from where calls are known as sums. Many daemons hold the same sums, older than the calls
+     * placed since: all would choose the same few targets, while the better of two drawn at random spreads them.
+     */
+    private List<Target> sample(List<Target> usable) {
+        if (usable.size() <= SAMPLE) {
+            return usable;
+        }
+        return random.ints(0, usable.size())
+                .distinct()
+                .limit(SAMPLE)
+                .mapToObj(usable::get)
+                .toList();
+    }
+
+    private Optional<Target> least(List<Target> targets) {
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target target : targets) {
-            if (!table.usable(target.key(), nowMillis)) {
-                continue;
-            }
             double score = score(target);
             if (score < bestScore) {
                 best = target;
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -14,6 +14,8 @@
 public final class TargetTable {
     /** Silence of all streams after which a target counts as stopped, in milliseconds: seven usual event intervals. */
     public static final long STALL_MILLIS = 400;
+    /** Added while sums over many daemons are heard, in milliseconds: two reports and a slow turn of a small VM. */
+    private static final long SUMS_LAG_MILLIS = 450;
     /** Silence towards this daemon alone after which its calls move, in milliseconds: a lost packet sent again fits. */
     public static final long LOCAL_STALL_MILLIS = 1_000;
     /** The same at an upstream of a plain service, whose answers come whole: above the longest usual work. */
@@ -38,6 +40,7 @@
     private final Map<TargetKey, Integer> peerInFlight = new HashMap<>();
     private final Map<TargetKey, Long> peerProgressAt = new HashMap<>();
     private final Map<TargetKey, Integer> peerSuspicions = new HashMap<>();
+    private boolean sums;
 
     private static final class Own {
         private int inFlight;
@@ -137,6 +140,7 @@
      */
     public void report(String sender, int daemons, List<TargetReport> rows, long nowMillis) {
         drop(peers.put(sender, new PeerRows(nowMillis, daemons, List.copyOf(rows))));
+        sums |= daemons > 1;
         for (TargetReport row : rows) {
             peerInFlight.merge(row.key(), row.inFlight(), Integer::sum);
             peerProgressAt.merge(row.key(), nowMillis - row.silentMillis(), Math::max);
@@ -211,6 +215,7 @@
      */
     public List<TargetKey> findStalled(long nowMillis) {
         expire(nowMillis);
+        long lag = sums ? SUMS_LAG_MILLIS : 0;
         List<TargetKey> stalled = new ArrayList<>();
         for (Map.Entry<TargetKey, Own> entry : own.entrySet()) {
             Own row = entry.getValue();
@@ -220,7 +225,7 @@
             long ownSilence = nowMillis - row.progressAt;
             long silence = nowMillis - Math.max(row.progressAt, peerProgress(entry.getKey()));
             boolean group = entry.getKey().replica().model().isPresent();
-            long limit = limitMillis(row, group ? STALL_MILLIS : PLAIN_STALL_MILLIS);
+            long limit = lag + limitMillis(row, group ? STALL_MILLIS : PLAIN_STALL_MILLIS);
             long localLimit = limitMillis(row, group ? LOCAL_STALL_MILLIS : PLAIN_STALL_MILLIS);
             if (silence > limit || ownSilence > localLimit) {
                 if (silence > limit) {
@@ -249,6 +254,15 @@
         return rows;
     }
 
+    /**
+     * Tells whether the others' calls are known as sums, which are older than reports of each daemon.
+     *
+     * @return true while a relay speaks for several daemons
+     */
+    public boolean knowsSums() {
+        return sums;
+    }
+
     /**
      * Sums up this daemon's rows and those of chosen senders.
      *
@@ -336,6 +350,7 @@
     }
 
     private void expire(long nowMillis) {
+        sums = peers.values().stream().anyMatch(peer -> peer.daemons() > 1);
         Iterator<PeerRows> rows = peers.values().iterator();
         while (rows.hasNext()) {
             PeerRows peer = rows.next();
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -11,7 +11,9 @@
 import io.sesamehead.state.InstanceId;
 import io.sesamehead.state.ServiceName;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -67,6 +69,29 @@
         assertThat(chosen(FRESH, busy, idle)).isEqualTo(idle.key());
     }
 
+    /** The load: a hundred daemons that each place one call on the same sums, older than several calls to a target. */
+    @Test
+    void daemonsThatShareSumsDoNotAllChooseTheSameFewTargets() {
+        List<Target> targets = new ArrayList<>();
+        List<TargetReport> rows = new ArrayList<>();
+        for (int number = 1; number <= 40; number++) {
+            Target target = target(number, "a");
+            targets.add(target);
+            rows.add(new TargetReport(target.key(), 8 + number % 5, 20, false));
+        }
+        table.report("all daemons", 100, rows, NOW);
+
+        Map<TargetKey, Integer> calls = new HashMap<>();
+        for (int daemon = 0; daemon < 100; daemon++) {
+            Dispatcher other = new Dispatcher(new FailureDomain("a"), table, times, new SplittableRandom(daemon));
+            DispatchDecision.Send send = (DispatchDecision.Send) other.decide(FRESH, targets, NOW);
+            calls.merge(send.target().key(), 1, Integer::sum);
+        }
+        for (TargetReport row : rows) {
+            assertThat(row.inFlight() + calls.getOrDefault(row.key(), 0)).isLessThanOrEqualTo(SLOTS);
+        }
+    }
+
     @Test
     void callWithoutAnyTargetIsRefusedAtOnce() {
         DispatchDecision decision = dispatcher.decide(FRESH, List.of(), NOW);
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
@@ -123,6 +123,18 @@
         assertThat(table.daemons("leaf"::equals)).isEqualTo(1);
     }
 
+    /** Guards against a healthy group that is given up because sums over many daemons come later than reports. */
+    @Test
+    void groupThatOthersHearIsNotSuspectedForTheAgeOfTheirSums() {
+        table.sent(GROUP, 0);
+        long lastHeardElsewhere = 500;
+        table.report("all daemons", 120, List.of(new TargetReport(GROUP, 30, 300, false)), lastHeardElsewhere + 300);
+
+        assertThat(table.findStalled(lastHeardElsewhere + 450)).isEmpty();
+        assertThat(table.findStalled(lastHeardElsewhere + 950)).containsExactly(GROUP);
+        assertThat(table.suspected(GROUP, lastHeardElsewhere + 950)).isTrue();
+    }
+
     @Test
     void ownPauseIsNotTheGroupsSilence() {
         table.sent(GROUP, 0);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -27,16 +27,12 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /** One caller's connection: reads requests whole, runs them one at a time in order, and writes their answers. */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Requests that a caller may send ahead of their turn. */
     private static final int MAX_PIPELINED = 16;
 
-    /** Time in which a loop that is behind reads each socket again, in milliseconds: above the length of a slow turn. */
-    private static final long RECHECK_MILLIS = 40;
-
     private final Callers callers;
     private final ArrayDeque<CallRequest> waiting = new ArrayDeque<>();
     private Channel channel;
@@ -124,12 +120,9 @@
         if (waiting.size() >= MAX_PIPELINED) {
             channel.config().setAutoRead(false);
         }
-        if (callers.behind()) {
-            // The caller may have closed while its request waited in the socket; the next read shows it.
-            channel.eventLoop().schedule(this::runNext, RECHECK_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            runNext();
-        }
+        // The caller may have closed while its request waited in the socket. The socket is read to its end before tasks
+        // run.
+        channel.eventLoop().execute(this::runNext);
     }
 
     private void runNext() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/Callers.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/Callers.java
@@ -1,12 +1,14 @@
 package io.sesamehead.entry.runtime;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.sesamehead.coordination.catalog.CallLimits;
@@ -28,20 +30,20 @@
     private static final int BACKLOG = 512;
 
     private static final int MAX_CHUNK_BYTES = 65_536;
+    /** Reads of one socket in one turn of the loop, as Netty has it for sockets. */
+    private static final int READS_PER_TURN = 16;
 
     private final CallEnvironment environment;
     private final CallRouter router;
-    private final LoopLag lag;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Optional<Channel> listener = Optional.empty();
     private boolean stopping;
     private boolean refusing;
     private long idleCloseMillis = Long.MAX_VALUE;
 
-    Callers(CallEnvironment environment, CallRouter router, LoopLag lag) {
+    Callers(CallEnvironment environment, CallRouter router) {
         this.environment = environment;
         this.router = router;
-        this.lag = lag;
     }
 
     void listen(EventLoop loop, Endpoint endpoint) throws InterruptedException {
@@ -50,6 +52,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -62,6 +65,11 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Reads until nothing is left, so that a close that follows a request is seen with it. */
+    private static RecvByteBufAllocator readToTheEnd() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_TURN);
+    }
+
     private void connect(Channel channel) {
         if (connections.size() >= environment.settings().maxConnections()) {
             environment.metrics().count("connections_refused");
@@ -124,11 +132,6 @@
                 .orElse(CallLimits.DEFAULT);
     }
 
-    /** Tells whether what is read now may have waited for long in the socket. */
-    boolean behind() {
-        return lag.behind(nowMillis());
-    }
-
     long nowMillis() {
         return environment.clocks().steadyMillis();
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -35,6 +35,8 @@
 public final class EntryDaemon {
     /** Interval of the checks for silent targets and of the controller's steps, in milliseconds. */
     private static final long TICK_MILLIS = 50;
+    /** A tick later than this means that the process did not run, in milliseconds. */
+    private static final long PAUSE_MILLIS = 150;
     /** Time to live of the controller lease, in milliseconds: three renewals, and a new holder within recovery. */
     private static final long LEASE_MILLIS = 1_500;
     /** Largest difference of two steady clocks over one lease, in milliseconds. */
@@ -66,13 +68,13 @@
     private final PeerReports peers;
     private final LeaseTask lease;
     private final CallEnvironment environment;
-    private final LoopLag lag;
     private final Callers callers;
     private final ConfigWatch configWatch;
     private final RegistryWatch registryWatch;
     private final UpstreamOrders orders;
     private final CallTranslator translator;
     private Optional<ControllerTerm> term = Optional.empty();
+    private long lastTickMillis;
     private boolean ready;
     private long stopAtMillis = -1;
 
@@ -115,7 +117,6 @@
         this.clocks = clocks;
         this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         this.log = new EventLog(clocks);
-        this.lag = new LoopLag(TICK_MILLIS, clocks.steadyMillis());
         this.gate = new CatalogGate(settings.keyLeaseMillis() - WATCH_SILENCE_MILLIS);
         this.clients = new HttpClients(loop, clocks);
         ControlClient control = new ControlClient(clients);
@@ -161,7 +162,7 @@
                 clients,
                 log,
                 metrics);
-        this.callers = new Callers(environment, new CallRouter(environment, random), lag);
+        this.callers = new Callers(environment, new CallRouter(environment, random));
     }
 
     /**
@@ -187,6 +188,7 @@
                     settings.daemon(),
                     "failure_domain",
                     settings.failureDomain());
+            lastTickMillis = clocks.steadyMillis();
             configWatch.start();
             registryWatch.start();
             lease.start();
@@ -233,8 +235,9 @@
 
     private void tick() {
         long now = clocks.steadyMillis();
-        long late = lag.tick(now);
-        if (late > 0) {
+        long late = now - lastTickMillis - TICK_MILLIS;
+        lastTickMillis = now;
+        if (late > PAUSE_MILLIS) {
             table.excusePause(late);
             log.write(EventLog.Part.DAEMON, "paused", "ms", late);
         }
