Take several datagrams in one turn of the loop

Cause: an allocator that is set by option takes one message a turn, where the default takes 16; each report of another daemon cost a turn. Found by reading.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -44,6 +44,8 @@
     private static final long RELAYED_REPORT_MILLIS = 180;
     /** Largest datagram taken, in bytes: the sums of a few hundred targets. */
     private static final int MAX_DATAGRAM_BYTES = 16_384;
+    /** Datagrams taken in one turn of the loop, as Netty has it where no size is set. */
+    private static final int READS_PER_TURN = 16;
     /** Sender under which the sums over all daemons are kept. */
     private static final String ALL = "all daemons";
     /** Prefix of the sender under which an urgent report is kept. */
@@ -103,7 +105,9 @@
         channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(READS_PER_TURN))
                 .handler(new Receiver())
                 .bind(settings.peers().host(), settings.peers().port())
                 .sync()
