Keep what is known of former groups beside every change of the controller

What a planner knows of members that have left, while their head has not noticed, lives in one term's memory; the next holder takes such a member as free. Four more ways led there: an entry from before the group (the registry lists old ones) passed as proof that a head had stopped; an unlisted member counted as lost from the moment at which the planner saw it missing; a new holder planned with what a relay had told up to 2.4 s before; a stopping holder gave the lease back while its orders were on their way.

Change: entries carry the number of orders begun; the registry ignores one that precedes the known one, and an announced end holds for the life. FormerGroups records, at every daemon, which group an upstream has left and when; the planner of a new term asks it, and a daemon that has just read the registry waits until all heads must have noticed (not at the first start of a deployment). A loss counts from an answered leave order. A term plans only after the store has answered a question asked under the lease. The lease is given back once no order is in flight. After a failed call the registry is watched from the known revision instead of listed anew.

Ruled out: writing dissolving groups to the store, which costs calls at each loss; the expected order number in joins, which protects only against old entries and fails while a copy is being made.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -19,11 +19,12 @@
     /** Longest such time, in milliseconds: an upstream that comes back within its registry entry is told soon. */
     private static final long MAX_RESEND_MILLIS = 1_400;
     /** Added to the time in which a head notices a missing member, for clocks and messages, in milliseconds. */
-    private static final long MARGIN_MILLIS = 700;
+    static final long MARGIN_MILLIS = 700;
 
     private final ReplicaKey key;
     private final Optional<InstanceId> head;
     private final long headLife;
+    private final long headOrders;
     private final long stallMillis;
     private final Map<InstanceId, Long> lives = new HashMap<>();
     private final Map<InstanceId, Sending> sent = new HashMap<>();
@@ -33,14 +34,16 @@
 
     private record Sending(long atMillis, long pauseMillis) {}
 
-    DissolvingReplica(Replica replica, boolean memberMissing, long startMillis, long stallMillis) {
+    DissolvingReplica(Replica replica, long stallMillis) {
         this.key = replica.key();
         this.head = replica.head().map(UpstreamEntry::id);
         this.headLife = replica.head().map(UpstreamEntry::startedAtEpochMillis).orElse(0L);
+        this.headOrders = replica.head().map(UpstreamEntry::ordersBegun).orElse(0L);
         this.stallMillis = stallMillis;
         replica.members().forEach(member -> lives.put(member.id(), member.startedAtEpochMillis()));
-        // Without a listed head, its silence has begun at the latest now.
-        this.memberLostAt = memberMissing ? startMillis : Long.MAX_VALUE;
+        // A member that the registry does not list may still be in touch with the head: only an answered order is a
+        // loss.
+        this.memberLostAt = Long.MAX_VALUE;
     }
 
     ReplicaKey key() {
@@ -74,6 +77,10 @@
         }
     }
 
+    boolean listedMember(InstanceId id) {
+        return lives.containsKey(id);
+    }
+
     /**
      * Tells whether an upstream must not join another group yet because of this one.
      *
@@ -115,7 +122,8 @@
         boolean newLife = entry.startedAtEpochMillis() != headLife;
         Optional<Membership> own =
                 entry.membership().filter(membership -> membership.replica().equals(key));
-        boolean elsewhere = own.isEmpty();
+        // An entry from before the group names no group either.
+        boolean elsewhere = own.isEmpty() && entry.ordersBegun() > headOrders;
         boolean stopped = own.isPresent() && own.get().state() == MemberState.BROKEN;
         if (newLife || elsewhere || stopped) {
             headGone = true;
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -25,6 +25,8 @@
     /** Time that calls have to end at a group with a leaving member, in milliseconds: a stream's usual length. */
     private static final long LEAVING_GRACE_MILLIS = 1_500;
 
+    private static final long NOT_KNOWN = Long.MIN_VALUE;
+
     private final long controllerEpoch;
     private final long stallMillis;
     private final LoadLimiter limiter = new LoadLimiter();
@@ -35,6 +37,12 @@
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
     private final Set<ReplicaKey> abandoned = new HashSet<>();
     private final Map<String, Integer> mostGroups = new HashMap<>();
+    /**
+     * Before this moment an upstream without a group may have left one that this planner has never seen, and whose head
+     * still serves.
+     */
+    private long pastKnownFromMillis = NOT_KNOWN;
+
     private long groupsFormed;
     private PlanSummary summary = new PlanSummary(0, 0, 0, 0, 0, 0, 0);
 
@@ -57,6 +65,10 @@
      * @return the orders
      */
     public List<ReplicaAction> plan(FleetView view, long nowMillis) {
+        if (pastKnownFromMillis == NOT_KNOWN) {
+            pastKnownFromMillis =
+                    view.firstStart() ? nowMillis : view.formerGroups().followedSince(nowMillis) + noticeMillis();
+        }
         List<ReplicaAction> actions = new ArrayList<>();
         Map<InstanceId, UpstreamEntry> byId = new LinkedHashMap<>();
         view.entries().forEach(entry -> byId.put(entry.id(), entry));
@@ -65,7 +77,7 @@
         Map<String, Integer> healthy = inspectStanding(view, replicas, nowMillis);
         advanceDissolving(replicas, byId, nowMillis, actions);
         noteMostGroups(healthy);
-        List<UpstreamEntry> free = freeUpstreams(view, nowMillis);
+        List<UpstreamEntry> free = freeUpstreams(view, replicas, nowMillis);
         int standing = healthy.values().stream().mapToInt(Integer::intValue).sum() - forming.size();
         boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
@@ -158,24 +170,23 @@
             switch (progress) {
                 case WAITING -> {}
                 case SERVING -> forming.remove(group.key());
-                case FAILED -> giveUp(group, replicas, nowMillis);
+                case FAILED -> giveUp(group, replicas);
             }
         }
     }
 
-    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas, long nowMillis) {
+    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas) {
         forming.remove(group.key());
         if (!group.mayBeOpen()) {
             abandoned.add(group.key());
             return;
         }
         Replica replica = replicas.getOrDefault(group.key(), new Replica(group.key(), List.of()));
-        dissolve(replica, replica.members().size() < group.members().size(), nowMillis);
+        dissolve(replica);
     }
 
-    private void dissolve(Replica replica, boolean memberMissing, long nowMillis) {
-        dissolving.computeIfAbsent(
-                replica.key(), key -> new DissolvingReplica(replica, memberMissing, nowMillis, stallMillis));
+    private void dissolve(Replica replica) {
+        dissolving.computeIfAbsent(replica.key(), key -> new DissolvingReplica(replica, stallMillis));
     }
 
     /** Adopts or gives up the groups that no entry of this planner covers; returns the healthy groups by model. */
@@ -206,11 +217,11 @@
         Optional<ModelProfile> model = replica.key().model().flatMap(view.engine()::model);
         boolean stalled = view.stalled().contains(replica.key());
         if (model.isEmpty() || stalled || replica.head().isEmpty()) {
-            dissolve(replica, replica.head().isEmpty(), nowMillis);
+            dissolve(replica);
             return Optional.empty();
         }
         if (replica.members().size() != model.get().size()) {
-            dissolve(replica, true, nowMillis);
+            dissolve(replica);
             return Optional.empty();
         }
         if (replica.serving(model.get().size())) {
@@ -223,7 +234,7 @@
         boolean broken = replica.members().stream()
                 .anyMatch(member -> member.membership().orElseThrow().state() == MemberState.BROKEN);
         if (broken) {
-            dissolve(replica, false, nowMillis);
+            dissolve(replica);
             return Optional.empty();
         }
         adopt(replica, model.get(), nowMillis);
@@ -233,7 +244,7 @@
     private void dissolveAfterGrace(Replica replica, long nowMillis) {
         long since = leavingSince.computeIfAbsent(replica.key(), key -> nowMillis);
         if (nowMillis - since >= LEAVING_GRACE_MILLIS) {
-            dissolve(replica, false, nowMillis);
+            dissolve(replica);
         }
     }
 
@@ -255,27 +266,54 @@
         }
     }
 
-    private List<UpstreamEntry> freeUpstreams(FleetView view, long nowMillis) {
+    private List<UpstreamEntry> freeUpstreams(FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         Set<InstanceId> promised = new HashSet<>();
         forming.values().forEach(group -> promised.addAll(group.members()));
         List<UpstreamEntry> free = new ArrayList<>();
         for (UpstreamEntry entry : view.entries()) {
             boolean usable = !entry.leaving() && reachability.reachable(entry.id(), nowMillis);
-            if (usable && !promised.contains(entry.id()) && released(entry, nowMillis)) {
+            if (usable && !promised.contains(entry.id()) && released(view, replicas, entry, nowMillis)) {
                 free.add(entry);
             }
         }
         return free;
     }
 
-    private boolean released(UpstreamEntry entry, long nowMillis) {
+    private boolean released(FleetView view, Map<ReplicaKey, Replica> replicas, UpstreamEntry entry, long nowMillis) {
         for (DissolvingReplica group : dissolving.values()) {
             if (group.holds(entry, nowMillis)) {
                 return false;
             }
         }
         Optional<ReplicaKey> key = entry.membership().map(Membership::replica);
-        return key.isEmpty() || abandoned.contains(key.get()) || dissolving.containsKey(key.get());
+        if (key.isPresent()) {
+            return abandoned.contains(key.get()) || dissolving.containsKey(key.get());
+        }
+        return nowMillis >= pastKnownFromMillis && formerHeadStopped(view, replicas, entry, nowMillis);
+    }
+
+    /** Tells whether the head of the group that an upstream has left cannot serve any more. */
+    private boolean formerHeadStopped(
+            FleetView view, Map<ReplicaKey, Replica> replicas, UpstreamEntry entry, long nowMillis) {
+        Optional<FormerGroups.Former> former = view.formerGroups().formerGroup(entry);
+        if (former.isEmpty() || former.get().headLeft()) {
+            return true;
+        }
+        DissolvingReplica ordered = dissolving.get(former.get().replica());
+        if (ordered != null && ordered.listedMember(entry.id())) {
+            // The answers to the orders are more recent than the registry; they were asked before.
+            return true;
+        }
+        boolean reportsLoss = Optional.ofNullable(replicas.get(former.get().replica()))
+                .flatMap(Replica::head)
+                .flatMap(UpstreamEntry::membership)
+                .filter(membership -> membership.state() == MemberState.BROKEN)
+                .isPresent();
+        return reportsLoss || nowMillis >= former.get().firstLossMillis() + noticeMillis();
+    }
+
+    private long noticeMillis() {
+        return stallMillis + DissolvingReplica.MARGIN_MILLIS;
     }
 
     /** Forms groups, the neediest model first. Returns false if a group waits for loads, which then go before copies. */
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetView.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetView.java
@@ -13,13 +13,17 @@
  * @param stalled groups whose streams have fallen silent
  * @param demand load by model
  * @param trafficSeen whether callers have sent calls; before that, loads are not limited by rate
+ * @param formerGroups what the registry has shown of groups that upstreams have left
+ * @param firstStart whether the deployment starts for the first time, so that no upstream can have been in a group
  */
 public record FleetView(
         EngineProfile engine,
         List<UpstreamEntry> entries,
         Set<ReplicaKey> stalled,
         Map<String, ModelDemand> demand,
-        boolean trafficSeen) {
+        boolean trafficSeen,
+        FormerGroups formerGroups,
+        boolean firstStart) {
     /** Copies the collections. */
     public FleetView {
         entries = List.copyOf(entries);
--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -12,6 +12,7 @@
  *
  * @param id its name
  * @param startedAtEpochMillis time of its start, which tells two lives under one name apart
+ * @param ordersBegun orders that it has begun to carry out since its start
  * @param service the service it runs
  * @param endpoint where it listens
  * @param failureDomain its failure domain
@@ -25,6 +26,7 @@
 public record UpstreamEntry(
         InstanceId id,
         long startedAtEpochMillis,
+        long ordersBegun,
         ServiceName service,
         Endpoint endpoint,
         FailureDomain failureDomain,
@@ -39,4 +41,27 @@
         staged = List.copyOf(staged);
         loaded = List.copyOf(loaded);
     }
+
+    /**
+     * Tells whether this entry describes an earlier moment of the same upstream than another one. Writes to the registry
+     * can overtake one another, so that the entry read last need not be the latest.
+     *
+     * @param other another entry of this upstream
+     * @return true if the other entry is certainly later
+     */
+    public boolean precedes(UpstreamEntry other) {
+        if (startedAtEpochMillis != other.startedAtEpochMillis) {
+            return startedAtEpochMillis < other.startedAtEpochMillis;
+        }
+        if (ordersBegun != other.ordersBegun) {
+            return ordersBegun < other.ordersBegun;
+        }
+        // An upstream that has announced its end does not return to service in the same life.
+        return (!leaving && other.leaving) || stage() < other.stage();
+    }
+
+    /** Without an order, the state in a group only advances. */
+    private int stage() {
+        return membership.map(own -> own.state().ordinal()).orElse(-1);
+    }
 }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -36,6 +36,7 @@
         UpstreamEntry head = new UpstreamEntry(
                 new InstanceId("i-" + number),
                 1,
+                0,
                 new ServiceName("pool"),
                 new Endpoint("127.0.0.1", number),
                 new FailureDomain(failureDomain),
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -33,6 +33,8 @@
     private final Set<ReplicaKey> stalled = new HashSet<>();
     final List<String> violations = new ArrayList<>();
     final Map<String, ModelDemand> demand = new HashMap<>();
+    final FormerGroups formerGroups = new FormerGroups();
+    boolean firstStart = true;
     boolean traffic;
     int loads;
     int unanswered;
@@ -45,6 +47,7 @@
                 new UpstreamEntry(
                         id,
                         1,
+                        0,
                         new ServiceName("pool"),
                         new Endpoint("127.0.0.1", 1_000 + entries.size()),
                         new FailureDomain("zone-" + fabricDomain.charAt(0)),
@@ -77,8 +80,10 @@
     void run(FleetPlanner planner, long millis) {
         for (long end = now + millis; now < end; now += 50) {
             settle();
+            entries.values().forEach(entry -> formerGroups.observe(entry, now));
             stalled.retainAll(ReplicaIndex.of(entries.values()).keySet());
-            FleetView view = new FleetView(PROFILE, List.copyOf(entries.values()), stalled, demand, traffic);
+            FleetView view = new FleetView(
+                    PROFILE, List.copyOf(entries.values()), stalled, demand, traffic, formerGroups, firstStart);
             for (ReplicaAction action : planner.plan(view, now)) {
                 planner.onResult(action, carryOut(action), now);
             }
@@ -182,6 +187,7 @@
                 new UpstreamEntry(
                         entry.id(),
                         entry.startedAtEpochMillis(),
+                        entry.ordersBegun() + 1,
                         entry.service(),
                         entry.endpoint(),
                         entry.failureDomain(),
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -131,6 +131,22 @@
         assertThat(engines.violations).isEmpty();
     }
 
+    /**
+     * Guards against a holder that has only just read the registry: an upstream without a group may have left one whose
+     * head has not noticed yet.
+     */
+    @Test
+    void holderThatHasJustStartedWaitsUntilFormerHeadsMustHaveNoticed() {
+        engines.firstStart = false;
+        engines.formerGroups.restarted(0);
+
+        engines.run(planner, STALL_MILLIS);
+        assertThat(engines.loads).isZero();
+        engines.run(planner, LEAD_MILLIS);
+
+        assertThat(engines.serving(FakeEngines.BIG)).hasSizeGreaterThanOrEqualTo(5);
+    }
+
     @Test
     void loadsUnderTrafficStayWithinTheRateAndTheConcurrency() {
         engines.traffic = true;
--- a/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
@@ -18,6 +18,7 @@
  * @param convergeMillis time within which a configuration must be in force, in milliseconds
  * @param stopMillis time between the request to stop and the end by force, in milliseconds
  * @param stallMillis time in which the head of a group notices that a member is missing, in milliseconds
+ * @param firstStart whether the deployment starts for the first time
  * @param retryRatio repeats allowed for each call
  * @param retrySlack repeats allowed to all daemons in each window beside those
  * @param retryWindowMillis length of the window, in milliseconds
@@ -34,6 +35,7 @@
         long convergeMillis,
         long stopMillis,
         long stallMillis,
+        boolean firstStart,
         double retryRatio,
         double retrySlack,
         long retryWindowMillis) {}
--- a/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -51,6 +51,7 @@
     private static UpstreamRecord record(UpstreamEntry entry) {
         UpstreamRecord.Builder record = UpstreamRecord.newBuilder()
                 .setStartedAtMillis(entry.startedAtEpochMillis())
+                .setOrdersBegun(entry.ordersBegun())
                 .setService(entry.service().value())
                 .setHost(entry.endpoint().host())
                 .setPort(entry.endpoint().port())
@@ -78,6 +79,7 @@
         return new UpstreamEntry(
                 new InstanceId(name),
                 record.getStartedAtMillis(),
+                record.getOrdersBegun(),
                 new ServiceName(record.getService()),
                 new Endpoint(record.getHost(), record.getPort()),
                 new FailureDomain(record.getFailureDomain()),
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -6,6 +6,7 @@
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.replica.FleetPlanner;
 import io.sesamehead.coordination.replica.FleetView;
+import io.sesamehead.coordination.replica.FormerGroups;
 import io.sesamehead.coordination.replica.OrderResult;
 import io.sesamehead.coordination.replica.PlanSummary;
 import io.sesamehead.coordination.replica.Replica;
@@ -29,6 +30,8 @@
 
     private final long epoch;
     private final long stallMillis;
+    private final boolean firstStart;
+    private final FormerGroups formerGroups;
     private final Clocks clocks;
     private final Fleet fleet;
     private final TargetTable table;
@@ -38,12 +41,16 @@
     private final DaemonMetrics metrics;
     private final BooleanSupplier maySend;
     private final Runnable onFenced;
+    private final long startedAtMillis;
     private final Map<ServiceName, FleetPlanner> planners = new HashMap<>();
+    private int ordersInFlight;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     ControllerTerm(
             long epoch,
             long stallMillis,
+            boolean firstStart,
+            FormerGroups formerGroups,
             Clocks clocks,
             Fleet fleet,
             TargetTable table,
@@ -55,6 +62,8 @@
             Runnable onFenced) {
         this.epoch = epoch;
         this.stallMillis = stallMillis;
+        this.firstStart = firstStart;
+        this.formerGroups = formerGroups;
         this.clocks = clocks;
         this.fleet = fleet;
         this.table = table;
@@ -64,12 +73,23 @@
         this.metrics = metrics;
         this.maySend = maySend;
         this.onFenced = onFenced;
+        this.startedAtMillis = clocks.steadyMillis();
+    }
+
+    /** Returns the steady time at which the lease was found to be held. */
+    long startedAtMillis() {
+        return startedAtMillis;
     }
 
     long epoch() {
         return epoch;
     }
 
+    /** Returns the orders that were sent and have neither an answer nor run out of time. */
+    int ordersInFlight() {
+        return ordersInFlight;
+    }
+
     /** Plans all model services once. */
     void step(Iterable<ServiceProfile> services, boolean trafficSeen) {
         for (ServiceProfile service : services) {
@@ -81,7 +101,13 @@
         long now = clocks.steadyMillis();
         List<UpstreamEntry> entries = fleet.upstreams(service);
         FleetView view = new FleetView(
-                engine, entries, stalled(entries, now), loads.demand(fleet.allTargets(), table, now), trafficSeen);
+                engine,
+                entries,
+                stalled(entries, now),
+                loads.demand(fleet.allTargets(), table, now),
+                trafficSeen,
+                formerGroups,
+                firstStart);
         FleetPlanner planner = planners.computeIfAbsent(service, name -> new FleetPlanner(epoch, stallMillis));
         Map<String, UpstreamEntry> byId = new HashMap<>();
         entries.forEach(entry -> byId.put(entry.id().value(), entry));
@@ -143,10 +169,12 @@
         }
         metrics.count("orders_sent{kind=\"" + kind(action) + "\"}");
         log.write(EventLog.Part.ORDER, "sent", "fence", epoch, "order", action);
+        ordersInFlight++;
         orders.send(target, action, epoch, result -> onResult(planner, action, result));
     }
 
     private void onResult(FleetPlanner planner, ReplicaAction action, OrderResult result) {
+        ordersInFlight--;
         metrics.count("orders_ended{result=\"" + result + "\"}");
         if (result != OrderResult.ACCEPTED) {
             log.write(EventLog.Part.ORDER, "ended", "result", result, "order", action);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -77,6 +77,7 @@
     private long lastTickMillis;
     private boolean ready;
     private long stopAtMillis = -1;
+    private boolean leaseReturned;
 
     /** The platform's side of the daemon, built on the daemon's connections. */
     public interface Platform {
@@ -213,13 +214,17 @@
         stopAtMillis = clocks.steadyMillis();
         log.write(EventLog.Part.DAEMON, "stopping", "open_calls", environment.openCalls());
         callers.beginStop();
-        lease.stop(0);
-        term = Optional.empty();
         loop.scheduleWithFixedDelay(this::continueStop, STOP_CHECK_MILLIS, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void continueStop() {
         long passed = clocks.steadyMillis() - stopAtMillis;
+        boolean ordersAnswered = term.map(ControllerTerm::ordersInFlight).orElse(0) == 0;
+        if (ordersAnswered && !leaseReturned) {
+            // A successor that starts earlier could give an upstream an order that one on its way contradicts.
+            leaseReturned = true;
+            lease.stop(0);
+        }
         if (passed < ROTATION_MILLIS) {
             return;
         }
@@ -279,6 +284,8 @@
             term = Optional.of(new ControllerTerm(
                     epoch.getAsLong(),
                     settings.stallMillis(),
+                    settings.firstStart(),
+                    registry.formerGroups(),
                     clocks,
                     fleet,
                     table,
@@ -289,6 +296,11 @@
                     () -> lease.epoch().equals(epoch),
                     lease::fenced));
         }
+        // The former holder's last orders must be known before any is sent.
+        if (!registryWatch.confirmedSince(term.get().startedAtMillis())) {
+            registryWatch.refresh();
+            return;
+        }
         term.get().step(config.get().config().services().values(), peers.trafficSeen());
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -32,6 +32,9 @@
     /** Interval of looking whether a relay still tells, in milliseconds. */
     private static final long LOOK_MILLIS = 100;
 
+    /** Wait of a question for what has changed until now, in milliseconds: the shortest that the store takes. */
+    private static final long REFRESH_MILLIS = 1;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final EventLoop loop;
@@ -45,6 +48,8 @@
     private boolean relaysHeard;
     private long relayedAt = NEVER;
     private long revision;
+    private long confirmedAt = NEVER;
+    private boolean refreshing;
     private boolean failing;
     private long failingSince;
 
@@ -105,12 +110,49 @@
         }
     }
 
+    /**
+     * Tells whether all changes up to a moment are known from the store itself.
+     *
+     * @param steadyMillis the moment
+     * @return true once the store has answered a question that was asked later
+     */
+    boolean confirmedSince(long steadyMillis) {
+        return confirmedAt > steadyMillis;
+    }
+
+    /** Asks the store for what has changed until now, beside a watch that waits. */
+    void refresh() {
+        if (refreshing || revision == 0) {
+            return;
+        }
+        refreshing = true;
+        long askedAt = clocks.steadyMillis();
+        long since = revision;
+        store.watch(ObjectKind.UPSTREAMS, since, REFRESH_MILLIS, answer -> {
+            refreshing = false;
+            if (answer instanceof StoreAnswer.Done<Changes<UpstreamEntry>>(Changes<UpstreamEntry> changes)) {
+                onRefreshed(since, askedAt, changes);
+            }
+        });
+    }
+
+    /** Changes that another answer has overtaken are dropped; the question is then asked again. */
+    private void onRefreshed(long since, long askedAt, Changes<UpstreamEntry> changes) {
+        if (since == revision) {
+            take(since, changes);
+        }
+        if (changes.revision() <= revision) {
+            confirmedAt = Math.max(confirmedAt, askedAt);
+        }
+    }
+
     private boolean relayed() {
         return revision > 0 && clocks.steadyMillis() - relayedAt <= BEHIND_MILLIS;
     }
 
     private void resume() {
-        if (relayed()) {
+        // What changed during a short failure is in the store's history; a list of all upstreams takes many calls.
+        if (revision > 0) {
             watch();
         } else {
             list();
@@ -133,15 +175,17 @@
     }
 
     private void list() {
-        store.list(ObjectKind.UPSTREAMS, false, this::onListing);
+        long askedAt = clocks.steadyMillis();
+        store.list(ObjectKind.UPSTREAMS, false, answer -> onListing(answer, askedAt));
     }
 
-    private void onListing(StoreAnswer<Listing<UpstreamEntry>> answer) {
+    private void onListing(StoreAnswer<Listing<UpstreamEntry>> answer, long askedAt) {
         if (!(answer instanceof StoreAnswer.Done<Listing<UpstreamEntry>>(Listing<UpstreamEntry> listing))) {
             retry(answer);
             return;
         }
         noteAnswer(clocks.steadyMillis());
+        confirmedAt = Math.max(confirmedAt, askedAt);
         recent.clear();
         revision = listing.revision();
         List<String> unreadable = registry.replaceAll(listing.objects(), clocks.steadyMillis());
@@ -159,23 +203,22 @@
             return;
         }
         long since = revision;
-        store.watch(ObjectKind.UPSTREAMS, since, WATCH_MILLIS, answer -> onChanges(since, answer));
+        long askedAt = clocks.steadyMillis();
+        store.watch(ObjectKind.UPSTREAMS, since, WATCH_MILLIS, answer -> onChanges(since, askedAt, answer));
     }
 
-    private void onChanges(long since, StoreAnswer<Changes<UpstreamEntry>> answer) {
+    private void onChanges(long since, long askedAt, StoreAnswer<Changes<UpstreamEntry>> answer) {
         if (!(answer instanceof StoreAnswer.Done<Changes<UpstreamEntry>>(Changes<UpstreamEntry> changes))) {
             retry(answer);
             return;
         }
-        long now = clocks.steadyMillis();
-        noteAnswer(now);
         if (changes.revision() < revision) {
+            noteAnswer(clocks.steadyMillis());
             watch();
             return;
         }
-        recent.add(since, changes, now);
-        revision = changes.revision();
-        apply(changes.changes(), now);
+        take(since, changes);
+        confirmedAt = Math.max(confirmedAt, askedAt);
         if (changes.changes().isEmpty()) {
             watch();
             return;
@@ -184,6 +227,14 @@
         loop.schedule(this::watch, gather, TimeUnit.MILLISECONDS);
     }
 
+    private void take(long since, Changes<UpstreamEntry> changes) {
+        long now = clocks.steadyMillis();
+        noteAnswer(now);
+        recent.add(since, changes, now);
+        revision = changes.revision();
+        apply(changes.changes(), now);
+    }
+
     private void noteAnswer(long answeredAtMillis) {
         registry.storeAnswered(answeredAtMillis, failing && answeredAtMillis - failingSince > SHORT_FAILURE_MILLIS);
         if (failing) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.runtime;
 
+import io.sesamehead.coordination.replica.FormerGroups;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.Changes;
 import io.sesamehead.entry.port.StoredObject;
@@ -21,11 +22,15 @@
     static final long RETURN_MILLIS = 2_300;
     /** Time without an answer of the store that counts as an outage, in milliseconds: above the wait of a watch. */
     private static final long OUTAGE_MILLIS = 2_500;
+    /** Interval at which upstreams that are gone are forgotten, in milliseconds. */
+    private static final long FORGET_INTERVAL_MILLIS = 10_000;
 
+    private final FormerGroups formerGroups = new FormerGroups();
     private final Map<InstanceId, UpstreamEntry> entries = new LinkedHashMap<>();
     private final Map<InstanceId, Long> lapsedUntil = new HashMap<>();
     private long answeredAt = Long.MIN_VALUE;
     private long returnUntil;
+    private long forgottenAt;
 
     /** Records an answer of the store, and the end of an outage if there was one. */
     void storeAnswered(long nowMillis, boolean afterFailure) {
@@ -38,6 +43,7 @@
 
     /** Takes a complete list in place of what is known. Returns the unreadable names. */
     List<String> replaceAll(List<StoredObject<UpstreamEntry>> objects, long nowMillis) {
+        formerGroups.restarted(nowMillis);
         List<String> unreadable = new ArrayList<>();
         Map<InstanceId, UpstreamEntry> listed = new LinkedHashMap<>();
         for (StoredObject<UpstreamEntry> object : objects) {
@@ -53,7 +59,7 @@
                 remove(id, nowMillis);
             }
         }
-        listed.forEach(this::put);
+        listed.forEach((id, entry) -> put(id, entry, nowMillis));
         return unreadable;
     }
 
@@ -72,12 +78,21 @@
             remove(id, Long.MAX_VALUE);
             return false;
         }
-        put(id, object.content().get());
+        put(id, object.content().get(), nowMillis);
         return true;
     }
 
+    /** Returns what is known of groups that upstreams have left. */
+    FormerGroups formerGroups() {
+        return formerGroups;
+    }
+
     /** Drops entries that lapsed and did not come back. Returns whether any was dropped. */
     boolean expire(long nowMillis) {
+        if (nowMillis - forgottenAt > FORGET_INTERVAL_MILLIS) {
+            forgottenAt = nowMillis;
+            formerGroups.retain(entries::containsKey, nowMillis);
+        }
         boolean changed = false;
         for (Map.Entry<InstanceId, Long> lapsed : List.copyOf(lapsedUntil.entrySet())) {
             if (nowMillis >= lapsed.getValue()) {
@@ -97,9 +112,15 @@
         return answeredAt;
     }
 
-    private void put(InstanceId id, UpstreamEntry entry) {
-        entries.put(id, entry);
+    /** An earlier entry than the known one proves that the upstream lives, and nothing else. */
+    private void put(InstanceId id, UpstreamEntry entry, long nowMillis) {
         lapsedUntil.remove(id);
+        UpstreamEntry known = entries.get(id);
+        if (known != null && entry.precedes(known)) {
+            return;
+        }
+        entries.put(id, entry);
+        formerGroups.observe(entry, nowMillis);
     }
 
     private void remove(InstanceId id, long nowMillis) {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
@@ -103,7 +103,7 @@
         Endpoint endpoint = new Endpoint("127.0.0.1", port);
         store.daemons.put(id.value(), new DaemonEndpoint(endpoint, domain));
         EntrySettings settings = new EntrySettings(
-                id.value(), domain, endpoint, endpoint, Optional.empty(), endpoint, 1, 1, 1, 1, 1, 0, 0, 1);
+                id.value(), domain, endpoint, endpoint, Optional.empty(), endpoint, 1, 1, 1, 1, 1, true, 0, 0, 1);
         EventLog log = new EventLog(clocks);
         TargetTable table = new TargetTable();
         ReportRelays relays = new ReportRelays(id, domain);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
@@ -224,6 +224,7 @@
             UpstreamEntry entry = new UpstreamEntry(
                     new InstanceId(name),
                     1,
+                    0,
                     new ServiceName("pool"),
                     new Endpoint("127.0.0.1", 80),
                     new FailureDomain("a"),
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sesamehead.coordination.replica.FormerGroups;
+import io.sesamehead.coordination.replica.MemberState;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.ReplicaKey;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.Changes;
 import io.sesamehead.entry.port.StoredObject;
@@ -18,9 +22,15 @@
     private final UpstreamRegistry registry = new UpstreamRegistry();
 
     private static UpstreamEntry entry(String id, boolean leaving) {
+        return entry(id, 1, 0, leaving, Optional.empty());
+    }
+
+    private static UpstreamEntry entry(
+            String id, long startedAt, long orders, boolean leaving, Optional<Membership> membership) {
         return new UpstreamEntry(
                 new InstanceId(id),
-                1,
+                startedAt,
+                orders,
                 new ServiceName("pool"),
                 new Endpoint("127.0.0.1", 80),
                 new FailureDomain("a"),
@@ -29,7 +39,17 @@
                 "d",
                 List.of(),
                 List.of(),
-                Optional.empty());
+                membership);
+    }
+
+    private UpstreamEntry after(UpstreamEntry first, UpstreamEntry second) {
+        registry.apply(change(first), 0);
+        registry.apply(change(second), 100);
+        return registry.entries().iterator().next();
+    }
+
+    private static Changes.Change<UpstreamEntry> change(UpstreamEntry entry) {
+        return new Changes.Change<>(new StoredObject<>(entry.id().value(), 1, Optional.of(entry)), false);
     }
 
     private static StoredObject<UpstreamEntry> stored(String id) {
@@ -85,4 +105,41 @@
         assertThat(readable).isFalse();
         assertThat(registry.entries()).isEmpty();
     }
+
+    /** Guards against a member that counts as free, or a group as lost, by an entry from before the group. */
+    @Test
+    void earlierEntryDoesNotReplaceALaterOne() {
+        Optional<Membership> ready = Optional.of(new Membership(ReplicaKey.of("big", 4), 0, MemberState.READY));
+        Optional<Membership> open = Optional.of(new Membership(ReplicaKey.of("big", 4), 0, MemberState.OPEN));
+        UpstreamEntry later = entry("i-1", 10, 3, false, open);
+
+        assertThat(after(later, entry("i-1", 10, 1, false, Optional.empty()))).isEqualTo(later);
+        assertThat(after(later, entry("i-1", 10, 3, false, ready))).isEqualTo(later);
+        assertThat(after(later, entry("i-1", 9, 8, false, Optional.empty()))).isEqualTo(later);
+    }
+
+    @Test
+    void entryOfANewLifeReplacesOneWithMoreOrders() {
+        UpstreamEntry reborn = entry("i-1", 11, 0, false, Optional.empty());
+
+        assertThat(after(entry("i-1", 10, 8, false, Optional.empty()), reborn)).isEqualTo(reborn);
+    }
+
+    /** Guards against calls to an upstream that has announced its end and whose entry is then overwritten. */
+    @Test
+    void announcedEndHoldsForTheLife() {
+        assertThat(after(entry("i-1", true), entry("i-1", false)).leaving()).isTrue();
+    }
+
+    @Test
+    void lapsedUpstreamThatReturnsWithoutItsGroupHasLeftIt() {
+        ReplicaKey group = ReplicaKey.of("big", 4);
+        Optional<Membership> member = Optional.of(new Membership(group, 1, MemberState.READY));
+        registry.apply(change(entry("i-1", 10, 1, false, member)), 0);
+        registry.apply(new Changes.Change<>(stored("i-1"), true), 1_000);
+        UpstreamEntry back = entry("i-1", 10, 2, false, Optional.empty());
+        registry.apply(change(back), 2_000);
+
+        assertThat(registry.formerGroups().formerGroup(back)).contains(new FormerGroups.Former(group, 2_000, false));
+    }
 }
