Log the calls to the store by kind

Cause: the price of store calls is the largest of the large deployments, and no log tells which daemon makes which calls. Change: one line in ten seconds with the counts since the start. Ruled out: the metrics address, which the platform reads only in incidents.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -53,6 +53,8 @@
     private static final long STOP_MARGIN_MILLIS = 400;
 
     private static final long STOP_CHECK_MILLIS = 50;
+    /** Interval of the line with the calls to the store, in milliseconds. */
+    private static final long CALLS_LOG_MILLIS = 10_000;
 
     private final EntrySettings settings;
     private final EventLoop loop;
@@ -65,6 +67,7 @@
     private final TargetTable table = new TargetTable();
     private final ModelLoads loads = new ModelLoads();
     private final HttpClients clients;
+    private final MeteredStore store;
     private final PeerReports peers;
     private final LeaseTask lease;
     private final CallEnvironment environment;
@@ -121,7 +124,7 @@
         this.gate = new CatalogGate(settings.keyLeaseMillis() - WATCH_SILENCE_MILLIS);
         this.clients = new HttpClients(loop, clocks);
         ControlClient control = new ControlClient(clients);
-        ObjectStore store = new MeteredStore(platform.store(control), metrics);
+        this.store = new MeteredStore(platform.store(control), metrics, log);
         this.orders = platform.orders(control);
         this.translator = platform.translator();
         long incarnation = random.nextLong();
@@ -194,6 +197,8 @@
             registryWatch.start();
             lease.start();
         });
+        loop.scheduleWithFixedDelay(
+                store::logCalls, CALLS_LOG_MILLIS, CALLS_LOG_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/MeteredStore.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/MeteredStore.java
@@ -6,17 +6,27 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreAnswer;
 import io.sesamehead.entry.port.StoredObject;
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** Counts the calls to a store by kind and result. */
+/** Counts the calls to a store by kind and result, and logs the counts now and then. */
 final class MeteredStore implements ObjectStore {
     private final ObjectStore store;
     private final DaemonMetrics metrics;
+    private final EventLog log;
+    private final Map<String, Integer> calls = new TreeMap<>();
 
-    MeteredStore(ObjectStore store, DaemonMetrics metrics) {
+    MeteredStore(ObjectStore store, DaemonMetrics metrics, EventLog log) {
         this.store = store;
         this.metrics = metrics;
+        this.log = log;
+    }
+
+    /** Logs the calls since the start: calls are what the store charges for. */
+    void logCalls() {
+        log.write(EventLog.Part.STORE, "calls", "since_start", calls);
     }
 
     @Override
@@ -41,6 +51,7 @@
 
     private <V> Consumer<StoreAnswer<V>> counted(String call, ObjectKind<?> kind, Consumer<StoreAnswer<V>> done) {
         String object = kind.getClass().getSimpleName();
+        calls.merge(call + "-" + object, 1, Integer::sum);
         return answer -> {
             String result = answer.getClass().getSimpleName();
             metrics.count("store_calls{call=\"" + call + "\",kind=\"" + object + "\",result=\"" + result + "\"}");
