Share the store's news from the holder of the lease among few daemons

Cause: up to 25 daemons each watched the registry (2.0 calls a second) and the configuration (0.9) for themselves.

Change: the holder of the lease, which watches the registry anyway, adds what it knows of the store to its reports, with the stamp of each receiver, as relays do in larger deployments; the others ask the store only when it is silent, too old or ahead of them. An empty answer of a watch after its full wait counts as proof up to its end, so that relays wait 900 ms instead of 450. The word of another daemon is relied on up to a part of the bounds of the deployment instead of 1.5 s. The registry is first read by a list that may be old, which costs a tenth, and brought up to date by a watch; it counts as read only then. Daemons wait 600 ms between looks at a lease that another one holds, and start to look at random times. The list of daemons is read every 15 s instead of 4, and when an unlisted daemon reports.

Ruled out: relays at every size: five of them would still make 15 calls a second, and sums of load are 0.4 s old.

--- a/core/src/main/java/io/sesamehead/coordination/catalog/CatalogGate.java
+++ b/core/src/main/java/io/sesamehead/coordination/catalog/CatalogGate.java
@@ -21,6 +21,15 @@
         this.leaseMillis = leaseMillis;
     }
 
+    /**
+     * Returns how long keys may be used after the last confirmation.
+     *
+     * @return the time, in milliseconds
+     */
+    public long leaseMillis() {
+        return leaseMillis;
+    }
+
     /**
      * Takes a configuration from the store.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -17,20 +17,20 @@
  */
 final class ConfigWatch {
     /**
-     * Longest wait of one watch, in milliseconds. Knowledge is up to two waits old before the next answer, which must stay
-     * below the time in which a configuration takes force: beyond it, unknown routes and keys are not denied.
+     * Longest wait of one watch, in milliseconds. With the time for its answer it stays below the time in which a
+     * configuration takes force: beyond it, unknown routes and keys are not denied.
      */
     private static final long WATCH_MILLIS = 900;
-    /** The same at a relay, in milliseconds: what it knows reaches others two reports later. */
-    private static final long RELAY_WATCH_MILLIS = 450;
-    /** Time after the last question for it in which knowledge counts as shared, in milliseconds. */
-    private static final long SHARED_MILLIS = 1_000;
+    /** Part of a full wait that an empty answer proves: the store's clock may run a little fast. */
+    private static final double PROVED_PART = 0.95;
     /** Pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
     /** The same in a deployment with relays, in milliseconds: together the daemons stay below the store's rate. */
     private static final long RELAYED_RETRY_MILLIS = 600;
-    /** Age of what a relay tells, in milliseconds, up to which the store is not asked: two waits and two reports. */
-    private static final long RELAYED_MILLIS = 1_500;
+    /** Part of the time in which a configuration takes force up to which the word of another daemon is relied on. */
+    private static final double TOLD_PART_OF_CONVERGENCE = 0.85;
+    /** Part of the lease on keys up to which it is relied on: the rest is time to ask the store. */
+    private static final double TOLD_PART_OF_LEASE = 0.75;
     /** Interval of looking whether a relay still tells, in milliseconds. */
     private static final long LOOK_MILLIS = 100;
 
@@ -40,18 +40,27 @@
     private final Clocks clocks;
     private final ObjectStore store;
     private final CatalogGate gate;
+    private final long toldMillis;
     private final EventLog log;
     private final Runnable onChange;
     private boolean reachable;
     private boolean relaysHeard;
-    private long sharedAt = NEVER;
     private long relayedAsOf = NEVER;
 
-    ConfigWatch(EventLoop loop, Clocks clocks, ObjectStore store, CatalogGate gate, EventLog log, Runnable onChange) {
+    ConfigWatch(
+            EventLoop loop,
+            Clocks clocks,
+            ObjectStore store,
+            CatalogGate gate,
+            long convergeMillis,
+            EventLog log,
+            Runnable onChange) {
         this.loop = loop;
         this.clocks = clocks;
         this.store = store;
         this.gate = gate;
+        this.toldMillis =
+                (long) Math.min(convergeMillis * TOLD_PART_OF_CONVERGENCE, gate.leaseMillis() * TOLD_PART_OF_LEASE);
         this.log = log;
         this.onChange = onChange;
     }
@@ -77,11 +86,6 @@
         }
     }
 
-    /** Records that other daemons are told what is known here. */
-    void shared() {
-        sharedAt = clocks.bootMillis();
-    }
-
     /** Leaves the store alone until the relay falls silent or tells of a newer version. */
     private void followRelay() {
         if (relayed()) {
@@ -92,7 +96,7 @@
     }
 
     private boolean relayed() {
-        return clocks.bootMillis() - relayedAsOf <= RELAYED_MILLIS;
+        return clocks.bootMillis() - relayedAsOf <= toldMillis;
     }
 
     private void list() {
@@ -117,8 +121,7 @@
             return;
         }
         long askedAt = clocks.bootMillis();
-        long wait = askedAt - sharedAt <= SHARED_MILLIS ? RELAY_WATCH_MILLIS : WATCH_MILLIS;
-        store.watch(ObjectKind.CONFIGURATION, revision, wait, answer -> onChanges(answer, askedAt));
+        store.watch(ObjectKind.CONFIGURATION, revision, WATCH_MILLIS, answer -> onChanges(answer, askedAt));
     }
 
     private void onChanges(StoreAnswer<Changes<ServingConfig>> answer, long askedAt) {
@@ -131,10 +134,16 @@
                 take(change.object(), askedAt);
             }
         }
-        gate.confirm(askedAt);
+        gate.confirm(askedAt + provedMillis(changes, clocks.bootMillis() - askedAt));
         watch(changes.revision());
     }
 
+    /** An empty answer after the full wait proves that nothing changed while the store waited. */
+    private static long provedMillis(Changes<ServingConfig> changes, long tookMillis) {
+        boolean waited = changes.changes().isEmpty() && tookMillis >= WATCH_MILLIS;
+        return waited ? (long) (WATCH_MILLIS * PROVED_PART) : 0;
+    }
+
     private void take(StoredObject<ServingConfig> object, long askedAt) {
         if (object.content().isEmpty()) {
             log.write(EventLog.Part.CONFIG, "unreadable", "object", object.name(), "revision", object.revision());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -134,8 +134,9 @@
                 new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
         this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_MILLIS, log, random);
         ReportRelays relays = new ReportRelays(new DaemonId(settings.daemon()), settings.failureDomain());
-        PeerDirectory directory = new PeerDirectory(loop, settings, store, relays, log);
-        this.configWatch = new ConfigWatch(loop, clocks, store, gate, log, this::onFleetChange);
+        PeerDirectory directory = new PeerDirectory(loop, clocks, settings, store, relays, log);
+        this.configWatch =
+                new ConfigWatch(loop, clocks, store, gate, settings.convergeMillis(), log, this::onFleetChange);
         this.registryWatch = new RegistryWatch(
                 loop,
                 clocks,
@@ -197,8 +198,7 @@
             registryWatch.start();
             lease.start();
         });
-        loop.scheduleWithFixedDelay(
-                store::logCalls, CALLS_LOG_MILLIS, CALLS_LOG_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(store::logCalls, CALLS_LOG_MILLIS, CALLS_LOG_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -26,6 +26,8 @@
     static final String NAME = "controller";
     /** Interval at which a daemon without the lease looks at it, in milliseconds. */
     private static final long LOOK_MILLIS = 200;
+    /** The same while another daemon holds the lease and is not heard yet, in milliseconds: four of its reports. */
+    private static final long HELD_LOOK_MILLIS = 600;
     /** Silence of the holder after which the store is asked, in milliseconds: three of its reports, also through relays. */
     private static final long SILENCE_MILLIS = 700;
     /** Interval of renewals, in milliseconds: a third of the lease's time. */
@@ -63,7 +65,8 @@
     }
 
     void start() {
-        look();
+        // Daemons that start together would all try to create the lease.
+        schedule(this::look, random.nextLong(LOOK_MILLIS));
     }
 
     /** Returns the epoch under which orders may be sent now. */
@@ -144,7 +147,8 @@
         switch (holder.decide(clocks.bootMillis(), lease, highestEpoch)) {
             case LeaseDecision.Write write -> write(write);
             case LeaseDecision.Hold hold -> schedule(this::decide, hold.renewAtMillis() - clocks.bootMillis());
-            case LeaseDecision.Wait wait -> lookAgain(LOOK_MILLIS);
+            case LeaseDecision.Wait wait ->
+                lookAgain(Math.clamp(wait.untilMillis() - clocks.bootMillis(), LOOK_MILLIS, HELD_LOOK_MILLIS));
         }
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -17,12 +17,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** Lists in the store where this daemon receives reports, and follows where the others do. */
 final class PeerDirectory {
-    /** Interval at which the list of daemons is read, in milliseconds; a changed VM is known to all after two. */
-    private static final long LIST_MILLIS = 4_000;
+    /** Interval at which the list of daemons is read, in milliseconds: for daemons that never report to this one. */
+    private static final long LIST_MILLIS = 15_000;
+    /** Least time between two lists, in milliseconds; a report of an unlisted daemon asks for one. */
+    private static final long SHORTEST_MILLIS = 1_000;
     /** The same while few other daemons are known, in milliseconds. */
     private static final long FIRST_LIST_MILLIS = 1_000;
     /** Pause after a failed call, in milliseconds. */
@@ -31,15 +34,26 @@
     private static final int FEW_PEERS = 2;
 
     private final EventLoop loop;
+    private final Clocks clocks;
     private final EntrySettings settings;
     private final ObjectStore store;
     private final ReportRelays relays;
     private final EventLog log;
     private final Map<DaemonId, InetSocketAddress> addresses = new HashMap<>();
+    private Future<?> next;
+    private long listedAt;
     private boolean registered;
 
-    PeerDirectory(EventLoop loop, EntrySettings settings, ObjectStore store, ReportRelays relays, EventLog log) {
+    PeerDirectory(
+            EventLoop loop,
+            Clocks clocks,
+            EntrySettings settings,
+            ObjectStore store,
+            ReportRelays relays,
+            EventLog log) {
         this.loop = loop;
+        this.clocks = clocks;
+        this.next = loop.newSucceededFuture(null);
         this.settings = settings;
         this.store = store;
         this.relays = relays;
@@ -55,6 +69,11 @@
         return addresses.values();
     }
 
+    /** Returns all other daemons. */
+    Collection<DaemonId> daemons() {
+        return addresses.keySet();
+    }
+
     /** Returns where some daemons receive reports; those that are not listed are left out. */
     Collection<InetSocketAddress> addresses(Collection<DaemonId> daemons) {
         return daemons.stream()
@@ -63,13 +82,27 @@
                 .toList();
     }
 
+    /**
+     * Takes the origin of a report. One that the list does not hold comes from a daemon that is new.
+     *
+     * @param daemon the sender
+     * @param origin where it sends from, which is where it receives
+     */
+    void heard(DaemonId daemon, InetSocketAddress origin) {
+        boolean due = clocks.steadyMillis() - listedAt >= SHORTEST_MILLIS;
+        if (due && !origin.equals(addresses.get(daemon))) {
+            listIn(0);
+        }
+    }
+
     private void list() {
+        listedAt = clocks.steadyMillis();
         store.list(ObjectKind.DAEMONS, true, this::onListing);
     }
 
     private void onListing(StoreAnswer<Listing<DaemonEndpoint>> answer) {
         if (!(answer instanceof StoreAnswer.Done<Listing<DaemonEndpoint>>(Listing<DaemonEndpoint> listing))) {
-            loop.schedule(this::list, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            listIn(RETRY_MILLIS);
             return;
         }
         DaemonEndpoint own = new DaemonEndpoint(settings.peers(), settings.failureDomain());
@@ -92,14 +125,21 @@
         if (!current && !registered) {
             register(own, ownRevision);
         }
-        long next = addresses.size() <= FEW_PEERS ? FIRST_LIST_MILLIS : LIST_MILLIS;
-        loop.schedule(this::list, next, TimeUnit.MILLISECONDS);
+        listIn(addresses.size() <= FEW_PEERS ? FIRST_LIST_MILLIS : LIST_MILLIS);
+    }
+
+    private void listIn(long millis) {
+        next.cancel(false);
+        next = loop.schedule(this::list, millis, TimeUnit.MILLISECONDS);
     }
 
     private void register(DaemonEndpoint own, OptionalLong expected) {
         store.write(ObjectKind.DAEMONS, settings.daemon(), expected, own, answer -> {
             registered = answer instanceof StoreAnswer.Done<StoredObject<DaemonEndpoint>>;
             log.write(EventLog.Part.PEER, "registered", "endpoint", own.reportsTo(), "done", registered);
+            if (!registered) {
+                listIn(FIRST_LIST_MILLIS);
+            }
         });
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -168,7 +168,12 @@
             report.addAllCrashedRequests(newCrashes);
             newCrashes.clear();
             ReportCodec.models(loads.takeUnreported()).forEach(report::addModels);
-            write(report, directory.addresses());
+            report.setStampMillis(clocks.bootMillis());
+            if (lease.held().isPresent()) {
+                writeWithStore(report, directory.daemons());
+            } else {
+                write(report, directory.addresses());
+            }
         } else {
             sendThroughRelays();
         }
@@ -224,10 +229,14 @@
                 .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)));
         ReportCodec.models(news.refused(true)).forEach(all::addModels);
         news.lease(true).ifPresent(heard -> ReportCodec.setHolder(all, heard));
-        all.setStore(store.view());
-        byte[] bytes = all.build().toByteArray();
-        for (DaemonId leaf : leaves) {
-            writeEchoed(bytes, leaf);
+        writeWithStore(all, leaves);
+    }
+
+    /** Tells what this daemon knows of the store, so that the receivers need not ask it. */
+    private void writeWithStore(DaemonReport.Builder report, Collection<DaemonId> receivers) {
+        byte[] bytes = report.setStore(store.view()).build().toByteArray();
+        for (DaemonId receiver : receivers) {
+            writeEchoed(bytes, receiver);
         }
     }
 
@@ -294,7 +303,7 @@
         }
     }
 
-    private void receive(DaemonReport report) {
+    private void receive(DaemonReport report, InetSocketAddress origin) {
         if (report.getDaemon().equals(settings.daemon())) {
             return;
         }
@@ -304,6 +313,7 @@
             return;
         }
         sequences.put(sender, report.getSequence());
+        directory.heard(new DaemonId(report.getDaemon()), origin);
         long now = clocks.steadyMillis();
         takeRows(report, now);
         report.getCrashedRequestsList().forEach(fingerprint -> crashes.recordCrash(fingerprint, now));
@@ -318,9 +328,11 @@
             case OWN -> {
                 table.report(sender.value(), rows, nowMillis);
                 takeRefused(report, nowMillis);
-                if (!relays.mesh()) {
+                stamps.put(sender, report.getStampMillis());
+                if (relays.mesh()) {
+                    takeStore(report);
+                } else {
                     relays.heardLeaf(sender, nowMillis);
-                    stamps.put(sender, report.getStampMillis());
                     news.heard(report, true);
                 }
             }
@@ -344,9 +356,7 @@
                         .toList();
                 table.report(ALL, report.getDaemons() - 1, others, nowMillis);
                 takeRefused(report, nowMillis);
-                if (report.getEchoMillis() > 0) {
-                    store.take(report.getStore(), report.getEchoMillis());
-                }
+                takeStore(report);
             }
             case URGENT -> table.report(URGENT + sender.value(), 0, rows, nowMillis);
             case UNRECOGNIZED ->
@@ -354,6 +364,12 @@
         }
     }
 
+    private void takeStore(DaemonReport report) {
+        if (report.hasStore() && report.getEchoMillis() > 0) {
+            store.take(report.getStore(), report.getEchoMillis());
+        }
+    }
+
     private void takeRefused(DaemonReport report, long nowMillis) {
         report.getModelsList().forEach(load -> loads.refusedElsewhere(load.getModel(), load.getRefused(), nowMillis));
     }
@@ -369,7 +385,7 @@
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             Optional<DaemonReport> report = ReportCodec.decode(ByteBufUtil.getBytes(packet.content()));
             if (report.isPresent()) {
-                receive(report.get());
+                receive(report.get(), packet.sender());
             } else {
                 log.write(EventLog.Part.PEER, "unreadable", "from", packet.sender());
             }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -70,8 +70,9 @@
         this.controller = controller;
     }
 
+    /** A list that is some seconds old costs the store a tenth; the first watch then brings what has changed since. */
     void start() {
-        list();
+        list(true);
     }
 
     /** Returns the revision up to which changes are known, or 0 before the first answer. */
@@ -155,7 +156,7 @@
         if (revision > 0) {
             watch();
         } else {
-            list();
+            list(true);
         }
     }
 
@@ -174,18 +175,20 @@
         }
     }
 
-    private void list() {
+    private void list(boolean mayBeOld) {
         long askedAt = clocks.steadyMillis();
-        store.list(ObjectKind.UPSTREAMS, false, answer -> onListing(answer, askedAt));
+        store.list(ObjectKind.UPSTREAMS, mayBeOld, answer -> onListing(answer, mayBeOld, askedAt));
     }
 
-    private void onListing(StoreAnswer<Listing<UpstreamEntry>> answer, long askedAt) {
+    private void onListing(StoreAnswer<Listing<UpstreamEntry>> answer, boolean mayBeOld, long askedAt) {
         if (!(answer instanceof StoreAnswer.Done<Listing<UpstreamEntry>>(Listing<UpstreamEntry> listing))) {
             retry(answer);
             return;
         }
-        noteAnswer(clocks.steadyMillis());
-        confirmedAt = Math.max(confirmedAt, askedAt);
+        if (!mayBeOld) {
+            noteAnswer(clocks.steadyMillis());
+            confirmedAt = Math.max(confirmedAt, askedAt);
+        }
         recent.clear();
         revision = listing.revision();
         List<String> unreadable = registry.replaceAll(listing.objects(), clocks.steadyMillis());
@@ -193,6 +196,9 @@
         log.write(
                 EventLog.Part.REGISTRY, "listed", "entries", listing.objects().size(), "revision", listing.revision());
         onChange.run();
+        if (mayBeOld) {
+            refresh();
+        }
         watch();
     }
 
@@ -251,6 +257,6 @@
             log.write(EventLog.Part.REGISTRY, "store-lost", "answer", answer);
         }
         long pause = relaysHeard ? RELAYED_RETRY_MILLIS : RETRY_MILLIS;
-        loop.schedule(historyGone ? this::list : this::resume, historyGone ? 0 : pause, TimeUnit.MILLISECONDS);
+        loop.schedule(historyGone ? () -> list(false) : this::resume, historyGone ? 0 : pause, TimeUnit.MILLISECONDS);
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/StoreSharing.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/StoreSharing.java
@@ -38,7 +38,6 @@
 
     @Override
     public StoreView view() {
-        configWatch.shared();
         StoreView.Builder view = StoreView.newBuilder();
         gate.table()
                 .ifPresent(table -> view.setConfigVersion(table.config().version())
--- a/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
@@ -105,6 +105,16 @@
         assertThat(first.epoch()).isEmpty();
     }
 
+    /** Guards against many daemons that ask for a lease several times a second until they hear its holder. */
+    @Test
+    void heldLeaseIsReadAtMostOnceInItsRenewals() {
+        int before = store.lists;
+
+        run(6_000);
+
+        assertThat(store.lists - before).isBetween(3, 6_000 / 600);
+    }
+
     @Test
     void holderThatIsHeardKeepsTheOthersFromAskingTheStore() {
         int before = store.lists;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
@@ -39,12 +39,12 @@
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards against daemons of a large deployment that know too little of the others' load, or count it twice. */
 final class PeerReportsTest {
     private static final int DAEMONS = 45;
+    private static final int FEW_DAEMONS = 5;
     private static final int DOMAINS = 3;
     private static final TargetKey GROUP = TargetKey.of(ReplicaKey.of("big", 7));
     /** Interval of reports through relays, in milliseconds. */
@@ -57,12 +57,12 @@
     private final SharedStore store = new SharedStore();
     private final List<Daemon> daemons = new ArrayList<>();
 
-    private record Daemon(TargetTable table, ReportRelays relays, LeaseTask lease, PeerReports reports) {}
+    private record Daemon(
+            TargetTable table, ReportRelays relays, LeaseTask lease, RecordingFeed feed, PeerReports reports) {}
 
-    @BeforeEach
-    void startAll() throws Exception {
+    private void startAll(int count) throws Exception {
         List<Integer> ports = freePorts();
-        for (int i = 0; i < DAEMONS; i++) {
+        for (int i = 0; i < count; i++) {
             daemons.add(daemon(i, ports.get(i)));
         }
         for (Daemon daemon : daemons) {
@@ -107,9 +107,10 @@
         EventLog log = new EventLog(clocks);
         TargetTable table = new TargetTable();
         ReportRelays relays = new ReportRelays(id, domain);
-        PeerDirectory directory = new PeerDirectory(loop, settings, store, relays, log);
+        PeerDirectory directory = new PeerDirectory(loop, clocks, settings, store, relays, log);
         LeaseHolder holder = new LeaseHolder(id, new Incarnation(number + 1), new LeaseSettings(1_500, 100, 300));
         LeaseTask lease = new LeaseTask(loop, clocks, store, holder, 1_500, log, new SplittableRandom(number));
+        RecordingFeed feed = new RecordingFeed();
         PeerReports reports = new PeerReports(
                 loop,
                 clocks,
@@ -121,9 +122,9 @@
                 new CrashHistory(),
                 new ModelLoads(),
                 lease,
-                new NoFeed(),
+                feed,
                 log);
-        return new Daemon(table, relays, lease, reports);
+        return new Daemon(table, relays, lease, feed, reports);
     }
 
     private <T> T onLoop(Callable<T> task) throws ExecutionException, InterruptedException {
@@ -157,6 +158,7 @@
 
     @Test
     void allDaemonsSeeTheCallsOfAllOthersOnce() throws Exception {
+        startAll(DAEMONS);
         await(() -> allSee(DAEMONS));
 
         assertThat(inFlight()).containsOnly(DAEMONS);
@@ -168,6 +170,7 @@
 
     @Test
     void lossOfARelayLeavesTheOthersWithAFullView() throws Exception {
+        startAll(DAEMONS);
         await(() -> allSee(DAEMONS));
         Daemon relay = onLoop(() -> daemons.stream()
                 .filter(daemon -> !daemon.relays().leaves(clocks.steadyMillis()).isEmpty())
@@ -185,6 +188,7 @@
     /** Guards against a suspicion that waits for the next report of the daemon and the next sums of its relay. */
     @Test
     void suspicionReachesAllDaemonsAtOnce() throws Exception {
+        startAll(DAEMONS);
         await(() -> allSee(DAEMONS));
         Daemon first = daemons.get(0);
         onLoop(() -> {
@@ -205,6 +209,7 @@
     /** Guards against daemons that each ask the store for the lease while the holder lives. */
     @Test
     void relaysPassOnThatTheHolderLives() throws Exception {
+        startAll(DAEMONS);
         await(() -> allSee(DAEMONS));
         for (Daemon daemon : daemons) {
             onLoop(() -> {
@@ -220,14 +225,44 @@
         assertThat(onLoop(() -> store.leaseReads) - before).isLessThan(DAEMONS);
     }
 
-    private static final class NoFeed implements StoreFeed {
+    /** Guards against few daemons that each ask the store for what the holder of the lease knows. */
+    @Test
+    void holderAmongFewTellsTheOthersWhatItKnowsOfTheStore() throws Exception {
+        startAll(FEW_DAEMONS);
+        for (Daemon daemon : daemons) {
+            onLoop(() -> {
+                daemon.lease().start();
+                return null;
+            });
+        }
+        await(() -> daemons.stream().filter(daemon -> daemon.feed().taken > 0).count() == FEW_DAEMONS - 1);
+
+        for (Daemon daemon : daemons) {
+            assertThat(onLoop(() -> daemon.feed().taken > 0))
+                    .isNotEqualTo(onLoop(() -> daemon.lease().held().isPresent()));
+        }
+        // Ages count from the receiver's own clock.
+        assertThat(onLoop(() -> daemons.stream()
+                        .mapToLong(daemon -> daemon.feed().longestMillis)
+                        .max()
+                        .orElseThrow()))
+                .isLessThan(SETTLE_MILLIS);
+    }
+
+    private final class RecordingFeed implements StoreFeed {
+        private int taken;
+        private long longestMillis;
+
         @Override
         public StoreView view() {
             return StoreView.getDefaultInstance();
         }
 
         @Override
-        public void take(StoreView view, long stampMillis) {}
+        public void take(StoreView view, long stampMillis) {
+            taken++;
+            longestMillis = Math.max(longestMillis, clocks.bootMillis() - stampMillis);
+        }
     }
 
     /** Lives on the event loop. */
--- a/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
@@ -55,8 +55,14 @@
         private final StoreSharing sharing;
 
         private Node() {
+            this(Optional.empty());
+        }
+
+        private Node(Optional<Listing<UpstreamEntry>> oldList) {
+            store.oldList = oldList;
             EventLog log = new EventLog(clocks);
-            ConfigWatch config = new ConfigWatch(channel.eventLoop(), clocks, store, gate, log, () -> {});
+            ConfigWatch config =
+                    new ConfigWatch(channel.eventLoop(), clocks, store, gate, CONVERGE_MILLIS, log, () -> {});
             RegistryWatch upstreams =
                     new RegistryWatch(channel.eventLoop(), clocks, store, registry, log, () -> {}, () -> false);
             sharing = new StoreSharing(clocks, gate, registry, config, upstreams, log);
@@ -145,6 +151,30 @@
         assertThat(leaf.version()).isEqualTo(9);
     }
 
+    /** Guards against two waits of a watch as the age of what an empty answer has proved. */
+    @Test
+    void answerAfterTheFullWaitProvesThatNothingHasChanged() {
+        long oldest = 0;
+        for (int i = 0; i < 200; i++) {
+            run(STEP_MILLIS);
+            oldest = Math.max(oldest, relay.gate.ageMillis(clocks.now));
+        }
+
+        assertThat(oldest).isLessThan(CONVERGE_MILLIS / 2);
+    }
+
+    /** Guards against a start with a list of the registry that is some seconds old. */
+    @Test
+    void changesSinceAnOldListAreKnownBeforeTheRegistryCountsAsRead() {
+        Node late = new Node(world.listing());
+        world.remove("i-3");
+        assertThat(late.registry.answeredAt()).isEqualTo(Long.MIN_VALUE);
+        run(2 * STEP_MILLIS);
+
+        assertThat(late.registry.answeredAt()).isGreaterThan(0);
+        assertThat(late.registry.entries()).containsExactlyInAnyOrderElementsOf(world.upstreams.values());
+    }
+
     /** Guards against a lease on keys that outlives the relay's own contact with the store. */
     @Test
     void knowledgeAgesWhenTheRelayLosesTheStore() {
@@ -213,6 +243,12 @@
         private long revision = 1;
         private StoredObject<ServingConfig> config;
 
+        private Optional<Listing<UpstreamEntry>> listing() {
+            List<StoredObject<UpstreamEntry>> objects = new ArrayList<>();
+            upstreams.forEach((name, entry) -> objects.add(new StoredObject<>(name, 1, Optional.of(entry))));
+            return Optional.of(new Listing<>(objects, revision));
+        }
+
         private void configure(long version) {
             revision++;
             ServingConfig content = new ServingConfig(version, List.of(), Map.of(), CallLimits.DEFAULT, true, Map.of());
@@ -246,6 +282,7 @@
     }
 
     private final class StoreAccess implements ObjectStore {
+        private Optional<Listing<UpstreamEntry>> oldList = Optional.empty();
         private int calls;
         private boolean down;
 
@@ -261,8 +298,9 @@
             if (kind instanceof ObjectKind.Configuration) {
                 objects.add((StoredObject<T>) world.config);
             } else {
-                world.upstreams.forEach((name, entry) ->
-                        objects.add((StoredObject<T>) new StoredObject<>(name, 1, Optional.of(entry))));
+                Optional<Listing<UpstreamEntry>> chosen = mayBeOld ? oldList.or(world::listing) : world.listing();
+                done.accept(new StoreAnswer.Done<>((Listing<T>) chosen.orElseThrow()));
+                return;
             }
             done.accept(new StoreAnswer.Done<>(new Listing<>(objects, world.revision)));
         }
