Let groups stand that come back whole, and convert spares of idle models

The registry dropped the members of its groups one by one, so the controller gave each group up when the first was missing; none of its orders arrived. When the domain came back, the head was not among the members that the record of the dissolved group knew, and was joined to another group while its own was open. The group itself had never stopped: a domain that was only silent had its work given up.

Change: a group that is being dissolved takes in members that are listed later, the head too; one that is listed whole and open again, while no leave order was answered, stands. Two entries of one life with the same count of orders are not put in order by whether they name a group, as an order to leave may not be counted.

FleetPlannerTest#groupThatReturnsWholeAfterACutStands fails without the change.

Also: while callers of one model are refused and another has places to spare, spares of the second get the first one's weights where that completes a group (SpareStagingTest). Before, a host that had one model kept it for good.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -22,9 +22,9 @@
     static final long MARGIN_MILLIS = 700;
 
     private final ReplicaKey key;
-    private final Optional<InstanceId> head;
-    private final long headLife;
-    private final long headOrders;
+    private Optional<InstanceId> head = Optional.empty();
+    private long headLife;
+    private long headOrders;
     private final long stallMillis;
     private final Map<InstanceId, Long> lives = new HashMap<>();
     private final Map<InstanceId, Sending> sent = new HashMap<>();
@@ -36,11 +36,8 @@
 
     DissolvingReplica(Replica replica, long stallMillis) {
         this.key = replica.key();
-        this.head = replica.head().map(UpstreamEntry::id);
-        this.headLife = replica.head().map(UpstreamEntry::startedAtEpochMillis).orElse(0L);
-        this.headOrders = replica.head().map(UpstreamEntry::ordersBegun).orElse(0L);
         this.stallMillis = stallMillis;
-        replica.members().forEach(member -> lives.put(member.id(), member.startedAtEpochMillis()));
+        note(replica.members());
         // A member that the registry does not list may still be in touch with the head: only an answered order is a
         // loss.
         this.memberLostAt = Long.MAX_VALUE;
@@ -71,12 +68,34 @@
             Map<InstanceId, UpstreamEntry> entries,
             long nowMillis,
             List<ReplicaAction> actions) {
+        note(members);
         noteHead(entries);
         for (UpstreamEntry member : members) {
             requestLeave(member.id(), nowMillis, actions);
         }
     }
 
+    /**
+     * Tells whether any member is known to have left.
+     *
+     * @return true once a leave order was answered
+     */
+    boolean anyLeft() {
+        return !left.isEmpty();
+    }
+
+    /** Takes the members that are listed. Some may have been away with their failure domain when the group was given up. */
+    private void note(List<UpstreamEntry> members) {
+        for (UpstreamEntry member : members) {
+            lives.putIfAbsent(member.id(), member.startedAtEpochMillis());
+            if (head.isEmpty() && member.membership().orElseThrow().head()) {
+                head = Optional.of(member.id());
+                headLife = member.startedAtEpochMillis();
+                headOrders = member.ordersBegun();
+            }
+        }
+    }
+
     boolean listedMember(InstanceId id) {
         return lives.containsKey(id);
     }
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Plans the groups of one service for the holder of the controller lease. All that must outlast a holder is in the
@@ -82,7 +83,7 @@
         boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
         if (loadsLeft) {
-            staging.plan(view, byNeed(view, healthy), free, limiter, nowMillis, actions);
+            staging.plan(view, byNeed(view, healthy), shortModels(view, healthy), free, limiter, nowMillis, actions);
         }
         summary = summarize(view, standing, free);
         return actions;
@@ -193,7 +194,7 @@
     private Map<String, Integer> inspectStanding(FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         Map<String, Integer> healthy = new HashMap<>();
         leavingSince.keySet().retainAll(replicas.keySet());
-        dissolving.values().removeIf(group -> !replicas.containsKey(group.key()) && group.headStopped(nowMillis));
+        dissolving.values().removeIf(group -> settled(view, group, replicas.get(group.key()), nowMillis));
         abandoned.retainAll(replicas.keySet());
         for (Replica replica : replicas.values()) {
             ReplicaKey key = replica.key();
@@ -206,6 +207,22 @@
         return healthy;
     }
 
+    /**
+     * Tells whether a group need not be dissolved any more: nothing is left of it, or it has come back whole, as after a cut
+     * of its failure domain in which its members got no order.
+     */
+    private boolean settled(FleetView view, DissolvingReplica group, Replica listed, long nowMillis) {
+        if (listed == null) {
+            return !group.anyLeft() || group.headStopped(nowMillis);
+        }
+        boolean serves = group.key()
+                .model()
+                .flatMap(view.engine()::model)
+                .filter(model -> listed.serving(model.size()))
+                .isPresent();
+        return serves && !group.anyLeft() && !view.stalled().contains(group.key());
+    }
+
     /** Groups that are being dissolved count, so that a new holder of the lease replaces them too. */
     private void noteMostGroups(Map<String, Integer> groups) {
         Map<String, Integer> counts = new HashMap<>(groups);
@@ -386,6 +403,14 @@
         return models;
     }
 
+    /** Models whose callers are refused, or nearly so. */
+    private static Set<String> shortModels(FleetView view, Map<String, Integer> groups) {
+        return view.engine().models().stream()
+                .filter(model -> use(view, model, groups) > HIGH_USE)
+                .map(ModelProfile::name)
+                .collect(Collectors.toSet());
+    }
+
     private static double need(FleetView view, ModelProfile model, Map<String, Integer> groups) {
         int count = groups.getOrDefault(model.name(), 0);
         if (count == 0) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/SpareStaging.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/SpareStaging.java
@@ -8,11 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Copies models to the hosts of free upstreams. Loads are scarce, so they go first where the fewest complete a group, and
- * then to spares, with which a group that loses a member is complete again in the time of a load from the host. Not
- * thread-safe.
+ * then to spares, with which a group that loses a member is complete again in the time of a load from the host. Under
+ * a load in which one model lacks places and another does not, spares of the second get the first one's weights where
+ * that completes a group. Not thread-safe.
  */
 final class SpareStaging {
     /** Loads may slow one another down at most by this factor before a copy is ordered again. */
@@ -34,12 +36,15 @@
     void plan(
             FleetView view,
             List<ModelProfile> byNeed,
+            Set<String> shortModels,
             List<UpstreamEntry> free,
             LoadLimiter limiter,
             long nowMillis,
             List<ReplicaAction> actions) {
         pending.values().removeIf(order -> order.untilMillis() <= nowMillis);
-        for (Optional<Copy> next = best(byNeed, free); next.isPresent(); next = best(byNeed, free)) {
+        for (Optional<Copy> next = best(byNeed, shortModels, free);
+                next.isPresent();
+                next = best(byNeed, shortModels, free)) {
             Copy copy = next.get();
             long loadMillis = copy.model().loadMillis();
             if (!limiter.tryStart(nowMillis, 1, loadMillis, view)) {
@@ -56,10 +61,11 @@
         }
     }
 
-    private Optional<Copy> best(List<ModelProfile> byNeed, List<UpstreamEntry> free) {
+    private Optional<Copy> best(List<ModelProfile> byNeed, Set<String> shortModels, List<UpstreamEntry> free) {
         List<Copy> copies = new ArrayList<>();
         for (List<UpstreamEntry> domain : MemberChoice.byFabricDomain(free).values()) {
             ofDomain(byNeed, domain).ifPresent(copies::add);
+            converted(byNeed, shortModels, domain).ifPresent(copies::add);
         }
         return copies.stream()
                 .min(Comparator.comparingInt(Copy::missing)
@@ -88,6 +94,26 @@
         return Optional.of(best);
     }
 
+    /** Finds a spare of a model with places to spare whose conversion helps to complete a group of one that lacks them. */
+    private Optional<Copy> converted(List<ModelProfile> byNeed, Set<String> shortModels, List<UpstreamEntry> domain) {
+        List<UpstreamEntry> others = new ArrayList<>();
+        for (UpstreamEntry entry : domain) {
+            boolean needed = copyOf(byNeed, entry).map(shortModels::contains).orElse(true);
+            if (!needed && !pending.containsKey(entry.id())) {
+                others.add(entry);
+            }
+        }
+        if (others.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, Integer> copies = countCopies(byNeed, domain);
+        return byNeed.stream()
+                .filter(model -> shortModels.contains(model.name()))
+                .map(model -> new Copy(others.get(0), model, model.size() - copies.getOrDefault(model.name(), 0)))
+                .filter(copy -> copy.missing() > 0 && copy.missing() <= others.size())
+                .findFirst();
+    }
+
     private Map<String, Integer> countCopies(List<ModelProfile> models, List<UpstreamEntry> domain) {
         Map<String, Integer> copies = new HashMap<>();
         for (UpstreamEntry spare : domain) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -57,11 +57,14 @@
             return ordersBegun < other.ordersBegun;
         }
         // An upstream that has announced its end does not return to service in the same life.
-        return (!leaving && other.leaving) || stage() < other.stage();
+        return (!leaving && other.leaving) || earlierState(other);
     }
 
     /** Without an order, the state in a group only advances. */
-    private int stage() {
-        return membership.map(own -> own.state().ordinal()).orElse(-1);
+    private boolean earlierState(UpstreamEntry other) {
+        boolean sameGroup = membership.isPresent()
+                && membership.map(Membership::replica).equals(other.membership.map(Membership::replica));
+        return sameGroup
+                && membership.get().state().compareTo(other.membership.get().state()) < 0;
     }
 }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -29,6 +29,7 @@
     private final Map<InstanceId, UpstreamEntry> entries = new LinkedHashMap<>();
     private final Map<InstanceId, Long> busyUntil = new HashMap<>();
     private final Map<InstanceId, String> copying = new HashMap<>();
+    private final Map<InstanceId, UpstreamEntry> away = new LinkedHashMap<>();
     private final Set<InstanceId> dead = new HashSet<>();
     private final Set<ReplicaKey> stalled = new HashSet<>();
     final List<String> violations = new ArrayList<>();
@@ -73,10 +74,20 @@
         entry(id).membership().ifPresent(membership -> stalled.add(membership.replica()));
     }
 
-    void unlist(InstanceId id) {
+    /** The engine takes no orders and does not reach the registry, which still lists it; it goes on otherwise. */
+    void cutOff(InstanceId id) {
+        away.put(id, entries.get(id));
+    }
+
+    /** The registry drops an engine that is cut off. */
+    void lapse(InstanceId id) {
         entries.remove(id);
     }
 
+    void reconnect(InstanceId id) {
+        entries.put(id, away.remove(id));
+    }
+
     void run(FleetPlanner planner, long millis) {
         for (long end = now + millis; now < end; now += 50) {
             settle();
@@ -105,7 +116,7 @@
 
     OrderResult carryOut(ReplicaAction action) {
         UpstreamEntry entry = entries.get(action.target());
-        if (entry == null || dead.contains(action.target())) {
+        if (entry == null || away.containsKey(action.target()) || dead.contains(action.target())) {
             unanswered++;
             return OrderResult.UNKNOWN;
         }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -108,6 +108,23 @@
         assertThat(engines.violations).isEmpty();
     }
 
+    /** Guards against a group that is given up because its failure domain was cut off for some seconds. */
+    @Test
+    void groupThatReturnsWholeAfterACutStands() {
+        start();
+        Replica group = engines.serving(FakeEngines.BIG).get(0);
+        group.members().forEach(member -> engines.cutOff(member.id()));
+        for (UpstreamEntry member : group.members().subList(0, 3)) {
+            engines.lapse(member.id());
+            engines.run(planner, 300);
+        }
+        group.members().forEach(member -> engines.reconnect(member.id()));
+        engines.run(planner, 5_000);
+
+        assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key)).contains(group.key());
+        assertThat(engines.violations).isEmpty();
+    }
+
     @Test
     void newHolderAdoptsGroupsThatStandAndSendsThemNothing() {
         start();
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/replica/SpareStagingTest.java
@@ -0,0 +1,86 @@
+package io.sesamehead.coordination.replica;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against spares that stand idle with one model while callers of another are refused. */
+final class SpareStagingTest {
+    private final SpareStaging staging = new SpareStaging();
+    private final List<UpstreamEntry> free = new ArrayList<>();
+
+    private void spares(int count, String... staged) {
+        for (int i = 0; i < count; i++) {
+            free.add(new UpstreamEntry(
+                    new InstanceId("i-" + free.size()),
+                    1,
+                    0,
+                    new ServiceName("pool"),
+                    new Endpoint("127.0.0.1", 80),
+                    new FailureDomain("a"),
+                    18,
+                    false,
+                    "d",
+                    List.of(staged),
+                    List.of(),
+                    Optional.empty()));
+        }
+    }
+
+    private List<ReplicaAction> plan(String... shortModels) {
+        List<ReplicaAction> actions = new ArrayList<>();
+        FleetView view = new FleetView(FakeEngines.PROFILE, free, Set.of(), Map.of(), true, new FormerGroups(), false);
+        staging.plan(
+                view,
+                List.of(FakeEngines.BIG, FakeEngines.SMALL),
+                Set.of(shortModels),
+                free,
+                new LoadLimiter(),
+                0,
+                actions);
+        return actions;
+    }
+
+    @Test
+    void sparesOfAnIdleModelAreConvertedWhereTheyCompleteAGroup() {
+        spares(2, "big");
+        spares(2, "small");
+
+        assertThat(plan("big"))
+                .containsExactly(
+                        new ReplicaAction.Stage(new InstanceId("i-2"), "big"),
+                        new ReplicaAction.Stage(new InstanceId("i-3"), "big"));
+    }
+
+    @Test
+    void sparesThatCannotCompleteAGroupStay() {
+        spares(3, "small");
+
+        assertThat(plan("big")).isEmpty();
+    }
+
+    @Test
+    void noSpareIsConvertedWhileItsOwnModelLacksPlacesOrNoneDoes() {
+        spares(4, "small");
+
+        assertThat(plan("big", "small")).isEmpty();
+        assertThat(plan()).isEmpty();
+    }
+
+    /** One conversion more than a group needs would take a spare from the other model for nothing. */
+    @Test
+    void onlyAsManyAreConvertedAsTheGroupNeeds() {
+        spares(6, "small");
+
+        assertThat(plan("big")).hasSize(4);
+    }
+}
--- a/entry/src/test/java/io/sesamehead/entry/runtime/LateEngines.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/LateEngines.java
@@ -66,6 +66,7 @@
         private long highestFence;
         private boolean alive = true;
         private boolean listedNow = true;
+        private boolean cut;
         private Optional<Membership> membership = Optional.empty();
         private List<InstanceId> group = List.of();
         private Optional<ReplicaKey> lastGroup = Optional.empty();
@@ -86,6 +87,10 @@
                     && membership.map(Membership::replica).filter(key::equals).isPresent();
         }
 
+        private boolean listed() {
+            return listedNow && !cut;
+        }
+
         private boolean serves(ReplicaKey key) {
             return in(key)
                     && membership.orElseThrow().head()
@@ -134,6 +139,7 @@
 
     private void heal(Engine engine) {
         engine.listedNow = true;
+        engine.cut = false;
         if (!engine.alive) {
             restart(engine);
         }
@@ -177,6 +183,10 @@
 
     private void send(FleetPlanner planner, ReplicaAction action, long fence) {
         Engine engine = engine(action.target());
+        if (engine.cut) {
+            at(ANSWER_MILLIS, () -> planner.onResult(action, OrderResult.UNKNOWN, now));
+            return;
+        }
         boolean lost = faults && random.nextInt(8) == 0;
         if (!engine.alive || lost) {
             at(ANSWER_MILLIS, () -> planner.onResult(action, OrderResult.UNKNOWN, now));
@@ -260,7 +270,7 @@
         if (engine.alive) {
             engine.membership.ifPresent(own -> advanceMembership(engine, own));
         }
-        if (engine.alive && engine.listedNow && now - engine.beatAt >= BEAT_MILLIS) {
+        if (engine.alive && engine.listed() && now - engine.beatAt >= BEAT_MILLIS) {
             beat(engine);
         }
         if (now - engine.beatAt >= LAPSE_MILLIS && listed.remove(engine.id.value()) != null) {
@@ -289,7 +299,8 @@
     }
 
     private void hit(Engine engine) {
-        switch (random.nextInt(3)) {
+        switch (random.nextInt(4)) {
+            case 2 -> cutOff(engine.domain);
             case 0 -> {
                 engine.alive = false;
                 at(random.nextLong(300, 8_000), () -> restart(engine));
@@ -305,6 +316,14 @@
         }
     }
 
+    /** A failure domain reaches neither the registry nor the controller for some seconds; its groups go on. */
+    private void cutOff(String domain) {
+        List<Engine> inside =
+                engines.stream().filter(engine -> engine.domain.equals(domain)).toList();
+        inside.forEach(engine -> engine.cut = true);
+        at(random.nextLong(2_000, 8_000), () -> inside.forEach(engine -> engine.cut = false));
+    }
+
     private void restart(Engine engine) {
         if (engine.alive) {
             return;
@@ -316,15 +335,16 @@
         engine.highestFence = 0;
         engine.group = List.of();
         engine.lastGroup = Optional.empty();
-        engine.before = null;
+        engine.membership = Optional.empty();
         set(engine, Optional.empty());
+        engine.before = null;
     }
 
     private void set(Engine engine, Optional<Membership> membership) {
         UpstreamEntry present = entry(engine);
         engine.before = present.startedAtEpochMillis() == engine.born ? present : null;
         engine.membership = membership;
-        if (engine.listedNow) {
+        if (engine.listed()) {
             write(engine, entry(engine));
         }
     }
