Keep spares through short peaks of use, and plan groups by pace as well

Change: the reserve is given up, and spares are converted, only for a model whose use has been high for 3 s. Before traffic the need is share times pace.

Tests in FleetPlannerTest: shortPeakOfUse... fails without the wait, groupsBeforeTrafficFollowShareAndPace fails with shares alone.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -23,6 +23,8 @@
     private static final double RESERVE_SHARE = 0.2;
     /** Part of a model's places in use above which the reserve is given up for another group. */
     private static final double HIGH_USE = 0.6;
+    /** Time for which a model's use must be that high, in milliseconds: calls pile up at a lost group for about as long. */
+    private static final long LASTING_USE_MILLIS = 3_000;
     /** Time that calls have to end at a group with a leaving member, in milliseconds: a stream's usual length. */
     private static final long LEAVING_GRACE_MILLIS = 1_500;
 
@@ -38,6 +40,7 @@
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
     private final Set<ReplicaKey> abandoned = new HashSet<>();
     private final Map<String, Integer> mostGroups = new HashMap<>();
+    private final Map<String, Long> highUseSince = new HashMap<>();
     /**
      * Before this moment an upstream without a group may have left one that this planner has never seen, and whose head
      * still serves.
@@ -78,12 +81,13 @@
         Map<String, Integer> healthy = inspectStanding(view, replicas, nowMillis);
         advanceDissolving(replicas, byId, nowMillis, actions);
         noteMostGroups(healthy);
+        noteHighUse(view, healthy, nowMillis);
         List<UpstreamEntry> free = freeUpstreams(view, replicas, nowMillis);
         int standing = healthy.values().stream().mapToInt(Integer::intValue).sum() - forming.size();
         boolean loadsLeft = formGroups(view, free, healthy, nowMillis);
         advanceForming(view, replicas, byId, nowMillis, actions);
         if (loadsLeft) {
-            staging.plan(view, byNeed(view, healthy), shortModels(view, healthy), free, limiter, nowMillis, actions);
+            staging.plan(view, byNeed(view, healthy), shortModels(nowMillis), free, limiter, nowMillis, actions);
         }
         summary = summarize(view, standing, free);
         return actions;
@@ -359,7 +363,7 @@
 
     private Formed formOne(
             FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
-        List<UpstreamEntry> offered = withoutReserve(view, model, free, groups);
+        List<UpstreamEntry> offered = withoutReserve(view, model, free, groups, nowMillis);
         Optional<MemberChoice.Candidate> choice =
                 MemberChoice.best(offered, model, !view.trafficSeen(), groupsByFailureDomain(view, model));
         if (choice.isEmpty()) {
@@ -379,10 +383,10 @@
 
     /** Drops the domains in which a group of the model would use up the upstreams kept for repairs. */
     private List<UpstreamEntry> withoutReserve(
-            FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups) {
+            FleetView view, ModelProfile model, List<UpstreamEntry> free, Map<String, Integer> groups, long nowMillis) {
         int count = groups.getOrDefault(model.name(), 0);
         boolean repair = count < mostGroups.getOrDefault(model.name(), 0);
-        if (count == 0 || repair || use(view, model, groups) > HIGH_USE) {
+        if (count == 0 || repair || shortModels(nowMillis).contains(model.name())) {
             return free;
         }
         Map<String, List<UpstreamEntry>> alive = MemberChoice.byFabricDomain(view.entries());
@@ -403,11 +407,25 @@
         return models;
     }
 
-    /** Models whose callers are refused, or nearly so. */
-    private static Set<String> shortModels(FleetView view, Map<String, Integer> groups) {
-        return view.engine().models().stream()
-                .filter(model -> use(view, model, groups) > HIGH_USE)
-                .map(ModelProfile::name)
+    /**
+     * A group that is lost makes its model look busy until its calls have moved. Groups formed for that moment would take
+     * the spares with which the next loss is repaired.
+     */
+    private void noteHighUse(FleetView view, Map<String, Integer> groups, long nowMillis) {
+        for (ModelProfile model : view.engine().models()) {
+            if (use(view, model, groups) > HIGH_USE) {
+                highUseSince.putIfAbsent(model.name(), nowMillis);
+            } else {
+                highUseSince.remove(model.name());
+            }
+        }
+    }
+
+    /** Models that have lacked places for some time. */
+    private Set<String> shortModels(long nowMillis) {
+        return highUseSince.entrySet().stream()
+                .filter(since -> nowMillis - since.getValue() >= LASTING_USE_MILLIS)
+                .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
     }
 
@@ -416,7 +434,8 @@
         if (count == 0) {
             return Double.MAX_VALUE;
         }
-        return view.trafficSeen() ? use(view, model, groups) : model.share() / count;
+        // A slower model keeps its groups busy for longer with the same share of the work.
+        return view.trafficSeen() ? use(view, model, groups) : model.share() * model.pace() / count;
     }
 
     private static double use(FleetView view, ModelProfile model, Map<String, Integer> groups) {
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -173,6 +173,47 @@
         assertThat(engines.loads).isLessThanOrEqualTo(FakeEngines.PROFILE.concurrentLoads());
     }
 
+    /** Returns by how many groups a model grows when it is in high use for some time. */
+    private static int growth(long highUseMillis) {
+        FakeEngines wide = new FakeEngines();
+        wide.addDomains(4, 23);
+        FleetPlanner own = new FleetPlanner(1, STALL_MILLIS);
+        wide.run(own, LEAD_MILLIS);
+        wide.traffic = true;
+        int before = wide.serving(FakeEngines.SMALL).size();
+        wide.demand.put("small", new ModelDemand(400, 40));
+        wide.run(own, highUseMillis);
+        wide.demand.clear();
+        wide.run(own, LEAD_MILLIS);
+        return wide.serving(FakeEngines.SMALL).size() - before;
+    }
+
+    /** Guards against spares that are used up for the moment in which calls pile up at a lost group. */
+    @Test
+    void shortPeakOfUseLeavesTheSparesForRepairs() {
+        assertThat(growth(1_500)).isEqualTo(growth(0));
+    }
+
+    @Test
+    void lastingHighUseTurnsSparesIntoGroups() {
+        assertThat(growth(6_000)).isGreaterThan(growth(0));
+    }
+
+    /** Guards against a plan by shares alone: of two models with like shares the slower one needs more groups. */
+    @Test
+    void groupsBeforeTrafficFollowShareAndPace() {
+        FakeEngines wide = new FakeEngines();
+        wide.addDomains(2, 73);
+        wide.run(planner, LEAD_MILLIS);
+
+        double big = wide.serving(FakeEngines.BIG).size();
+        double small = wide.serving(FakeEngines.SMALL).size();
+        double wanted = FakeEngines.BIG.share()
+                * FakeEngines.BIG.pace()
+                / (FakeEngines.SMALL.share() * FakeEngines.SMALL.pace());
+        assertThat(big / small).isBetween(wanted * 0.75, wanted * 1.25);
+    }
+
     @Test
     void busierModelIsRepairedFirst() {
         start();
