--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -31,8 +31,8 @@
     private static final double TOLD_PART_OF_CONVERGENCE = 0.85;
     /** Part of the lease on keys up to which it is relied on: the rest is time to ask the store. */
     private static final double TOLD_PART_OF_LEASE = 0.75;
-    /** Interval of looking whether a relay still tells, in milliseconds. */
-    private static final long LOOK_MILLIS = 100;
+    /** Interval of looking whether a relay still tells, in milliseconds: about that of its reports. */
+    private static final long LOOK_MILLIS = 200;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -33,8 +33,10 @@
 
 /** One entry daemon: all its parts on one event loop, from start to planned stop. */
 public final class EntryDaemon {
-    /** Interval of the checks for silent targets and of the controller's steps, in milliseconds. */
+    /** Interval of the checks for silent targets, in milliseconds. */
     private static final long TICK_MILLIS = 50;
+    /** Interval of the controller's steps, in milliseconds: a step takes some milliseconds with a thousand upstreams. */
+    private static final long CONTROL_MILLIS = 100;
     /** A tick later than this means that the process did not run, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
     /** Time to live of the controller lease, in milliseconds: three renewals, and a new holder within recovery. */
@@ -78,6 +80,7 @@
     private final CallTranslator translator;
     private Optional<ControllerTerm> term = Optional.empty();
     private long lastTickMillis;
+    private long controlledAtMillis;
     private boolean ready;
     private long stopAtMillis = -1;
     private boolean leaseReturned;
@@ -257,7 +260,10 @@
         List<TargetKey> stalled = table.findStalled(now);
         stalled.forEach(this::onStalled);
         clients.sweep();
-        control();
+        if (now - controlledAtMillis >= CONTROL_MILLIS) {
+            controlledAtMillis = now;
+            control();
+        }
         noteReadiness();
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -29,8 +29,8 @@
     private static final long RELAYED_MILLIS = 2_400;
     /** Time without the full word of a relay after which the store is asked, in milliseconds: four reports. */
     private static final long BEHIND_MILLIS = 700;
-    /** Interval of looking whether a relay still tells, in milliseconds. */
-    private static final long LOOK_MILLIS = 100;
+    /** Interval of looking whether a relay still tells, in milliseconds: about that of its reports. */
+    private static final long LOOK_MILLIS = 200;
 
     /** Wait of a question for what has changed until now, in milliseconds: the shortest that the store takes. */
     private static final long REFRESH_MILLIS = 1;
