Replace a lost group once

Cause: the number of groups of a model to restore counted the dissolving ones beside their replacements at each step.

Change: groups found to be dissolved count once, when a holder begins.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -227,10 +227,15 @@
         return serves && !group.anyLeft() && !view.stalled().contains(group.key());
     }
 
-    /** Groups that are being dissolved count, so that a new holder of the lease replaces them too. */
+    /**
+     * A new holder of the lease also counts the groups that it finds to be dissolved, so that it replaces them. Later ones
+     * have been counted while they stood; with their replacements they would count twice.
+     */
     private void noteMostGroups(Map<String, Integer> groups) {
         Map<String, Integer> counts = new HashMap<>(groups);
-        dissolving.keySet().forEach(key -> key.model().ifPresent(model -> counts.merge(model, 1, Integer::sum)));
+        if (mostGroups.isEmpty()) {
+            dissolving.keySet().forEach(key -> key.model().ifPresent(model -> counts.merge(model, 1, Integer::sum)));
+        }
         counts.forEach((model, count) -> mostGroups.merge(model, count, Math::max));
     }
 
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -173,6 +173,25 @@
         assertThat(engines.loads).isLessThanOrEqualTo(FakeEngines.PROFILE.concurrentLoads());
     }
 
+    /**
+     * Guards against spares that go into one replacement after another while a lost group waits for its silent head, until
+     * a model of larger groups finds none.
+     */
+    @Test
+    void lostGroupIsReplacedOnce() {
+        FakeEngines wide = new FakeEngines();
+        wide.addDomains(4, 23);
+        wide.run(planner, LEAD_MILLIS);
+        wide.traffic = true;
+        wide.run(planner, 3_000);
+        List<Replica> before = wide.serving(FakeEngines.SMALL);
+
+        wide.kill(before.get(0).members().get(0).id());
+        wide.run(planner, STALL_MILLIS - 500);
+
+        assertThat(wide.serving(FakeEngines.SMALL)).hasSize(before.size());
+    }
+
     /** Returns by how many groups a model grows when it is in high use for some time. */
     private static int growth(long highUseMillis) {
         FakeEngines wide = new FakeEngines();
