Read the list of daemons often after a start, and rarely later

Change: the interval begins at 1 s and doubles up to 15 s; a report of an unlisted daemon starts it anew. PeerDirectoryTest#daemonsThatStartTogether fails with the fixed interval.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -26,7 +26,10 @@
     private static final long LIST_MILLIS = 15_000;
     /** Least time between two lists, in milliseconds; a report of an unlisted daemon asks for one. */
     private static final long SHORTEST_MILLIS = 1_000;
-    /** The same while few other daemons are known, in milliseconds. */
+    /**
+     * The first such interval, in milliseconds; it doubles. Daemons that start together list before all of them are listed,
+     * and one that knows only a few others hears no relay.
+     */
     private static final long FIRST_LIST_MILLIS = 1_000;
     /** Pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
@@ -41,6 +44,7 @@
     private final EventLog log;
     private final Map<DaemonId, InetSocketAddress> addresses = new HashMap<>();
     private Future<?> next;
+    private long interval = FIRST_LIST_MILLIS;
     private long listedAt;
     private boolean registered;
 
@@ -91,6 +95,7 @@
     void heard(DaemonId daemon, InetSocketAddress origin) {
         boolean due = clocks.steadyMillis() - listedAt >= SHORTEST_MILLIS;
         if (due && !origin.equals(addresses.get(daemon))) {
+            interval = FIRST_LIST_MILLIS;
             listIn(0);
         }
     }
@@ -125,7 +130,8 @@
         if (!current && !registered) {
             register(own, ownRevision);
         }
-        listIn(addresses.size() <= FEW_PEERS ? FIRST_LIST_MILLIS : LIST_MILLIS);
+        listIn(interval);
+        interval = addresses.size() <= FEW_PEERS ? FIRST_LIST_MILLIS : Math.min(LIST_MILLIS, 2 * interval);
     }
 
     private void listIn(long millis) {
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -0,0 +1,140 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.sesamehead.coordination.membership.ReportRelays;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.Clocks;
+import io.sesamehead.entry.port.DaemonEndpoint;
+import io.sesamehead.entry.port.EntrySettings;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a daemon that does not know its relay, and against many that read the list often. */
+final class PeerDirectoryTest {
+    private static final long STEP_MILLIS = 50;
+    private static final int DAEMONS = 95;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final FakeClocks clocks = new FakeClocks();
+    private final DaemonList store = new DaemonList();
+    private PeerDirectory directory;
+
+    @BeforeEach
+    void startAmongDaemonsThatStartToo() {
+        channel.freezeTime();
+        store.listed = 5;
+        FailureDomain domain = new FailureDomain("a");
+        Endpoint own = new Endpoint("127.0.0.1", 1);
+        EntrySettings settings =
+                new EntrySettings("self", domain, own, own, Optional.empty(), own, 1, 1, 1, 1, 1, true, 0, 0, 1);
+        directory = new PeerDirectory(
+                channel.eventLoop(),
+                clocks,
+                settings,
+                store,
+                new ReportRelays(new DaemonId("self"), domain),
+                new EventLog(clocks));
+        directory.start();
+        run(STEP_MILLIS);
+    }
+
+    private void run(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            clocks.now += STEP_MILLIS;
+            channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+            channel.runPendingTasks();
+        }
+    }
+
+    @Test
+    void daemonsThatStartTogetherKnowOneAnotherWithinSeconds() {
+        store.listed = DAEMONS;
+        run(2_000);
+
+        assertThat(directory.addresses()).hasSize(DAEMONS);
+    }
+
+    @Test
+    void listIsReadRarelyOnceItIsKnown() {
+        run(60_000);
+        int before = store.lists;
+        run(60_000);
+
+        assertThat(store.lists - before).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void reportOfAnUnlistedDaemonAsksForTheList() {
+        run(60_000);
+        store.listed = 6;
+        directory.heard(new DaemonId("d-5"), new InetSocketAddress("127.0.0.1", 1_005));
+        run(200);
+
+        assertThat(directory.addresses()).hasSize(6);
+    }
+
+    private static final class FakeClocks implements Clocks {
+        private long now = 100_000;
+
+        @Override
+        public long steadyMillis() {
+            return now;
+        }
+
+        @Override
+        public long bootMillis() {
+            return now;
+        }
+    }
+
+    private static final class DaemonList implements ObjectStore {
+        private int listed;
+        private int lists;
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
+            lists++;
+            List<StoredObject<T>> objects = new ArrayList<>();
+            for (int i = 0; i < listed; i++) {
+                DaemonEndpoint endpoint =
+                        new DaemonEndpoint(new Endpoint("127.0.0.1", 1_000 + i), new FailureDomain("a"));
+                objects.add((StoredObject<T>) new StoredObject<>("d-" + i, 1, Optional.of(endpoint)));
+            }
+            done.accept(new StoreAnswer.Done<>(new Listing<>(objects, 1)));
+        }
+
+        @Override
+        public <T> void watch(ObjectKind<T> kind, long since, long waitMillis, Consumer<StoreAnswer<Changes<T>>> done) {
+            throw new UnsupportedOperationException("nothing is watched here");
+        }
+
+        @Override
+        public <T> void write(
+                ObjectKind<T> kind,
+                String name,
+                OptionalLong expected,
+                T content,
+                Consumer<StoreAnswer<StoredObject<T>>> done) {
+            done.accept(new StoreAnswer.Done<>(new StoredObject<>(name, 2, Optional.of(content))));
+        }
+    }
+}
