--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -5,7 +5,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.sesamehead.coordination.membership.ReportRelays;
 import io.sesamehead.entry.port.Changes;
-import io.sesamehead.entry.port.Clocks;
 import io.sesamehead.entry.port.DaemonEndpoint;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.port.Listing;
