--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -96,6 +96,12 @@
         }
     }
 
+    /**
+     * Tells whether an upstream was listed as a member since the group was given up.
+     *
+     * @param id the upstream
+     * @return true if {@link #holds} speaks for it
+     */
     boolean listedMember(InstanceId id) {
         return lives.containsKey(id);
     }
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -327,7 +327,7 @@
         }
         DissolvingReplica ordered = dissolving.get(former.get().replica());
         if (ordered != null && ordered.listedMember(entry.id())) {
-            // The answers to the orders are more recent than the registry; they were asked before.
+            // DissolvingReplica.holds has decided, from answers to orders that are more recent than the registry.
             return true;
         }
         boolean reportsLoss = Optional.ofNullable(replicas.get(former.get().replica()))
