--- a/core/src/main/java/io/sesamehead/coordination/replica/FormerGroups.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormerGroups.java
@@ -117,7 +117,6 @@
      *
      * @param listed decides whether an upstream is listed
      * @param nowMillis present steady time
-     * @param nowMillis present steady time
      */
     public void retain(Predicate<InstanceId> listed, long nowMillis) {
         seen.entrySet()
