Log which request a lost attempt is counted against

Nothing told which request a crash was counted against, the count, or where it came from, so the hypotheses of the incident could not be told apart. Three lines do (crash-counted, crash-heard, crashed-before). The fingerprint of a call is a value type and is computed once a call instead of up to three times; what it covers is unchanged, and so is every decision.

RetryAllowanceTest, PeerReportsTest and AnswerReaderTest pass.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -15,17 +15,17 @@
     /** Requests remembered at most. */
     private static final int CAPACITY = 4_096;
 
-    private final Map<Long, Entry> entries = new HashMap<>();
+    private final Map<CallFingerprint, Entry> entries = new HashMap<>();
 
     private record Entry(int crashes, long lastMillis) {}
 
     /**
      * Records that a request was running when its upstream broke off.
      *
-     * @param fingerprint hash of path, caller and body
+     * @param fingerprint the request's fingerprint
      * @param nowMillis present steady time
      */
-    public void recordCrash(long fingerprint, long nowMillis) {
+    public void recordCrash(CallFingerprint fingerprint, long nowMillis) {
         if (entries.size() >= CAPACITY) {
             entries.values().removeIf(entry -> nowMillis - entry.lastMillis() > MEMORY_MILLIS);
         }
@@ -40,12 +40,24 @@
     /**
      * Tells whether a request is refused because of its crashes.
      *
-     * @param fingerprint hash of path, caller and body
+     * @param fingerprint the request's fingerprint
      * @param nowMillis present steady time
      * @return true after the limit of crashes in the time remembered
      */
-    public boolean refused(long fingerprint, long nowMillis) {
+    public boolean refused(CallFingerprint fingerprint, long nowMillis) {
+        return crashes(fingerprint, nowMillis) >= LIMIT;
+    }
+
+    /**
+     * Returns how many crashes are known of a request.
+     *
+     * @param fingerprint the request's fingerprint
+     * @param nowMillis present steady time
+     * @return the count, 0 for a request that is not known or forgotten
+     */
+    public int crashes(CallFingerprint fingerprint, long nowMillis) {
         Entry entry = entries.get(fingerprint);
-        return entry != null && entry.crashes() >= LIMIT && nowMillis - entry.lastMillis() <= MEMORY_MILLIS;
+        boolean remembered = entry != null && nowMillis - entry.lastMillis() <= MEMORY_MILLIS;
+        return remembered ? entry.crashes() : 0;
     }
 }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/RetryAllowanceTest.java
@@ -44,14 +44,15 @@
     @Test
     void requestIsRefusedAfterItsThirdCrashAndForgottenLater() {
         CrashHistory crashes = new CrashHistory();
-        crashes.recordCrash(9, 0);
-        crashes.recordCrash(9, 1_000);
-        assertThat(crashes.refused(9, 1_000)).isFalse();
+        CallFingerprint request = new CallFingerprint(9);
+        crashes.recordCrash(request, 0);
+        crashes.recordCrash(request, 1_000);
+        assertThat(crashes.refused(request, 1_000)).isFalse();
 
-        crashes.recordCrash(9, 2_000);
+        crashes.recordCrash(request, 2_000);
 
-        assertThat(crashes.refused(9, 2_000)).isTrue();
-        assertThat(crashes.refused(8, 2_000)).isFalse();
-        assertThat(crashes.refused(9, 200_000)).isFalse();
+        assertThat(crashes.refused(request, 2_000)).isTrue();
+        assertThat(crashes.refused(new CallFingerprint(8), 2_000)).isFalse();
+        assertThat(crashes.refused(request, 200_000)).isFalse();
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -1,15 +1,12 @@
 package io.sesamehead.entry.runtime;
 
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sesamehead.coordination.catalog.CatalogGate;
 import io.sesamehead.coordination.catalog.Route;
-import io.sesamehead.coordination.catalog.Tenant;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.RetryAllowance;
@@ -28,7 +25,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /** What all calls of a daemon share. Belongs to the event loop. */
@@ -37,8 +33,6 @@
     /** Daemons assumed to share the retry budget while few are heard of: a deployment has at least this many. */
     private static final int MIN_DAEMONS = 12;
 
-    private static final HashFunction FINGERPRINT = Hashing.sipHash24();
-
     private final EntrySettings settings;
     private final EventLoop loop;
     private final Clocks clocks;
@@ -180,20 +174,12 @@
         return clients.send(target.receiver().endpoint(), request, fresh, listener);
     }
 
-    long fingerprint(CallRequest request, Optional<Tenant> tenant) {
-        Hasher hasher = FINGERPRINT.newHasher();
-        hasher.putString(request.target(), StandardCharsets.UTF_8);
-        tenant.ifPresent(holder -> hasher.putString(holder.account().value(), StandardCharsets.UTF_8));
-        hasher.putBytes(request.body());
-        return hasher.hash().asLong();
-    }
-
     /** Calls without a body are too much alike to be told apart. */
-    void recordCrash(CallRequest request, Optional<Tenant> tenant) {
+    void recordCrash(CallRequest request, CallFingerprint fingerprint) {
         if (request.body().length == 0) {
             return;
         }
-        peers.recordCrash(fingerprint(request, tenant));
+        peers.recordCrash(fingerprint);
     }
 
     void unreachable(Target target) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.CallFacts;
@@ -51,6 +52,12 @@
         write("attempt-lost", "target", target.key(), "sent", sent, "begun", begun, "reason", reason);
     }
 
+    /** The count is 0 for a call that is not counted. */
+    void crashCounted(Target target, CallFingerprint fingerprint, int crashes) {
+        environment.metrics().count("crashes_counted");
+        write("crash-counted", "target", target.key(), "request", fingerprint, "crashes", crashes);
+    }
+
     void attemptRefused(Target target, int status) {
         environment.metrics().count("attempts_refused_by_upstream");
         write("attempt-refused", "target", target.key(), "status", status);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -6,6 +6,7 @@
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.coordination.catalog.ServingConfig;
 import io.sesamehead.coordination.catalog.Tenant;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.entry.port.CallFacts;
 import io.sesamehead.state.ServiceName;
 import java.util.Optional;
@@ -48,17 +49,17 @@
         if (!environment.gate().fresh(bootMillis)) {
             return refuse(facts, responder, AnswerKind.NO_CONFIGURATION, CONFIG_RETURN_MILLIS);
         }
+        CallFingerprint fingerprint = CallFingerprint.of(request.target(), tenant.map(Tenant::account), request.body());
         if (request.body().length > 0
                 && environment
                         .crashes()
-                        .refused(
-                                environment.fingerprint(request, tenant),
-                                environment.clocks().steadyMillis())) {
+                        .refused(fingerprint, environment.clocks().steadyMillis())) {
+            logCrashed(facts, fingerprint);
             return refuse(facts, responder, AnswerKind.CRASHED_BEFORE, CRASHED_RETURN_MILLIS);
         }
         environment.peers().recordTraffic();
-        ForwardedCall call =
-                new ForwardedCall(environment, request, facts, route.get(), tenant, choose(route.get()), responder);
+        ForwardedCall call = new ForwardedCall(
+                environment, request, fingerprint, facts, route.get(), tenant, choose(route.get()), responder);
         call.start();
         return Optional.of(call);
     }
@@ -93,6 +94,22 @@
         return Optional.empty();
     }
 
+    private void logCrashed(CallFacts facts, CallFingerprint fingerprint) {
+        environment
+                .log()
+                .write(
+                        EventLog.Part.CALL,
+                        "crashed-before",
+                        "id",
+                        facts.requestId(),
+                        "request",
+                        fingerprint,
+                        "crashes",
+                        environment
+                                .crashes()
+                                .crashes(fingerprint, environment.clocks().steadyMillis()));
+    }
+
     private ServiceName choose(Route route) {
         int total = route.backends().stream().mapToInt(Backend::weight).sum();
         int drawn = total <= 0 ? 0 : random.nextInt(total);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -13,6 +13,7 @@
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.catalog.Tenant;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CallShape;
 import io.sesamehead.coordination.dispatch.DispatchDecision;
 import io.sesamehead.coordination.dispatch.Target;
@@ -45,6 +46,7 @@
 
     private final CallEnvironment environment;
     private final CallRequest request;
+    private final CallFingerprint fingerprint;
     private final CallFacts facts;
     private final Route route;
     private final Optional<Tenant> tenant;
@@ -66,6 +68,7 @@
     ForwardedCall(
             CallEnvironment environment,
             CallRequest request,
+            CallFingerprint fingerprint,
             CallFacts facts,
             Route route,
             Optional<Tenant> tenant,
@@ -73,6 +76,7 @@
             Responder responder) {
         this.environment = environment;
         this.request = request;
+        this.fingerprint = fingerprint;
         this.facts = facts;
         this.route = route;
         this.tenant = tenant;
@@ -194,7 +198,7 @@
         if (unrunAttempts > UNRUN_ATTEMPTS || now() >= expiresAtMillis) {
             return false;
         }
-        if (environment.crashes().refused(environment.fingerprint(request, tenant), now())) {
+        if (environment.crashes().refused(fingerprint, now())) {
             return false;
         }
         boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
@@ -422,7 +426,8 @@
             log.attemptLost(target, sent, begun, reason);
             if (sent) {
                 ranAttempts++;
-                environment.recordCrash(request, tenant);
+                environment.recordCrash(request, fingerprint);
+                log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
             } else {
                 unrunAttempts++;
                 environment.unreachable(target);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
@@ -65,7 +66,7 @@
     private final EventLog log;
     private final Map<DaemonId, Long> stamps = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
-    private final List<Long> newCrashes = new ArrayList<>();
+    private final List<CallFingerprint> newCrashes = new ArrayList<>();
     private final RelayNews news = new RelayNews();
     private Map<TargetKey, Integer> reported = Map.of();
     private Channel channel;
@@ -123,7 +124,7 @@
     }
 
     /** Counts a request that was running when its upstream broke off, here and at the other daemons. */
-    void recordCrash(long fingerprint) {
+    void recordCrash(CallFingerprint fingerprint) {
         crashes.recordCrash(fingerprint, clocks.steadyMillis());
         newCrashes.add(fingerprint);
     }
@@ -165,7 +166,7 @@
         }
         if (relays.mesh()) {
             DaemonReport.Builder report = own();
-            report.addAllCrashedRequests(newCrashes);
+            newCrashes.forEach(request -> report.addCrashedRequests(request.value()));
             newCrashes.clear();
             ReportCodec.models(loads.takeUnreported()).forEach(report::addModels);
             report.setStampMillis(clocks.bootMillis());
@@ -261,7 +262,7 @@
                 report.addTargets(ReportCodec.load(row.without(row.inFlight())));
             }
         }
-        report.addAllCrashedRequests(newCrashes);
+        newCrashes.forEach(request -> report.addCrashedRequests(request.value()));
         newCrashes.clear();
         write(report, directory.addresses());
         channel.flush();
@@ -316,11 +317,25 @@
         directory.heard(new DaemonId(report.getDaemon()), origin);
         long now = clocks.steadyMillis();
         takeRows(report, now);
-        report.getCrashedRequestsList().forEach(fingerprint -> crashes.recordCrash(fingerprint, now));
+        report.getCrashedRequestsList()
+                .forEach(value -> takeCrash(new CallFingerprint(value), report.getDaemon(), now));
         trafficSeen |= report.getTrafficSeen();
         ReportCodec.holder(report).ifPresent(this::takeHolder);
     }
 
+    private void takeCrash(CallFingerprint fingerprint, String sender, long nowMillis) {
+        crashes.recordCrash(fingerprint, nowMillis);
+        log.write(
+                EventLog.Part.PEER,
+                "crash-heard",
+                "request",
+                fingerprint,
+                "crashes",
+                crashes.crashes(fingerprint, nowMillis),
+                "from",
+                sender);
+    }
+
     private void takeRows(DaemonReport report, long nowMillis) {
         DaemonId sender = new DaemonId(report.getDaemon());
         List<TargetReport> rows = ReportCodec.loads(report);
