Count crashes of requests without a body

Cause: calls without a body were neither counted nor refused, since they were held to be too much alike. Such a request was sent on without any limit.

Change: the fingerprint covers path, account and body, whatever the body. The query is left out, since only path, caller and body are promised to stay the same, and texts are hashed with their lengths. A call that runs to its end clears the crashes that its request met: a request that ends each upstream never gets there, and a path that many callers ask for does.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CallFingerprint.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CallFingerprint.java
@@ -9,7 +9,8 @@
 import java.util.Optional;
 
 /**
- * Hash of a call's target, account and body, by which a call is recognised when its caller sends it again.
+ * Hash of a call's path, account and body, by which a call is recognised when its caller sends it again. The query is left
+ * out, since a repeat may change it.
  *
  * @param value the hash
  */
@@ -25,13 +26,19 @@
      * @return the fingerprint
      */
     public static CallFingerprint of(String target, Optional<ClientAccount> account, byte[] body) {
+        int query = target.indexOf('?');
         Hasher hasher = HASH.newHasher();
-        hasher.putString(target, StandardCharsets.UTF_8);
-        account.ifPresent(holder -> hasher.putString(holder.value(), StandardCharsets.UTF_8));
+        putText(hasher, query < 0 ? target : target.substring(0, query));
+        putText(hasher, account.map(ClientAccount::value).orElse(""));
         hasher.putBytes(body);
         return new CallFingerprint(hasher.hash().asLong());
     }
 
+    /** The length goes first, so that two pairs of texts cannot run into the same bytes. */
+    private static void putText(Hasher hasher, String text) {
+        hasher.putInt(text.length()).putString(text, StandardCharsets.UTF_8);
+    }
+
     /**
      * Returns the form in logs and names.
      *
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -37,6 +37,15 @@
         entries.put(fingerprint, new Entry(forgotten ? 1 : old.crashes() + 1, nowMillis));
     }
 
+    /**
+     * Records that a request ran to its end, so that the crashes that it met had another cause.
+     *
+     * @param fingerprint the request's fingerprint
+     */
+    public void recordCompleted(CallFingerprint fingerprint) {
+        entries.remove(fingerprint);
+    }
+
     /**
      * Tells whether a request is refused because of its crashes.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sesamehead.coordination.catalog.CatalogGate;
 import io.sesamehead.coordination.catalog.Route;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.RetryAllowance;
@@ -174,14 +173,6 @@
         return clients.send(target.receiver().endpoint(), request, fresh, listener);
     }
 
-    /** Calls without a body are too much alike to be told apart. */
-    void recordCrash(CallRequest request, CallFingerprint fingerprint) {
-        if (request.body().length == 0) {
-            return;
-        }
-        peers.recordCrash(fingerprint);
-    }
-
     void unreachable(Target target) {
         table.unreachable(target.key(), clocks.steadyMillis());
         log.write(
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -52,7 +52,6 @@
         write("attempt-lost", "target", target.key(), "sent", sent, "begun", begun, "reason", reason);
     }
 
-    /** The count is 0 for a call that is not counted. */
     void crashCounted(Target target, CallFingerprint fingerprint, int crashes) {
         environment.metrics().count("crashes_counted");
         write("crash-counted", "target", target.key(), "request", fingerprint, "crashes", crashes);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -50,10 +50,7 @@
             return refuse(facts, responder, AnswerKind.NO_CONFIGURATION, CONFIG_RETURN_MILLIS);
         }
         CallFingerprint fingerprint = CallFingerprint.of(request.target(), tenant.map(Tenant::account), request.body());
-        if (request.body().length > 0
-                && environment
-                        .crashes()
-                        .refused(fingerprint, environment.clocks().steadyMillis())) {
+        if (environment.crashes().refused(fingerprint, environment.clocks().steadyMillis())) {
             logCrashed(facts, fingerprint);
             return refuse(facts, responder, AnswerKind.CRASHED_BEFORE, CRASHED_RETURN_MILLIS);
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -374,6 +374,7 @@
             end();
             environment.times().recordRun(target, now() - sentAtMillis);
             responder.end();
+            environment.crashes().recordCompleted(fingerprint);
             succeed(HttpResponseStatus.OK.code());
         }
 
@@ -391,6 +392,8 @@
                 if (route.kind() == CallKind.SAFE && trySendAgain(true)) {
                     return;
                 }
+            } else {
+                environment.crashes().recordCompleted(fingerprint);
             }
             if (begun) {
                 breakOff("the resumed stream ended with status " + head.status().code());
@@ -426,7 +429,7 @@
             log.attemptLost(target, sent, begun, reason);
             if (sent) {
                 ranAttempts++;
-                environment.recordCrash(request, fingerprint);
+                environment.peers().recordCrash(fingerprint);
                 log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
             } else {
                 unrunAttempts++;
