Tell crashes of requests as a state that is repeated and merged

Cause: a crash was an event, told once in one datagram and added to a count in the receiver's memory. A lost datagram, a report that arrived after a newer one, a restart, a freeze or a cut left a daemon's count behind for good, and an event cannot be repeated, since it would count twice. The class: knowledge that all daemons need, told once over a link that loses it and kept in memory that a restart clears.

Change: CrashHistory keeps which targets ended under a request, and when it last ran to its end. Reports carry this state: own news in five reports, then everything in turn, sixteen refused requests and sixteen others a second. Receivers merge by union before they look at the sequence number, so that lost, doubled, late and reordered reports do no harm. Relays need no special path; the urgent datagrams to all daemons no longer carry crashes.

The memory is ten minutes after the last crash instead of one: a request that came back each 70 s was counted from one again. The test of that figure now expects ten minutes. A full table forgets the least suspected requests; before, it took no new ones, so that the loss of a domain hid the request that matters.

Tried and reverted: relays that pass on others' crashes as news.

--- a/core/src/test/java/io/sesamehead/coordination/dispatch/CrashHistoryTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/CrashHistoryTest.java
@@ -2,37 +2,155 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a request that ends every upstream it reaches, and against refusals of requests that do not. */
 final class CrashHistoryTest {
+    private static final CallFingerprint REQUEST = new CallFingerprint(9);
+    private static final CallFingerprint OTHER = new CallFingerprint(8);
+    private static final long DAY_MILLIS = 300_000;
+
+    private final CrashHistory crashes = new CrashHistory();
+
+    /** The attempt was sent a moment before. */
+    private static void recordCrash(CrashHistory history, CallFingerprint request, TargetKey target, long nowMillis) {
+        history.recordCrash(request, target, nowMillis - 20, nowMillis);
+    }
+
+    private static TargetKey target(int number) {
+        return new TargetKey("target-" + number, 1);
+    }
+
     @Test
     void requestIsRefusedAfterItsThirdCrashAndForgottenLater() {
-        CrashHistory crashes = new CrashHistory();
-        CallFingerprint request = new CallFingerprint(9);
-        crashes.recordCrash(request, 0);
-        crashes.recordCrash(request, 1_000);
-        assertThat(crashes.refused(request, 1_000)).isFalse();
+        recordCrash(crashes, REQUEST, target(1), 0);
+        recordCrash(crashes, REQUEST, target(2), 1_000);
+        assertThat(crashes.refused(REQUEST, 1_000)).isFalse();
 
-        crashes.recordCrash(request, 2_000);
+        recordCrash(crashes, REQUEST, target(3), 2_000);
 
-        assertThat(crashes.refused(request, 2_000)).isTrue();
-        assertThat(crashes.refused(new CallFingerprint(8), 2_000)).isFalse();
-        assertThat(crashes.refused(request, 200_000)).isFalse();
+        assertThat(crashes.refused(REQUEST, 2_000)).isTrue();
+        assertThat(crashes.refused(OTHER, 2_000)).isFalse();
+        assertThat(crashes.refused(REQUEST, 2_000 + 600_001)).isFalse();
+    }
+
+    /** A request that comes back after more than a minute was counted from one again. */
+    @Test
+    void requestThatComesBackMinutesLaterIsStillRefused() {
+        for (int crash = 0; crash < 3; crash++) {
+            recordCrash(crashes, REQUEST, target(crash), crash * 70_000);
+        }
+
+        assertThat(crashes.refused(REQUEST, DAY_MILLIS)).isTrue();
+    }
+
+    /** One engine that ends takes several attempts of one request along. */
+    @Test
+    void attemptsThatOneCrashEndsCountOnce() {
+        for (int attempt = 0; attempt < 5; attempt++) {
+            recordCrash(crashes, REQUEST, target(1), 1_000 + attempt);
+        }
+
+        assertThat(crashes.crashes(REQUEST, 1_005)).isEqualTo(1);
+    }
+
+    /** An engine that starts again under its name was counted once, however often the request ended it. */
+    @Test
+    void crashesOfLaterLivesCountBeforeTheyAreListed() {
+        for (int life = 0; life < 3; life++) {
+            crashes.recordCrash(REQUEST, target(1), life * 1_000 + 100, life * 1_000 + 120);
+        }
+
+        assertThat(crashes.refused(REQUEST, 3_000)).isTrue();
     }
 
     /** Many callers ask for one path without a body; some of them are there when an upstream ends. */
     @Test
     void requestThatRunsToItsEndIsNotBlamedForTheCrashesItMet() {
-        CrashHistory crashes = new CrashHistory();
-        CallFingerprint request = new CallFingerprint(9);
         for (int crash = 0; crash < 10; crash++) {
-            crashes.recordCrash(request, crash * 1_000);
-            crashes.recordCrash(request, crash * 1_000 + 100);
-            crashes.recordCompleted(request);
+            recordCrash(crashes, REQUEST, target(2 * crash), crash * 1_000);
+            recordCrash(crashes, REQUEST, target(2 * crash + 1), crash * 1_000 + 100);
+            crashes.recordCompleted(REQUEST, crash * 1_000 + 200);
+        }
+        recordCrash(crashes, REQUEST, target(100), 10_000);
+
+        assertThat(crashes.refused(REQUEST, 10_000)).isFalse();
+    }
+
+    @Test
+    void daemonsAgreeWhateverTheOrderAndRepetitionOfTheirReports() {
+        for (long seed = 1; seed <= 50; seed++) {
+            List<CrashReport> reports = new ArrayList<>();
+            for (int crash = 0; crash < 3; crash++) {
+                CrashHistory teller = new CrashHistory();
+                recordCrash(teller, REQUEST, target(crash), 1_000);
+                reports.addAll(teller.report(1_000));
+                reports.addAll(teller.report(1_150));
+            }
+            Collections.shuffle(reports, new Random(seed));
+            CrashHistory listener = new CrashHistory();
+            reports.forEach(report -> listener.merge(report, 5_000));
+            reports.forEach(report -> listener.merge(report, 9_000));
+
+            assertThat(listener.crashes(REQUEST, 9_000)).isEqualTo(3);
+        }
+    }
+
+    @Test
+    void daemonThatMissedAllReportsHearsOfARefusedRequestAmongManyInnocentOnes() {
+        for (int innocent = 0; innocent < 2_000; innocent++) {
+            recordCrash(crashes, new CallFingerprint(1_000 + innocent), target(innocent % 10), innocent);
+        }
+        for (int crash = 0; crash < 3; crash++) {
+            recordCrash(crashes, REQUEST, target(crash), 3_000);
         }
-        crashes.recordCrash(request, 10_000);
+        long now = 3_000;
+        while (now < 200_000) {
+            crashes.report(now);
+            now += 150;
+        }
+        CrashHistory returned = new CrashHistory();
+        for (long end = now + 1_200; now < end; now += 150) {
+            long at = now;
+            crashes.report(now).forEach(report -> returned.merge(report, at));
+        }
+
+        assertThat(returned.refused(REQUEST, now)).isTrue();
+    }
+
+    @Test
+    void lossOfADomainPushesOutInnocentRequestsFirst() {
+        for (int crash = 0; crash < 3; crash++) {
+            recordCrash(crashes, REQUEST, target(crash), crash);
+        }
+        for (int innocent = 0; innocent < 20_000; innocent++) {
+            recordCrash(crashes, new CallFingerprint(1_000 + innocent), target(innocent % 10), 1_000 + innocent);
+        }
+
+        assertThat(crashes.refused(REQUEST, 30_000)).isTrue();
+        CallFingerprint last = new CallFingerprint(1_000 + 19_999);
+        assertThat(crashes.crashes(last, 30_000)).isEqualTo(1);
+    }
+
+    @Test
+    void completionClearsTheCrashesAtTheOtherDaemonsToo() {
+        CrashHistory other = new CrashHistory();
+        for (int crash = 0; crash < 3; crash++) {
+            recordCrash(crashes, REQUEST, target(crash), 1_000);
+        }
+        List<CrashReport> old = crashes.report(1_000);
+        old.forEach(report -> other.merge(report, 1_000));
+        assertThat(other.refused(REQUEST, 1_000)).isTrue();
+
+        crashes.recordCompleted(REQUEST, 2_000);
+        crashes.report(2_000).forEach(report -> other.merge(report, 2_000));
+        old.forEach(report -> other.merge(report, 1_050));
 
-        assertThat(crashes.refused(request, 10_000)).isFalse();
+        assertThat(other.crashes(REQUEST, 2_100)).isZero();
+        assertThat(crashes.crashes(REQUEST, 2_100)).isZero();
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -1,18 +1,24 @@
 package io.sesamehead.entry.protocol;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
+import io.sesamehead.coordination.dispatch.CrashReport;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.entry.protocol.generated.CrashedRequest;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
 import io.sesamehead.entry.protocol.generated.ModelLoad;
 import io.sesamehead.entry.protocol.generated.TargetLoad;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Converts reports between daemons. */
 public final class ReportCodec {
@@ -97,6 +103,44 @@
         return loads;
     }
 
+    /**
+     * Reads what a report tells of crashes.
+     *
+     * @param report the report
+     * @return one row for each request
+     */
+    public static List<CrashReport> crashes(DaemonReport report) {
+        List<CrashReport> rows = new ArrayList<>(report.getCrashedCount());
+        for (CrashedRequest crashed : report.getCrashedList()) {
+            Map<Long, Long> ages = new HashMap<>();
+            int targets = Math.min(crashed.getTargetsCount(), crashed.getAgesMillisCount());
+            for (int i = 0; i < targets; i++) {
+                ages.put(crashed.getTargets(i), Math.max(0, crashed.getAgesMillis(i)));
+            }
+            OptionalLong completed = crashed.getCompletedAge() > 0
+                    ? OptionalLong.of(crashed.getCompletedAge() - 1)
+                    : OptionalLong.empty();
+            rows.add(new CrashReport(
+                    new CallFingerprint(crashed.getFingerprint()), ImmutableMap.copyOf(ages), completed));
+        }
+        return rows;
+    }
+
+    /**
+     * Writes what is known of a request's crashes.
+     *
+     * @param row the row
+     * @return the message
+     */
+    public static CrashedRequest crash(CrashReport row) {
+        CrashedRequest.Builder crashed =
+                CrashedRequest.newBuilder().setFingerprint(row.request().value());
+        row.ageMillisByCrash()
+                .forEach((target, age) -> crashed.addTargets(target).addAgesMillis(age));
+        row.completedAgeMillis().ifPresent(age -> crashed.setCompletedAge(age + 1));
+        return crashed.build();
+    }
+
     /**
      * Writes a load.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -374,7 +374,7 @@
             end();
             environment.times().recordRun(target, now() - sentAtMillis);
             responder.end();
-            environment.crashes().recordCompleted(fingerprint);
+            environment.crashes().recordCompleted(fingerprint, now());
             succeed(HttpResponseStatus.OK.code());
         }
 
@@ -393,7 +393,7 @@
                     return;
                 }
             } else {
-                environment.crashes().recordCompleted(fingerprint);
+                environment.crashes().recordCompleted(fingerprint, now());
             }
             if (begun) {
                 breakOff("the resumed stream ended with status " + head.status().code());
@@ -429,7 +429,7 @@
             log.attemptLost(target, sent, begun, reason);
             if (sent) {
                 ranAttempts++;
-                environment.peers().recordCrash(fingerprint);
+                environment.crashes().recordCrash(fingerprint, target.key(), sentAtMillis, now());
                 log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
             } else {
                 unrunAttempts++;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -11,8 +11,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.CrashReport;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.dispatch.TargetTable;
@@ -20,11 +20,11 @@
 import io.sesamehead.coordination.membership.ReportRelays;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.protocol.ReportCodec;
+import io.sesamehead.entry.protocol.generated.CrashedRequest;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
 import io.sesamehead.entry.protocol.generated.ReportKind;
 import io.sesamehead.state.DaemonId;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -66,7 +66,6 @@
     private final EventLog log;
     private final Map<DaemonId, Long> stamps = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
-    private final List<CallFingerprint> newCrashes = new ArrayList<>();
     private final RelayNews news = new RelayNews();
     private Map<TargetKey, Integer> reported = Map.of();
     private Channel channel;
@@ -123,12 +122,6 @@
         channel = null;
     }
 
-    /** Counts a request that was running when its upstream broke off, here and at the other daemons. */
-    void recordCrash(CallFingerprint fingerprint) {
-        crashes.recordCrash(fingerprint, clocks.steadyMillis());
-        newCrashes.add(fingerprint);
-    }
-
     void recordTraffic() {
         trafficSeen = true;
     }
@@ -166,8 +159,7 @@
         }
         if (relays.mesh()) {
             DaemonReport.Builder report = own();
-            newCrashes.forEach(request -> report.addCrashedRequests(request.value()));
-            newCrashes.clear();
+            crashes.report(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.crash(row)));
             ReportCodec.models(loads.takeUnreported()).forEach(report::addModels);
             report.setStampMillis(clocks.bootMillis());
             if (lease.held().isPresent()) {
@@ -183,13 +175,12 @@
 
     private void sendThroughRelays() {
         long now = clocks.steadyMillis();
-        if (!newCrashes.isEmpty()) {
-            sendUrgent();
-        }
         Map<String, Integer> refused = loads.takeUnreported();
         List<DaemonId> upwards = relays.relays(now);
         noteRelay(upwards);
-        DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis());
+        List<CrashedRequest> crashed =
+                crashes.report(now).stream().map(ReportCodec::crash).toList();
+        DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis()).addAllCrashed(crashed);
         if (upwards.isEmpty()) {
             news.refused(refused, true);
         } else {
@@ -197,7 +188,7 @@
             write(own, directory.addresses(upwards));
         }
         if (relays.relaying(now)) {
-            sendSums(now);
+            sendSums(crashed, now);
         }
         news.clear();
     }
@@ -218,16 +209,18 @@
         }
     }
 
-    private void sendSums(long nowMillis) {
+    private void sendSums(List<CrashedRequest> crashed, long nowMillis) {
         Set<DaemonId> leaves = relays.leaves(nowMillis);
         Set<String> names = leaves.stream().map(DaemonId::value).collect(Collectors.toSet());
         DaemonReport.Builder some = sums(ReportKind.RELAY_SUMS, table.sums(names::contains, nowMillis))
-                .setDaemons(1 + table.daemons(names::contains));
+                .setDaemons(1 + table.daemons(names::contains))
+                .addAllCrashed(crashed);
         ReportCodec.models(news.refused(false)).forEach(some::addModels);
         news.lease(false).ifPresent(heard -> ReportCodec.setHolder(some, heard));
         write(some, directory.addresses(relays.relaysToTell(nowMillis)));
         DaemonReport.Builder all = sums(ReportKind.ALL_SUMS, table.sums(sender -> !sender.equals(ALL), nowMillis))
-                .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)));
+                .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)))
+                .addAllCrashed(crashed);
         ReportCodec.models(news.refused(true)).forEach(all::addModels);
         news.lease(true).ifPresent(heard -> ReportCodec.setHolder(all, heard));
         writeWithStore(all, leaves);
@@ -262,8 +255,6 @@
                 report.addTargets(ReportCodec.load(row.without(row.inFlight())));
             }
         }
-        newCrashes.forEach(request -> report.addCrashedRequests(request.value()));
-        newCrashes.clear();
         write(report, directory.addresses());
         channel.flush();
     }
@@ -308,6 +299,7 @@
         if (report.getDaemon().equals(settings.daemon())) {
             return;
         }
+        takeCrashes(report);
         String sender = report.getDaemon() + "/" + report.getIncarnation();
         long last = sequences.getOrDefault(sender, 0L);
         if (report.getSequence() <= last) {
@@ -317,23 +309,26 @@
         directory.heard(new DaemonId(report.getDaemon()), origin);
         long now = clocks.steadyMillis();
         takeRows(report, now);
-        report.getCrashedRequestsList()
-                .forEach(value -> takeCrash(new CallFingerprint(value), report.getDaemon(), now));
         trafficSeen |= report.getTrafficSeen();
         ReportCodec.holder(report).ifPresent(this::takeHolder);
     }
 
-    private void takeCrash(CallFingerprint fingerprint, String sender, long nowMillis) {
-        crashes.recordCrash(fingerprint, nowMillis);
-        log.write(
-                EventLog.Part.PEER,
-                "crash-heard",
-                "request",
-                fingerprint,
-                "crashes",
-                crashes.crashes(fingerprint, nowMillis),
-                "from",
-                sender);
+    /** Crashes count whatever the order of the reports: they are merged. */
+    private void takeCrashes(DaemonReport report) {
+        long now = clocks.steadyMillis();
+        for (CrashReport row : ReportCodec.crashes(report)) {
+            if (crashes.merge(row, now)) {
+                log.write(
+                        EventLog.Part.PEER,
+                        "crash-heard",
+                        "request",
+                        row.request(),
+                        "crashes",
+                        crashes.crashes(row.request(), now),
+                        "from",
+                        report.getDaemon());
+            }
+        }
     }
 
     private void takeRows(DaemonReport report, long nowMillis) {
