Keep refused requests in the store

Cause: what the daemons knew of crashes lay in their memories alone.

Change: a daemon that has seen a crash of a request that becomes refused writes the refused requests to one object of the store, on top of what it holds, under the object's revision. Each daemon reads it at its start, once more 2.5 s later, since an old copy is read at a tenth of the price, and then every five minutes. At most 256 requests are kept; those older than ten minutes are dropped at the next write.

Ruled out: one object a request, which needs deletions by somebody.

CrashRecorderTest: two writers, lost answers, conflicts, ages, and no call for crashes of innocent requests. FakeClocks, copied in three tests, is one class.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -34,17 +34,21 @@
     private static final int MAX_NEWS = 32;
     /** Interval at which older knowledge is told again, in milliseconds: a daemon that returns hears it in time. */
     private static final long REPEAT_MILLIS = 1_000;
+    /** Refused requests kept in the store at most: an object of some ten kilobytes. */
+    private static final int MAX_REFUSED = 256;
     /** Refused requests told again at a time, and as many others: half a kilobyte each. */
     private static final int REPEATED = 16;
 
     private final Map<CallFingerprint, Entry> entries = new HashMap<>();
     private final Map<CallFingerprint, Integer> news = new LinkedHashMap<>();
     private long repeatedAtMillis = Long.MIN_VALUE / 2;
+    private boolean newlyRefused;
 
     private static final class Entry {
         private final Map<Long, Long> brokenOffAt = new HashMap<>();
         private long completedAt = Long.MIN_VALUE / 2;
         private long toldAt = Long.MIN_VALUE / 2;
+        private boolean seenHere;
 
         private boolean addCrash(long crash, long atMillis) {
             if (atMillis <= completedAt || brokenOffAt.containsKey(crash) || brokenOffAt.size() >= MAX_CRASHES) {
@@ -112,6 +116,8 @@
             crash = hash(target, life);
         }
         if (entry.addCrash(crash, nowMillis)) {
+            entry.seenHere = true;
+            newlyRefused |= entry.refused();
             news.put(request, NEWS_REPORTS);
         }
     }
@@ -165,6 +171,7 @@
             return false;
         }
         Entry entry = entryOf(report.request(), nowMillis);
+        boolean refusedBefore = entry.refused();
         boolean changed = report.completedAgeMillis().isPresent()
                 && entry.complete(nowMillis - report.completedAgeMillis().getAsLong());
         for (Map.Entry<Long, Long> crash : report.ageMillisByCrash().entrySet()) {
@@ -172,9 +179,37 @@
                 changed |= entry.addCrash(crash.getKey(), nowMillis - crash.getValue());
             }
         }
+        newlyRefused |= entry.seenHere && !refusedBefore && entry.refused();
         return changed;
     }
 
+    /**
+     * Tells whether a request has become refused, or has crashed once more, of whose crashes this daemon has seen one.
+     *
+     * @return true once after each such change
+     */
+    public boolean takeNewlyRefused() {
+        boolean taken = newlyRefused;
+        newlyRefused = false;
+        return taken;
+    }
+
+    /**
+     * Returns what is known of the refused requests.
+     *
+     * @param nowMillis present steady time
+     * @return those that crashed last, if there are very many
+     */
+    public List<CrashReport> refusedRequests(long nowMillis) {
+        return entries.entrySet().stream()
+                .filter(entry -> entry.getValue().refused() && entry.getValue().remembered(nowMillis))
+                .sorted(Comparator.comparingLong((Map.Entry<CallFingerprint, Entry> entry) ->
+                        -entry.getValue().lastMillis()))
+                .limit(MAX_REFUSED)
+                .map(entry -> entry.getValue().report(entry.getKey(), nowMillis))
+                .toList();
+    }
+
     /**
      * Returns what the next report tells: own news in several reports, and all that is known in turn, so that it also
      * reaches daemons that do not hear one another.
--- a/entry/src/main/java/io/sesamehead/entry/port/ObjectKind.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/ObjectKind.java
@@ -18,6 +18,8 @@
     ControllerLease CONTROLLER_LEASE = new ControllerLease();
     /** Where the daemons receive one another's reports. */
     Daemons DAEMONS = new Daemons();
+    /** Requests that are refused because of their crashes. */
+    Crashes CRASHES = new Crashes();
 
     /**
      * Returns the type of the content.
@@ -50,6 +52,14 @@
         }
     }
 
+    /** Requests that are refused because of their crashes. */
+    record Crashes() implements ObjectKind<CrashRecord> {
+        @Override
+        public Class<CrashRecord> type() {
+            return CrashRecord.class;
+        }
+    }
+
     /** Where the daemons receive one another's reports. */
     record Daemons() implements ObjectKind<DaemonEndpoint> {
         @Override
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -0,0 +1,123 @@
+package io.sesamehead.entry.runtime;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.CrashReport;
+import io.sesamehead.entry.port.CrashRecord;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import java.time.InstantSource;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Keeps the requests that are refused because of their crashes in one object of the store, so that they stay known when all
+ * daemons end at once. Daemons that run tell one another; the store is read at the start and rarely later.
+ */
+final class CrashRecorder {
+    private static final String NAME = "refused";
+    /** Second read after the start, in milliseconds: the first copy may be seconds old. */
+    private static final long REREAD_MILLIS = 2_500;
+    /** Interval of later reads, in milliseconds: for daemons that reach the store but no other daemon. */
+    private static final long READ_MILLIS = 300_000;
+    /** Pause after a failed call, in milliseconds. */
+    private static final long RETRY_MILLIS = 1_000;
+
+    private final EventLoop loop;
+    private final Clocks clocks;
+    private final InstantSource timeOfDay;
+    private final ObjectStore store;
+    private final CrashHistory crashes;
+    private final EventLog log;
+    private boolean unwritten;
+    private boolean writing;
+    private long nextWriteMillis;
+
+    CrashRecorder(
+            EventLoop loop,
+            Clocks clocks,
+            InstantSource timeOfDay,
+            ObjectStore store,
+            CrashHistory crashes,
+            EventLog log) {
+        this.loop = loop;
+        this.clocks = clocks;
+        this.timeOfDay = timeOfDay;
+        this.store = store;
+        this.crashes = crashes;
+        this.log = log;
+    }
+
+    /** Begins to read. */
+    void start() {
+        loop.execute(this::read);
+        loop.schedule(this::read, REREAD_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::read, READ_MILLIS, READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Writes the refused requests if this daemon has seen one become refused. */
+    void check() {
+        unwritten |= crashes.takeNewlyRefused();
+        if (unwritten && !writing && clocks.steadyMillis() >= nextWriteMillis) {
+            unwritten = false;
+            writing = true;
+            store.list(ObjectKind.CRASHES, false, this::write);
+        }
+    }
+
+    private void read() {
+        store.list(ObjectKind.CRASHES, true, this::take);
+    }
+
+    private OptionalLong take(StoreAnswer<Listing<CrashRecord>> answer) {
+        OptionalLong revision = OptionalLong.empty();
+        if (answer instanceof StoreAnswer.Done<Listing<CrashRecord>>(Listing<CrashRecord> listing)) {
+            for (StoredObject<CrashRecord> object : listing.objects()) {
+                revision = OptionalLong.of(object.revision());
+                object.content().ifPresent(this::merge);
+            }
+        }
+        return revision;
+    }
+
+    private void merge(CrashRecord record) {
+        long now = clocks.steadyMillis();
+        long passed = Math.max(0, timeOfDay.millis() - record.writtenAtEpochMillis());
+        int learned = 0;
+        for (CrashReport report : record.reports()) {
+            learned += crashes.merge(report.aged(passed), now) ? 1 : 0;
+        }
+        if (learned > 0) {
+            log.write(EventLog.Part.STORE, "crashes-read", "requests", learned, "written_ms_ago", passed);
+        }
+    }
+
+    private void write(StoreAnswer<Listing<CrashRecord>> listed) {
+        OptionalLong revision = take(listed);
+        if (!(listed instanceof StoreAnswer.Done<Listing<CrashRecord>>)) {
+            retry("list");
+            return;
+        }
+        ImmutableList<CrashReport> refused = ImmutableList.copyOf(crashes.refusedRequests(clocks.steadyMillis()));
+        CrashRecord record = new CrashRecord(timeOfDay.millis(), refused);
+        store.write(ObjectKind.CRASHES, NAME, revision, record, answer -> {
+            if (answer instanceof StoreAnswer.Done<StoredObject<CrashRecord>>) {
+                writing = false;
+                log.write(EventLog.Part.STORE, "crashes-written", "requests", refused.size());
+            } else {
+                retry("write");
+            }
+        });
+    }
+
+    private void retry(String call) {
+        writing = false;
+        unwritten = true;
+        nextWriteMillis = clocks.steadyMillis() + RETRY_MILLIS;
+        log.write(EventLog.Part.STORE, "crashes-not-written", "call", call, "again_in_ms", RETRY_MILLIS);
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -23,6 +23,7 @@
 import io.sesamehead.entry.transport.HttpClients;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -71,6 +72,7 @@
     private final HttpClients clients;
     private final MeteredStore store;
     private final PeerReports peers;
+    private final CrashRecorder crashRecorder;
     private final LeaseTask lease;
     private final CallEnvironment environment;
     private final Callers callers;
@@ -151,6 +153,7 @@
         StoreFeed feed = new StoreSharing(clocks, gate, registry, configWatch, registryWatch, log);
         this.peers = new PeerReports(
                 loop, clocks, settings, incarnation, directory, relays, table, crashes, loads, lease, feed, log);
+        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashes, log);
         ServiceTimes times = new ServiceTimes();
         Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
         this.environment = new CallEnvironment(
@@ -188,6 +191,7 @@
         }
         callers.listen(loop, settings.callers());
         peers.start();
+        crashRecorder.start();
         loop.execute(() -> {
             log.write(
                     EventLog.Part.DAEMON,
@@ -260,6 +264,7 @@
         List<TargetKey> stalled = table.findStalled(now);
         stalled.forEach(this::onStalled);
         clients.sweep();
+        crashRecorder.check();
         if (now - controlledAtMillis >= CONTROL_MILLIS) {
             controlledAtMillis = now;
             control();
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
@@ -0,0 +1,151 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
+import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.entry.port.Changes;
+import io.sesamehead.entry.port.CrashRecord;
+import io.sesamehead.entry.port.Listing;
+import io.sesamehead.entry.port.ObjectKind;
+import io.sesamehead.entry.port.ObjectStore;
+import io.sesamehead.entry.port.StoreAnswer;
+import io.sesamehead.entry.port.StoredObject;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a refused request that is forgotten when all daemons end at once. */
+final class CrashRecorderTest {
+    private static final CallFingerprint FIRST = new CallFingerprint(1);
+    private static final CallFingerprint SECOND = new CallFingerprint(2);
+
+    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final FakeClocks clocks = new FakeClocks(1_000_000);
+    private final FakeStore store = new FakeStore();
+    private long timeOfDay = 5_000_000;
+
+    private CrashRecorder recorder(CrashHistory history) {
+        return new CrashRecorder(
+                loop, clocks, () -> Instant.ofEpochMilli(timeOfDay), store, history, new EventLog(clocks));
+    }
+
+    private void crash(CrashHistory history, CallFingerprint request) {
+        for (int target = 0; target < 3; target++) {
+            history.recordCrash(request, new TargetKey("t" + target, 1), clocks.now - 10, clocks.now);
+        }
+    }
+
+    /** Reads as a daemon does that starts now; without a refusal of its own it does not write. */
+    private CrashHistory startedNow() throws Exception {
+        CrashHistory history = new CrashHistory();
+        recorder(history).start();
+        loop.submit(() -> {}).get();
+        return history;
+    }
+
+    @Test
+    void daemonThatStartsLaterKnowsTheRequestsOfAllWriters() throws Exception {
+        CrashHistory one = new CrashHistory();
+        CrashHistory two = new CrashHistory();
+        crash(one, FIRST);
+        recorder(one).check();
+        crash(two, SECOND);
+        recorder(two).check();
+
+        CrashHistory later = startedNow();
+
+        assertThat(later.refused(FIRST, clocks.now)).isTrue();
+        assertThat(later.refused(SECOND, clocks.now)).isTrue();
+        assertThat(store.writes).isEqualTo(2);
+    }
+
+    @Test
+    void writeThatFailsOrMeetsAnotherWriterIsTriedAgain() throws Exception {
+        CrashHistory one = new CrashHistory();
+        CrashRecorder recorder = recorder(one);
+        crash(one, FIRST);
+        store.failures.add(new StoreAnswer.NoAnswer<>("lost"));
+        store.failures.add(new StoreAnswer.Conflict<>());
+        for (int second = 0; second < 4; second++) {
+            recorder.check();
+            clocks.now += 1_000;
+        }
+
+        assertThat(startedNow().refused(FIRST, clocks.now)).isTrue();
+        assertThat(store.writes).isEqualTo(3);
+    }
+
+    @Test
+    void requestIsForgottenWithItsAgeInTheStore() throws Exception {
+        CrashHistory one = new CrashHistory();
+        crash(one, FIRST);
+        recorder(one).check();
+
+        timeOfDay += 599_000;
+        assertThat(startedNow().refused(FIRST, clocks.now)).isTrue();
+        timeOfDay += 2_000;
+        assertThat(startedNow().refused(FIRST, clocks.now)).isFalse();
+    }
+
+    @Test
+    void crashesOfInnocentRequestsCostNoCall() {
+        CrashHistory one = new CrashHistory();
+        CrashRecorder recorder = recorder(one);
+        for (int request = 0; request < 100; request++) {
+            one.recordCrash(new CallFingerprint(request), new TargetKey("t", 1), clocks.now - 10, clocks.now);
+            recorder.check();
+        }
+
+        assertThat(store.lists + store.writes).isZero();
+    }
+
+    private static final class FakeStore implements ObjectStore {
+        private final List<StoreAnswer<StoredObject<CrashRecord>>> failures = new ArrayList<>();
+        private Optional<StoredObject<CrashRecord>> object = Optional.empty();
+        private int lists;
+        private int writes;
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
+            lists++;
+            List<StoredObject<T>> objects =
+                    object.map(found -> List.of((StoredObject<T>) found)).orElse(List.of());
+            done.accept(new StoreAnswer.Done<>(new Listing<>(objects, 1)));
+        }
+
+        @Override
+        public <T> void watch(ObjectKind<T> kind, long since, long waitMillis, Consumer<StoreAnswer<Changes<T>>> done) {
+            throw new UnsupportedOperationException("nothing is watched here");
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <T> void write(
+                ObjectKind<T> kind,
+                String name,
+                OptionalLong expected,
+                T content,
+                Consumer<StoreAnswer<StoredObject<T>>> done) {
+            writes++;
+            if (!failures.isEmpty()) {
+                done.accept((StoreAnswer<StoredObject<T>>) (StoreAnswer<?>) failures.remove(0));
+                return;
+            }
+            OptionalLong present =
+                    object.map(found -> OptionalLong.of(found.revision())).orElse(OptionalLong.empty());
+            assertThat(expected).isEqualTo(present);
+            object = Optional.of(new StoredObject<>(name, writes, Optional.of((CrashRecord) content)));
+            done.accept(new StoreAnswer.Done<>((StoredObject<T>) object.get()));
+        }
+    }
+}
--- a/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
@@ -34,7 +34,7 @@
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeStore store = new FakeStore();
-    private final FakeClocks clocks = new FakeClocks();
+    private final FakeClocks clocks = new FakeClocks(1_000_000);
     private LeaseTask first;
     private LeaseTask second;
 
@@ -151,20 +151,6 @@
         assertThat(first.epoch()).isEmpty();
     }
 
-    private static final class FakeClocks implements Clocks {
-        private long now = 1_000_000;
-
-        @Override
-        public long steadyMillis() {
-            return now;
-        }
-
-        @Override
-        public long bootMillis() {
-            return now;
-        }
-    }
-
     /** Holds the one lease. The daemon in {@code unreachableFor} gets no answer and has no effect. */
     private static final class FakeStore implements ObjectStore {
         private Optional<StoredObject<Lease>> lease = Optional.empty();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -31,7 +31,7 @@
     private static final int DAEMONS = 95;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final FakeClocks clocks = new FakeClocks();
+    private final FakeClocks clocks = new FakeClocks(100_000);
     private final DaemonList store = new DaemonList();
     private PeerDirectory directory;
 
@@ -93,20 +93,6 @@
         assertThat(directory.addresses()).hasSize(6);
     }
 
-    private static final class FakeClocks implements Clocks {
-        private long now = 100_000;
-
-        @Override
-        public long steadyMillis() {
-            return now;
-        }
-
-        @Override
-        public long bootMillis() {
-            return now;
-        }
-    }
-
     private static final class DaemonList implements ObjectStore {
         private int listed;
         private int lists;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/StoreSharingTest.java
@@ -41,7 +41,7 @@
     private static final long CONVERGE_MILLIS = 2_000;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final FakeClocks clocks = new FakeClocks();
+    private final FakeClocks clocks = new FakeClocks(1_000_000);
     private final World world = new World();
     private Node relay;
     private Node leaf;
@@ -222,20 +222,6 @@
         assertThat(leaf.gate.ageMillis(clocks.now)).isLessThanOrEqualTo(3_000 + age + 100);
     }
 
-    private static final class FakeClocks implements Clocks {
-        private long now = 1_000_000;
-
-        @Override
-        public long steadyMillis() {
-            return now;
-        }
-
-        @Override
-        public long bootMillis() {
-            return now;
-        }
-    }
-
     private static final class World {
         private final Map<String, UpstreamEntry> upstreams = new LinkedHashMap<>();
         private final List<StoredObject<UpstreamEntry>> puts = new ArrayList<>();
