Count crashes under attempts that were stopped or wait in silence

Cause: only a broken connection and a move after silence were counted. An attempt that ended because its caller left or its time ran out counted nothing, though its engine ended a moment later, and neither did a call that may not be repeated and waited at a target that fell silent.

Change: attempts that are stopped without an answer are kept for five seconds; when their target breaks off, cannot be reached, falls silent or leaves the registry within it, the crash is counted against them.

The class looked for elsewhere: demand by model is told once (ModelLoads.takeUnreported), but decays within two seconds and is an estimate; suspicions of targets are repeated in each report while they hold; the retry allowance of a daemon starts at its share of the fixed part, which is right for a restarted one up to that share.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -6,10 +6,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sesamehead.coordination.catalog.CatalogGate;
 import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.RetryAllowance;
 import io.sesamehead.coordination.dispatch.ServiceTimes;
+import io.sesamehead.coordination.dispatch.StoppedAttempts;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
@@ -43,6 +45,7 @@
     private final ServiceTimes times;
     private final Dispatcher dispatcher;
     private final CrashHistory crashes;
+    private final StoppedAttempts stopped = new StoppedAttempts();
     private final PeerReports peers;
     private final ModelLoads loads;
     private final HttpClients clients;
@@ -173,8 +176,33 @@
         return clients.send(target.receiver().endpoint(), request, fresh, listener);
     }
 
+    /** Notes an attempt that ends without an answer or a failure. */
+    void attemptStopped(CallFingerprint request, TargetKey target, long sentAtMillis) {
+        stopped.add(new StoppedAttempts.Stopped(request, target, sentAtMillis, clocks.steadyMillis()));
+    }
+
+    /** Counts the end of a target against the requests whose attempts at it were stopped shortly before. */
+    void targetEnded(TargetKey key) {
+        long now = clocks.steadyMillis();
+        for (StoppedAttempts.Stopped attempt : stopped.take(key, now)) {
+            crashes.recordCrash(attempt.request(), key, attempt.sentAtMillis(), now);
+            log.write(
+                    EventLog.Part.CALL,
+                    "crash-counted-later",
+                    "target",
+                    key,
+                    "request",
+                    attempt.request(),
+                    "crashes",
+                    crashes.crashes(attempt.request(), now),
+                    "stopped_ms_ago",
+                    now - attempt.stoppedAtMillis());
+        }
+    }
+
     void unreachable(Target target) {
         table.unreachable(target.key(), clocks.steadyMillis());
+        targetEnded(target.key());
         log.write(
                 EventLog.Part.GROUP,
                 "unreachable",
@@ -206,6 +234,7 @@
 
     /** Moves the calls at a target that has stopped. */
     void onStalled(TargetKey key) {
+        targetEnded(key);
         for (ForwardedCall call : List.copyOf(open)) {
             call.onStalled(key);
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -328,7 +328,10 @@
         fleet.update(registry.entries(), gate.table().get().config());
         Set<TargetKey> now = fleet.serving();
         Sets.difference(now, before).forEach(key -> logTarget("serving", key, now.size()));
-        Sets.difference(before, now).forEach(key -> logTarget("not-serving", key, now.size()));
+        Sets.difference(before, now).forEach(key -> {
+            logTarget("not-serving", key, now.size());
+            environment.targetEnded(key);
+        });
         table.retain(fleet::exists);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -106,12 +106,13 @@
         finish();
     }
 
-    /** Moves the call away from a target that has stopped, if it may run again. */
+    /** Moves the call away from a target that has stopped, if it may run again. One that may not waits on. */
     void onStalled(TargetKey key) {
         if (ended || attempt == null || !attempt.target.key().equals(key)) {
             return;
         }
         if (!route.idempotent()) {
+            attempt.countCrash();
             return;
         }
         log.moved(key, lastEventId);
@@ -258,7 +259,7 @@
             expiry.cancel(false);
         }
         if (attempt != null) {
-            attempt.stop();
+            attempt.stopUnanswered();
             attempt = null;
         }
         environment.closed(this);
@@ -293,6 +294,18 @@
             }
         }
 
+        void stopUnanswered() {
+            if (!over) {
+                environment.attemptStopped(fingerprint, target.key(), sentAtMillis);
+                stop();
+            }
+        }
+
+        void countCrash() {
+            environment.crashes().recordCrash(fingerprint, target.key(), sentAtMillis, now());
+            log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
+        }
+
         /** Takes the attempt back; nothing that the upstream still sends counts. */
         void stop() {
             if (over) {
@@ -429,8 +442,8 @@
             log.attemptLost(target, sent, begun, reason);
             if (sent) {
                 ranAttempts++;
-                environment.crashes().recordCrash(fingerprint, target.key(), sentAtMillis, now());
-                log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
+                countCrash();
+                environment.targetEnded(target.key());
             } else {
                 unrunAttempts++;
                 environment.unreachable(target);
