Heed what upstreams say of themselves in their answers

Callers would see calls that are cut off or turned away at an upstream that had already said that it leaves, or that it wants no calls for a time; neither a leaving header nor Retry-After of an upstream was read anywhere.

Change: an answer of any status and kind, also one that does not count, can say that its upstream leaves. That holds for the life of the upstream, against the registry too, until a later life is listed (LeavingUpstreams). The registry's entries are corrected by it, so that dispatch, waiting, repeats and the planner of the lease holder decide from one place; the other daemons are told for ten seconds in each report. A 503 with Retry-After makes the upstream count as without places for this daemon until then (BusyUpstreams); afterwards its places are used again over one second. If all upstreams of a call are busy, the caller is told at once when the first takes calls again, spread over once to twice that time. Seconds, fractions and dates are read; times are bounded to five minutes; nonsense is logged and ignored. What one daemon was told is not passed on.

Not done: statements in answers to orders, whose sender is the lease holder alone; a group's upstream counts as busy as a whole.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import io.sesamehead.state.FailureDomain;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 /**
@@ -32,6 +33,7 @@
 
     private final FailureDomain here;
     private final TargetTable table;
+    private final BusyUpstreams busy;
     private final ServiceTimes times;
     private final RandomGenerator random;
 
@@ -40,12 +42,15 @@
      *
      * @param here this daemon's failure domain
      * @param table load of the targets
+     * @param busy upstreams that want nothing for a time
      * @param times how long calls take
      * @param random source of chance
      */
-    public Dispatcher(FailureDomain here, TargetTable table, ServiceTimes times, RandomGenerator random) {
+    public Dispatcher(
+            FailureDomain here, TargetTable table, BusyUpstreams busy, ServiceTimes times, RandomGenerator random) {
         this.here = here;
         this.table = table;
+        this.busy = busy;
         this.times = times;
         this.random = random;
     }
@@ -61,13 +66,19 @@
     public DispatchDecision decide(CallShape call, List<Target> targets, long nowMillis) {
         Optional<Target> best = leastLoaded(targets, nowMillis);
         if (best.isEmpty()) {
+            OptionalLong back = earliestReturn(targets, nowMillis);
+            if (back.isPresent()) {
+                return new DispatchDecision.Refuse(
+                        DispatchDecision.Reason.NO_PLACE, returnMillis(back.getAsLong(), call));
+            }
             return new DispatchDecision.Refuse(
                     DispatchDecision.Reason.NO_TARGET, returnMillis(REPAIR_RETURN_MILLIS, call));
         }
         Target target = best.get();
         int load = table.inFlight(target.key());
         long expected = times.firstEventMillis(target, load, call.promptTokens());
-        if (load < target.slots() || worthQueueing(call, target, load, expected)) {
+        int places = places(target, nowMillis);
+        if (load < places || (places == target.slots() && worthQueueing(call, target, load, expected))) {
             return new DispatchDecision.Send(target, expected);
         }
         return new DispatchDecision.Refuse(
@@ -91,13 +102,37 @@
      * @return the target, or empty if none is usable
      */
     public Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
-        List<Target> usable = targets.stream()
+        List<Target> usable =
+                targets.stream().filter(target -> usable(target, nowMillis)).toList();
+        Optional<Target> sampled = table.knowsSums() ? least(sample(usable), nowMillis) : Optional.empty();
+        boolean hasPlace =
+                sampled.isPresent() && table.inFlight(sampled.get().key()) < places(sampled.get(), nowMillis);
+        return hasPlace ? sampled : least(usable, nowMillis);
+    }
+
+    /**
+     * Tells whether a call may go to a target now.
+     *
+     * @param target the target
+     * @param nowMillis present steady time
+     * @return false while it is suspected, cannot be reached, or has asked this daemon to stay away
+     */
+    public boolean usable(Target target, long nowMillis) {
+        return table.usable(target.key(), nowMillis)
+                && !busy.busy(target.receiver().id(), nowMillis);
+    }
+
+    private int places(Target target, long nowMillis) {
+        return busy.places(target.receiver().id(), target.slots(), nowMillis);
+    }
+
+    /** Returns the time until the first of the busy targets takes calls again, empty if none is busy. */
+    private OptionalLong earliestReturn(List<Target> targets, long nowMillis) {
+        return targets.stream()
                 .filter(target -> table.usable(target.key(), nowMillis))
-                .toList();
-        Optional<Target> sampled = table.knowsSums() ? least(sample(usable)) : Optional.empty();
-        boolean hasPlace = sampled.isPresent()
-                && table.inFlight(sampled.get().key()) < sampled.get().slots();
-        return hasPlace ? sampled : least(usable);
+                .mapToLong(target -> busy.remainingMillis(target.receiver().id(), nowMillis))
+                .filter(remaining -> remaining > 0)
+                .min();
     }
 
     /**
@@ -115,11 +150,11 @@
                 .toList();
     }
 
-    private Optional<Target> least(List<Target> targets) {
+    private Optional<Target> least(List<Target> targets, long nowMillis) {
         Target best = null;
         double bestScore = Double.MAX_VALUE;
         for (Target target : targets) {
-            double score = score(target);
+            double score = score(target, nowMillis);
             if (score < bestScore) {
                 best = target;
                 bestScore = score;
@@ -128,12 +163,12 @@
         return Optional.ofNullable(best);
     }
 
-    private double score(Target target) {
+    private double score(Target target, long nowMillis) {
         double calls = table.inFlight(target.key()) + random.nextDouble(CHANCE_CALLS);
         if (!target.receiver().failureDomain().equals(here)) {
             calls += DISTANCE_CALLS;
         }
-        return calls / target.slots();
+        return calls / places(target, nowMillis);
     }
 
     private long returnMillis(long waitMillis, CallShape call) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -60,6 +60,27 @@
         return (!leaving && other.leaving) || earlierState(other);
     }
 
+    /**
+     * Returns the entry of an upstream that has announced its end.
+     *
+     * @return the same, leaving
+     */
+    public UpstreamEntry asLeaving() {
+        return new UpstreamEntry(
+                id,
+                startedAtEpochMillis,
+                ordersBegun,
+                service,
+                endpoint,
+                failureDomain,
+                slots,
+                true,
+                fabricDomain,
+                staged,
+                loaded,
+                membership);
+    }
+
     /** Without an order, the state in a group only advances. */
     private boolean earlierState(UpstreamEntry other) {
         boolean sameGroup = membership.isPresent()
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -29,7 +29,9 @@
 
     private final TargetTable table = new TargetTable();
     private final ServiceTimes times = new ServiceTimes();
-    private final Dispatcher dispatcher = new Dispatcher(new FailureDomain("a"), table, times, new SplittableRandom(7));
+    private final BusyUpstreams busy = new BusyUpstreams();
+    private final Dispatcher dispatcher =
+            new Dispatcher(new FailureDomain("a"), table, busy, times, new SplittableRandom(7));
 
     private static Target target(int number, String failureDomain) {
         ReplicaKey key = ReplicaKey.of("big", number);
@@ -84,7 +86,7 @@
 
         Map<TargetKey, Integer> calls = new HashMap<>();
         for (int daemon = 0; daemon < 100; daemon++) {
-            Dispatcher other = new Dispatcher(new FailureDomain("a"), table, times, new SplittableRandom(daemon));
+            Dispatcher other = new Dispatcher(new FailureDomain("a"), table, busy, times, new SplittableRandom(daemon));
             DispatchDecision.Send send = (DispatchDecision.Send) other.decide(FRESH, targets, NOW);
             calls.merge(send.target().key(), 1, Integer::sum);
         }
@@ -132,4 +134,52 @@
 
         assertThat(dispatcher.decide(returned, List.of(only), NOW)).isInstanceOf(DispatchDecision.Send.class);
     }
+
+    /** An upstream that asks this daemon to stay away got its next calls at once. */
+    @Test
+    void busyUpstreamGetsNothingUntilItsTimeAndThenAGrowingShare() {
+        Target asked = target(1, "a");
+        Target other = target(2, "a");
+        busy.recordBusy(asked.receiver().id(), 2_000, NOW);
+        for (int call = 0; call < 50; call++) {
+            assertThat(chosen(FRESH, asked, other)).isEqualTo(other.key());
+        }
+
+        int sent = 0;
+        while (dispatcher.decide(FRESH, List.of(asked), NOW + 2_200) instanceof DispatchDecision.Send) {
+            table.sent(asked.key(), NOW + 2_200);
+            sent++;
+        }
+        assertThat(sent).isBetween(1, SLOTS / 4);
+        assertThat(busy.places(asked.receiver().id(), SLOTS, NOW + 3_000)).isEqualTo(SLOTS);
+    }
+
+    @Test
+    void callersAreToldWhenTheFirstBusyUpstreamTakesCallsAgainAndReturnSpread() {
+        Target early = target(1, "a");
+        Target late = target(2, "a");
+        busy.recordBusy(early.receiver().id(), 1_000, NOW);
+        busy.recordBusy(late.receiver().id(), 5_000, NOW);
+        List<Long> returns = new ArrayList<>();
+        for (int caller = 0; caller < 100; caller++) {
+            DispatchDecision.Refuse refuse =
+                    (DispatchDecision.Refuse) dispatcher.decide(FRESH, List.of(early, late), NOW);
+            assertThat(refuse.reason()).isEqualTo(DispatchDecision.Reason.NO_PLACE);
+            returns.add(refuse.retryAfterMillis());
+        }
+
+        assertThat(returns).allMatch(millis -> millis >= 1_000 && millis <= 2_000);
+        assertThat(returns.stream().distinct().count()).isGreaterThan(50);
+    }
+
+    @Test
+    void shorterOrAbsurdTimesNeitherEndNorStretchAPause() {
+        InstanceId id = target(1, "a").receiver().id();
+        busy.recordBusy(id, 2_000, NOW);
+        busy.recordBusy(id, -5, NOW);
+        assertThat(busy.remainingMillis(id, NOW)).isEqualTo(2_000);
+
+        busy.recordBusy(id, Long.MAX_VALUE, NOW);
+        assertThat(busy.remainingMillis(id, NOW)).isEqualTo(BusyUpstreams.MAX_MILLIS);
+    }
 }
--- a/entry/src/main/java/io/sesamehead/entry/port/AnswerFacts.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/AnswerFacts.java
@@ -6,5 +6,6 @@
  * @param requestId the try it answers, empty if not stated
  * @param sealed whether the answer carries the mark of a complete run
  * @param notRun whether the upstream states that it did not run the call
+ * @param leaving whether the upstream states that it is about to end
  */
-public record AnswerFacts(String requestId, boolean sealed, boolean notRun) {}
+public record AnswerFacts(String requestId, boolean sealed, boolean notRun, boolean leaving) {}
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -7,12 +7,15 @@
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.lease.Lease;
+import io.sesamehead.coordination.replica.LeavingUpstreams;
 import io.sesamehead.entry.protocol.generated.CrashedRequest;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
+import io.sesamehead.entry.protocol.generated.LeavingUpstream;
 import io.sesamehead.entry.protocol.generated.ModelLoad;
 import io.sesamehead.entry.protocol.generated.TargetLoad;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.InstanceId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -141,6 +144,33 @@
         return crashed.build();
     }
 
+    /**
+     * Reads which upstreams a report says to leave.
+     *
+     * @param report the report
+     * @return lives of upstreams
+     */
+    public static List<LeavingUpstreams.Life> leaving(DaemonReport report) {
+        return report.getLeavingList().stream()
+                .filter(upstream -> !upstream.getName().isBlank())
+                .map(upstream ->
+                        new LeavingUpstreams.Life(new InstanceId(upstream.getName()), upstream.getStartedAtMillis()))
+                .toList();
+    }
+
+    /**
+     * Writes that an upstream leaves.
+     *
+     * @param life the upstream in its present life
+     * @return the message
+     */
+    public static LeavingUpstream leaving(LeavingUpstreams.Life life) {
+        return LeavingUpstream.newBuilder()
+                .setName(life.upstream().value())
+                .setStartedAtMillis(life.startedAtEpochMillis())
+                .build();
+    }
+
     /**
      * Writes a load.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/AnswerReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/AnswerReader.java
@@ -38,7 +38,9 @@
 
     @Override
     public boolean accepts(HttpResponse answer) {
-        String answered = translator.readAnswer(answer).requestId();
+        AnswerFacts stated = translator.readAnswer(answer);
+        sink.stated(answer, stated);
+        String answered = stated.requestId();
         return answered.isEmpty() || answered.equals(requestId);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sesamehead.coordination.catalog.CatalogGate;
 import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
@@ -15,17 +16,21 @@
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.CallFacts;
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.transport.ExchangeListener;
 import io.sesamehead.entry.transport.HttpClients;
+import io.sesamehead.entry.transport.RetryAfterHeader;
+import io.sesamehead.state.InstanceId;
 import io.sesamehead.state.ServiceName;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** What all calls of a daemon share. Belongs to the event loop. */
@@ -43,9 +48,11 @@
     private final Fleet fleet;
     private final TargetTable table;
     private final ServiceTimes times;
+    private final BusyUpstreams busy;
     private final Dispatcher dispatcher;
     private final CrashHistory crashes;
     private final StoppedAttempts stopped = new StoppedAttempts();
+    private final LeavingNotices leaving;
     private final PeerReports peers;
     private final ModelLoads loads;
     private final HttpClients clients;
@@ -65,8 +72,10 @@
             Fleet fleet,
             TargetTable table,
             ServiceTimes times,
+            BusyUpstreams busy,
             Dispatcher dispatcher,
             CrashHistory crashes,
+            LeavingNotices leaving,
             PeerReports peers,
             ModelLoads loads,
             HttpClients clients,
@@ -81,8 +90,10 @@
         this.fleet = fleet;
         this.table = table;
         this.times = times;
+        this.busy = busy;
         this.dispatcher = dispatcher;
         this.crashes = crashes;
+        this.leaving = leaving;
         this.peers = peers;
         this.loads = loads;
         this.clients = clients;
@@ -176,6 +187,27 @@
         return clients.send(target.receiver().endpoint(), request, fresh, listener);
     }
 
+    /** Notes an upstream's own word that it leaves. */
+    void upstreamLeaves(UpstreamEntry upstream) {
+        leaving.stated(upstream);
+    }
+
+    /** Notes that an upstream wants no request from this daemon for a time. That is about this daemon only. */
+    void upstreamBusy(InstanceId upstream, HttpHeaders headers) {
+        OptionalLong millis = RetryAfterHeader.millis(headers, BusyUpstreams.MAX_MILLIS);
+        millis.ifPresent(time -> busy.recordBusy(upstream, time, clocks.steadyMillis()));
+        metrics.count("upstreams_busy");
+        log.write(
+                EventLog.Part.GROUP,
+                millis.isPresent() ? "upstream-busy" : "unreadable-time",
+                "upstream",
+                upstream,
+                "for_ms",
+                millis.orElse(0),
+                "stated",
+                headers.get(HttpHeaderNames.RETRY_AFTER));
+    }
+
     /** Notes an attempt that ends without an answer or a failure. */
     void attemptStopped(CallFingerprint request, TargetKey target, long sentAtMillis) {
         stopped.add(new StoppedAttempts.Stopped(request, target, sentAtMillis, clocks.steadyMillis()));
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.sesamehead.coordination.catalog.CatalogGate;
 import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.ServiceTimes;
@@ -151,11 +152,25 @@
                 this::onFleetChange,
                 () -> lease.epoch().isPresent());
         StoreFeed feed = new StoreSharing(clocks, gate, registry, configWatch, registryWatch, log);
+        LeavingNotices leaving = new LeavingNotices(clocks, registry, log, this::onFleetChange);
         this.peers = new PeerReports(
-                loop, clocks, settings, incarnation, directory, relays, table, crashes, loads, lease, feed, log);
+                loop,
+                clocks,
+                settings,
+                incarnation,
+                directory,
+                relays,
+                table,
+                crashes,
+                leaving,
+                loads,
+                lease,
+                feed,
+                log);
         this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashes, log);
         ServiceTimes times = new ServiceTimes();
-        Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, times, random);
+        BusyUpstreams busy = new BusyUpstreams();
+        Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, busy, times, random);
         this.environment = new CallEnvironment(
                 settings,
                 loop,
@@ -166,8 +181,10 @@
                 fleet,
                 table,
                 times,
+                busy,
                 dispatcher,
                 crashes,
+                leaving,
                 peers,
                 loads,
                 clients,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -18,6 +18,7 @@
 import io.sesamehead.coordination.dispatch.DispatchDecision;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.entry.port.AnswerFacts;
 import io.sesamehead.entry.port.AttemptFacts;
 import io.sesamehead.entry.port.CallFacts;
 import io.sesamehead.entry.protocol.EventScanner;
@@ -203,7 +204,8 @@
             return false;
         }
         boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
-                .anyMatch(target -> !tried.contains(target.key()));
+                .anyMatch(target -> !tried.contains(target.key())
+                        && environment.dispatcher().usable(target, now()));
         if (!anyTarget || !environment.tryRepeat(service, now())) {
             return false;
         }
@@ -322,6 +324,17 @@
             environment.table().ended(target.key());
         }
 
+        @Override
+        public void stated(HttpResponse head, AnswerFacts facts) {
+            if (facts.leaving()) {
+                environment.upstreamLeaves(target.receiver());
+            }
+            if (head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                    && head.headers().contains(HttpHeaderNames.RETRY_AFTER)) {
+                environment.upstreamBusy(target.receiver().id(), head.headers());
+            }
+        }
+
         @Override
         public boolean streaming(HttpResponse head) {
             if (over) {
--- /dev/null
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeavingNotices.java
@@ -0,0 +1,42 @@
+package io.sesamehead.entry.runtime;
+
+import io.sesamehead.coordination.replica.LeavingUpstreams.Life;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import java.util.List;
+
+/** Takes what upstreams say of their end, from their answers and from other daemons, into the registry. */
+final class LeavingNotices {
+    private final Clocks clocks;
+    private final UpstreamRegistry registry;
+    private final EventLog log;
+    private final Runnable onChange;
+
+    LeavingNotices(Clocks clocks, UpstreamRegistry registry, EventLog log, Runnable onChange) {
+        this.clocks = clocks;
+        this.registry = registry;
+        this.log = log;
+        this.onChange = onChange;
+    }
+
+    /** Takes an upstream's own word. */
+    void stated(UpstreamEntry upstream) {
+        take(new Life(upstream.id(), upstream.startedAtEpochMillis()), "its answer");
+    }
+
+    /** Takes the word of another daemon. */
+    void heard(Life life, String daemon) {
+        take(life, daemon);
+    }
+
+    /** Returns what the next report tells. */
+    List<Life> told() {
+        return registry.leaving().told(clocks.steadyMillis());
+    }
+
+    private void take(Life life, String source) {
+        if (registry.recordLeaving(life, clocks.steadyMillis())) {
+            log.write(EventLog.Part.GROUP, "leaving", "upstream", life.upstream(), "from", source);
+            onChange.run();
+        }
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -20,7 +20,6 @@
 import io.sesamehead.coordination.membership.ReportRelays;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.protocol.ReportCodec;
-import io.sesamehead.entry.protocol.generated.CrashedRequest;
 import io.sesamehead.entry.protocol.generated.DaemonReport;
 import io.sesamehead.entry.protocol.generated.ReportKind;
 import io.sesamehead.state.DaemonId;
@@ -60,6 +59,7 @@
     private final ReportRelays relays;
     private final TargetTable table;
     private final CrashHistory crashes;
+    private final LeavingNotices leaving;
     private final ModelLoads loads;
     private final LeaseTask lease;
     private final StoreFeed store;
@@ -82,6 +82,7 @@
             ReportRelays relays,
             TargetTable table,
             CrashHistory crashes,
+            LeavingNotices leaving,
             ModelLoads loads,
             LeaseTask lease,
             StoreFeed store,
@@ -94,6 +95,7 @@
         this.relays = relays;
         this.table = table;
         this.crashes = crashes;
+        this.leaving = leaving;
         this.loads = loads;
         this.lease = lease;
         this.store = store;
@@ -159,7 +161,7 @@
         }
         if (relays.mesh()) {
             DaemonReport.Builder report = own();
-            crashes.report(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.crash(row)));
+            addNews(report);
             ReportCodec.models(loads.takeUnreported()).forEach(report::addModels);
             report.setStampMillis(clocks.bootMillis());
             if (lease.held().isPresent()) {
@@ -178,9 +180,8 @@
         Map<String, Integer> refused = loads.takeUnreported();
         List<DaemonId> upwards = relays.relays(now);
         noteRelay(upwards);
-        List<CrashedRequest> crashed =
-                crashes.report(now).stream().map(ReportCodec::crash).toList();
-        DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis()).addAllCrashed(crashed);
+        DaemonReport spread = addNews(DaemonReport.newBuilder()).buildPartial();
+        DaemonReport.Builder own = own().setStampMillis(clocks.bootMillis()).mergeFrom(spread);
         if (upwards.isEmpty()) {
             news.refused(refused, true);
         } else {
@@ -188,11 +189,18 @@
             write(own, directory.addresses(upwards));
         }
         if (relays.relaying(now)) {
-            sendSums(crashed, now);
+            sendSums(spread, now);
         }
         news.clear();
     }
 
+    /** Adds what every daemon needs to know and what is told again and again. */
+    private DaemonReport.Builder addNews(DaemonReport.Builder report) {
+        crashes.report(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.crash(row)));
+        leaving.told().forEach(life -> report.addLeaving(ReportCodec.leaving(life)));
+        return report;
+    }
+
     private void noteRelay(List<DaemonId> upwards) {
         String now = upwards.isEmpty() ? settings.daemon() : upwards.get(0).value();
         if (!now.equals(relay)) {
@@ -209,18 +217,18 @@
         }
     }
 
-    private void sendSums(List<CrashedRequest> crashed, long nowMillis) {
+    private void sendSums(DaemonReport spread, long nowMillis) {
         Set<DaemonId> leaves = relays.leaves(nowMillis);
         Set<String> names = leaves.stream().map(DaemonId::value).collect(Collectors.toSet());
         DaemonReport.Builder some = sums(ReportKind.RELAY_SUMS, table.sums(names::contains, nowMillis))
                 .setDaemons(1 + table.daemons(names::contains))
-                .addAllCrashed(crashed);
+                .mergeFrom(spread);
         ReportCodec.models(news.refused(false)).forEach(some::addModels);
         news.lease(false).ifPresent(heard -> ReportCodec.setHolder(some, heard));
         write(some, directory.addresses(relays.relaysToTell(nowMillis)));
         DaemonReport.Builder all = sums(ReportKind.ALL_SUMS, table.sums(sender -> !sender.equals(ALL), nowMillis))
                 .setDaemons(1 + table.daemons(sender -> !sender.equals(ALL)))
-                .addAllCrashed(crashed);
+                .mergeFrom(spread);
         ReportCodec.models(news.refused(true)).forEach(all::addModels);
         news.lease(true).ifPresent(heard -> ReportCodec.setHolder(all, heard));
         writeWithStore(all, leaves);
@@ -300,6 +308,7 @@
             return;
         }
         takeCrashes(report);
+        ReportCodec.leaving(report).forEach(life -> leaving.heard(life, report.getDaemon()));
         String sender = report.getDaemon() + "/" + report.getIncarnation();
         long last = sequences.getOrDefault(sender, 0L);
         if (report.getSequence() <= last) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import io.sesamehead.coordination.replica.FormerGroups;
+import io.sesamehead.coordination.replica.LeavingUpstreams;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.Changes;
 import io.sesamehead.entry.port.StoredObject;
@@ -26,6 +27,7 @@
     private static final long FORGET_INTERVAL_MILLIS = 10_000;
 
     private final FormerGroups formerGroups = new FormerGroups();
+    private final LeavingUpstreams leaving = new LeavingUpstreams();
     private final Map<InstanceId, UpstreamEntry> entries = new LinkedHashMap<>();
     private final Map<InstanceId, Long> lapsedUntil = new HashMap<>();
     private long answeredAt = Long.MIN_VALUE;
@@ -112,9 +114,23 @@
         return answeredAt;
     }
 
+    /** Records that an upstream has said itself that it leaves. Returns whether that was not known. */
+    boolean recordLeaving(LeavingUpstreams.Life life, long nowMillis) {
+        if (!leaving.record(life, nowMillis)) {
+            return false;
+        }
+        entries.computeIfPresent(life.upstream(), (id, entry) -> leaving.corrected(entry));
+        return true;
+    }
+
+    LeavingUpstreams leaving() {
+        return leaving;
+    }
+
     /** An earlier entry than the known one proves that the upstream lives, and nothing else. */
-    private void put(InstanceId id, UpstreamEntry entry, long nowMillis) {
+    private void put(InstanceId id, UpstreamEntry listed, long nowMillis) {
         lapsedUntil.remove(id);
+        UpstreamEntry entry = leaving.corrected(listed);
         UpstreamEntry known = entries.get(id);
         if (known != null && entry.precedes(known)) {
             return;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/AnswerReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/AnswerReaderTest.java
@@ -111,6 +111,13 @@
     private static final class Recorder implements AttemptSink {
         private final List<String> events = new ArrayList<>();
 
+        @Override
+        public void stated(HttpResponse head, AnswerFacts facts) {
+            if (facts.leaving()) {
+                events.add("leaving");
+            }
+        }
+
         @Override
         public boolean streaming(HttpResponse head) {
             events.add("streaming");
@@ -157,7 +164,11 @@
         @Override
         public AnswerFacts readAnswer(HttpResponse answer) {
             HttpHeaders headers = answer.headers();
-            return new AnswerFacts(headers.get("id", ""), headers.contains("seal"), headers.contains("not-run"));
+            return new AnswerFacts(
+                    headers.get("id", ""),
+                    headers.contains("seal"),
+                    headers.contains("not-run"),
+                    headers.contains("leaving"));
         }
 
         @Override
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReportsTest.java
@@ -12,6 +12,7 @@
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.membership.ReportRelays;
+import io.sesamehead.coordination.replica.LeavingUpstreams;
 import io.sesamehead.coordination.replica.ReplicaKey;
 import io.sesamehead.entry.port.Changes;
 import io.sesamehead.entry.port.DaemonEndpoint;
@@ -26,6 +27,7 @@
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.InstanceId;
 import java.net.DatagramSocket;
 import java.net.SocketException;
 import java.util.ArrayList;
@@ -58,7 +60,12 @@
     private final List<Daemon> daemons = new ArrayList<>();
 
     private record Daemon(
-            TargetTable table, ReportRelays relays, LeaseTask lease, RecordingFeed feed, PeerReports reports) {}
+            TargetTable table,
+            ReportRelays relays,
+            LeaseTask lease,
+            RecordingFeed feed,
+            UpstreamRegistry registry,
+            PeerReports reports) {}
 
     private void startAll(int count) throws Exception {
         List<Integer> ports = freePorts();
@@ -111,6 +118,7 @@
         LeaseHolder holder = new LeaseHolder(id, new Incarnation(number + 1), new LeaseSettings(1_500, 100, 300));
         LeaseTask lease = new LeaseTask(loop, clocks, store, holder, 1_500, log, new SplittableRandom(number));
         RecordingFeed feed = new RecordingFeed();
+        UpstreamRegistry registry = new UpstreamRegistry();
         PeerReports reports = new PeerReports(
                 loop,
                 clocks,
@@ -120,11 +128,12 @@
                 relays,
                 table,
                 new CrashHistory(),
+                new LeavingNotices(clocks, registry, log, () -> {}),
                 new ModelLoads(),
                 lease,
                 feed,
                 log);
-        return new Daemon(table, relays, lease, feed, reports);
+        return new Daemon(table, relays, lease, feed, registry, reports);
     }
 
     private <T> T onLoop(Callable<T> task) throws ExecutionException, InterruptedException {
@@ -206,6 +215,26 @@
         assertThat(known).isTrue();
     }
 
+    /** Guards against daemons that go on sending to an upstream because only one of them got its answer. */
+    @Test
+    void upstreamThatSaysItLeavesIsKnownToAll() throws Exception {
+        startAll(DAEMONS);
+        await(() -> allSee(DAEMONS));
+        LeavingUpstreams.Life life = new LeavingUpstreams.Life(new InstanceId("i-1"), 5);
+        onLoop(() -> daemons.get(0).registry().recordLeaving(life, clocks.steadyMillis()));
+        await(() -> daemons.stream()
+                .allMatch(daemon ->
+                        daemon.registry().leaving().told(clocks.steadyMillis()).contains(life)));
+
+        assertThat(onLoop(() -> daemons.stream()
+                        .filter(daemon -> !daemon.registry()
+                                .leaving()
+                                .told(clocks.steadyMillis())
+                                .contains(life))
+                        .count()))
+                .isZero();
+    }
+
     /** Guards against daemons that each ask the store for the lease while the holder lives. */
     @Test
     void relaysPassOnThatTheHolderLives() throws Exception {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sesamehead.coordination.replica.FormerGroups;
+import io.sesamehead.coordination.replica.LeavingUpstreams;
 import io.sesamehead.coordination.replica.MemberState;
 import io.sesamehead.coordination.replica.Membership;
 import io.sesamehead.coordination.replica.ReplicaKey;
@@ -142,4 +143,33 @@
 
         assertThat(registry.formerGroups().formerGroup(back)).contains(new FormerGroups.Former(group, 2_000, false));
     }
+
+    /** The store may list an upstream as ready for seconds after it has begun to leave. */
+    @Test
+    void upstreamsOwnWordThatItLeavesHoldsAgainstTheListUntilItsNextLife() {
+        registry.apply(change(entry("i-1", false)), 0);
+
+        assertThat(registry.recordLeaving(new LeavingUpstreams.Life(new InstanceId("i-1"), 1), 50))
+                .isTrue();
+        assertThat(registry.recordLeaving(new LeavingUpstreams.Life(new InstanceId("i-1"), 1), 60))
+                .isFalse();
+        assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
+        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), 100);
+        assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
+        registry.replaceAll(List.of(stored("i-1")), 200);
+        assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
+
+        registry.apply(change(entry("i-1", 2, 0, false, Optional.empty())), 300);
+        assertThat(registry.entries()).noneMatch(UpstreamEntry::leaving);
+    }
+
+    @Test
+    void otherDaemonsAreToldOfALeavingUpstreamForSomeTime() {
+        LeavingUpstreams.Life life = new LeavingUpstreams.Life(new InstanceId("i-1"), 1);
+        registry.recordLeaving(life, 0);
+
+        assertThat(registry.leaving().told(9_000)).containsExactly(life);
+        assertThat(registry.leaving().told(11_000)).isEmpty();
+        assertThat(registry.leaving().corrected(entry("i-1", false)).leaving()).isTrue();
+    }
 }
