Take only whole events for a sign of life

Callers saw streams that stood still until their time was up: an upstream in trouble may send single bytes of an event that never ends, and each byte counted as progress of its group.

Change: the silence of a target is measured from its last whole event.

Evidence: EntryProcessTest#streamGoesOnElsewhereWhenItsHeadOnlyTrickles- Bytes, broken off at 8 s before, whole after; the other tests of the class pass. A single stream that trickles in a group whose other streams flow is still only ended by its time.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -354,13 +354,14 @@
             if (over) {
                 return;
             }
-            environment.table().progressed(target.key(), now());
             if (!events.feed(bytes, this::forward)) {
                 failed(true, "event too large");
             }
         }
 
+        /** Only a whole event is a sign of life: a target in trouble may send single bytes for ever. */
         private void forward(EventScanner.Event event) {
+            environment.table().progressed(target.key(), now());
             noteFirstEvent();
             OptionalLong number = event.number();
             boolean repeated = number.isPresent()
