--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -15,12 +15,19 @@
 
 /** One connection to a peer that serves one request at a time. Belongs to the event loop. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+    /** Answers to other requests that are skipped before the own one: an upstream sends a late copy now and then. */
+    private static final int MAX_SKIPPED_ANSWERS = 16;
+    /** Bytes of such answers, far above one late copy. */
+    private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
     private final Consumer<ClientConnection> onIdle;
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
     private ExchangeListener listener;
     private boolean accepted;
     private boolean skipping;
+    private int skippedAnswers;
+    private long skippedBytes;
     private boolean keepAlive;
     private boolean failed;
     private long keepAliveMillis;
@@ -57,6 +64,8 @@
         listener = exchange;
         accepted = false;
         skipping = false;
+        skippedAnswers = 0;
+        skippedBytes = 0;
         keepAlive = HttpUtil.isKeepAlive(request);
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
@@ -102,6 +111,8 @@
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skipping = interim || !listener.accepts(head);
         if (skipping) {
+            skippedAnswers++;
+            failIfSkippedTooMuch();
             return;
         }
         accepted = true;
@@ -114,6 +125,8 @@
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
             skipping = !last;
+            skippedBytes += content.content().readableBytes();
+            failIfSkippedTooMuch();
             return;
         }
         if (!accepted || listener == null) {
@@ -128,6 +141,12 @@
         }
     }
 
+    private void failIfSkippedTooMuch() {
+        if (skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > MAX_SKIPPED_BYTES) {
+            fail("answers to other requests without end");
+        }
+    }
+
     private void finish() {
         ExchangeListener done = listener;
         listener = null;
