Keep the retry budget across restarts and cuts of daemons

Cause: each daemon's part of the fixed allowance is counted in the memory of one process. A daemon that starts again has its whole part once more within the same window, and so have all after a loss of all. A daemon that starts or is cut off hears few others and takes itself for one of few: with 95 daemons its part is up to eight times its own.

Change: after a restart the fixed part counts from one window after the start; until then the daemon repeats within the share that its own calls earn. The first start of a deployment is excepted. The part is divided by the daemons that the store lists, where these are more than those heard.

Evidence: RetryAllowanceTest#daemonsThatStartAgain..., twelve daemons that use up all they have and start again in the middle of the window: over the budget without the change, within it with it.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/RetryAllowance.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/RetryAllowance.java
@@ -13,6 +13,7 @@
     private final double ratio;
     private final double slack;
     private final long bucketMillis;
+    private final long fixedPartFromMillis;
     private final long[] calls = new long[BUCKETS + 1];
     private final long[] repeats = new long[BUCKETS + 1];
     private long current;
@@ -23,10 +24,13 @@
      * @param ratio repeats allowed for each call
      * @param slack repeats allowed to all daemons in each window beside those
      * @param windowMillis length of the window, in milliseconds
+     * @param fixedPartFromMillis steady time from which the daemon uses its part of the fixed allowance: a window after a
+     *     restart, since the process before may have used that part up
      */
-    public RetryAllowance(double ratio, double slack, long windowMillis) {
+    public RetryAllowance(double ratio, double slack, long windowMillis, long fixedPartFromMillis) {
         this.ratio = ratio;
         this.slack = slack;
+        this.fixedPartFromMillis = fixedPartFromMillis;
         this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
     }
 
@@ -64,7 +68,8 @@
      */
     public double left(long nowMillis, int daemons) {
         advance(nowMillis);
-        double limit = MARGIN * (ratio * sum(calls) + slack / Math.max(1, daemons));
+        double fixed = nowMillis < fixedPartFromMillis ? 0 : slack / Math.max(1, daemons);
+        double limit = MARGIN * (ratio * sum(calls) + fixed);
         return limit - sum(repeats);
     }
 
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/RetryAllowanceTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/RetryAllowanceTest.java
@@ -16,7 +16,7 @@
         int calls = 0;
         int repeats = 0;
         for (int daemon = 0; daemon < DAEMONS; daemon++) {
-            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS);
+            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS, 0);
             for (long now = 0; now < WINDOW_MILLIS; now += 100) {
                 allowance.recordCall(now);
                 calls++;
@@ -30,9 +30,32 @@
         assertThat((double) repeats).isLessThanOrEqualTo(RATIO * calls + SLACK);
     }
 
+    /** Each process started with its whole part, also when the one before had just used it up. */
+    @Test
+    void daemonsThatStartAgainStayWithinTheBudgetOfTheWindow() {
+        long restart = WINDOW_MILLIS / 2;
+        int calls = 0;
+        int repeats = 0;
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS, 0);
+            for (long now = 0; now < WINDOW_MILLIS; now += 100) {
+                if (now == restart) {
+                    allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS, restart + WINDOW_MILLIS);
+                }
+                allowance.recordCall(now);
+                calls++;
+                while (allowance.tryRepeat(now, DAEMONS)) {
+                    repeats++;
+                }
+            }
+        }
+
+        assertThat((double) repeats).isLessThanOrEqualTo(RATIO * calls + SLACK);
+    }
+
     @Test
     void spentBudgetReturnsAfterTheWindow() {
-        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS);
+        RetryAllowance allowance = new RetryAllowance(RATIO, SLACK, WINDOW_MILLIS, 0);
         while (allowance.tryRepeat(0, DAEMONS)) {
             assertThat(allowance.left(0, DAEMONS)).isLessThan(SLACK);
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -42,6 +42,7 @@
     private final EntrySettings settings;
     private final EventLoop loop;
     private final Clocks clocks;
+    private final long startedAtMillis;
     private final CallTranslator translator;
     private final CatalogGate gate;
     private final UpstreamRegistry registry;
@@ -84,6 +85,7 @@
         this.settings = settings;
         this.loop = loop;
         this.clocks = clocks;
+        this.startedAtMillis = clocks.steadyMillis();
         this.translator = translator;
         this.gate = gate;
         this.registry = registry;
@@ -160,11 +162,17 @@
     RetryAllowance retries(ServiceName service) {
         return retries.computeIfAbsent(
                 service,
-                name -> new RetryAllowance(settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()));
+                name -> new RetryAllowance(
+                        settings.retryRatio(),
+                        settings.retrySlack(),
+                        settings.retryWindowMillis(),
+                        settings.firstStart() ? startedAtMillis : startedAtMillis + settings.retryWindowMillis()));
     }
 
     boolean tryRepeat(ServiceName service, long nowMillis) {
-        int daemons = Math.max(MIN_DAEMONS, table.peerCount() + 1);
+        // Daemons that cannot be heard still use their part.
+        int others = Math.max(table.peerCount(), peers.listedDaemons());
+        int daemons = Math.max(MIN_DAEMONS, others + 1);
         boolean allowed = retries(service).tryRepeat(nowMillis, daemons);
         if (!allowed) {
             metrics.count("repeats_denied");
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReports.java
@@ -132,6 +132,11 @@
         return trafficSeen;
     }
 
+    /** Returns how many other daemons the store lists. */
+    int listedDaemons() {
+        return directory.daemons().size();
+    }
+
     /** Returns how many daemons report to this one as their relay. */
     int relayedDaemons() {
         return relays.leaves(clocks.steadyMillis()).size();
