--- a/cli/src/main/java/io/sesamehead/cli/explain/Explanation.java
+++ b/cli/src/main/java/io/sesamehead/cli/explain/Explanation.java
@@ -9,15 +9,20 @@
 
 /**
  * One request's story. Lines of one daemon keep the order in which it wrote them; lines of different daemons are not
- * ordered by time, since their clocks are not the same, but stand with the target that they speak of.
+ * ordered by time, since their clocks are not the same, but stand with the subject that they speak of.
  *
  * @param cause why the request ended as it did
  * @param story the request's own lines
- * @param context lines of any daemon on the targets that the request was sent to, by target
+ * @param context lines of any daemon on the targets and upstreams that the request was sent to, and on the crashes of the
+ *     request over all its tries, by subject
  */
 public record Explanation(String cause, List<LogLine> story, Map<String, List<LogLine>> context) {
     private static final String UNKNOWN = "the logs hold no end of this request";
-    /** Lines on one target that are shown at most, the last ones. */
+    private static final String TARGET = "target";
+    private static final String REQUEST = "request";
+    /** Fields that name what a request met: its targets, their upstreams, and itself over all its tries. */
+    private static final List<String> SUBJECTS = List.of(TARGET, "upstream", REQUEST);
+    /** Lines on one subject that are shown at most, the last ones. */
     private static final int MAX_CONTEXT = 8;
 
     /** Copies the lists. */
@@ -35,22 +40,28 @@
     public static Explanation of(String id, List<LogLine> lines) {
         List<LogLine> story =
                 lines.stream().filter(line -> line.field("id").equals(id)).toList();
-        Set<String> targets = new LinkedHashSet<>();
-        story.forEach(line -> targets.add(line.field("target")));
-        targets.remove("");
         Map<String, List<LogLine>> context = new LinkedHashMap<>();
-        for (String target : targets) {
-            context.put(target, about(target, lines));
+        for (String field : SUBJECTS) {
+            Set<String> names = new LinkedHashSet<>();
+            story.forEach(line -> names.add(line.field(field)));
+            names.remove("");
+            for (String name : names) {
+                List<LogLine> found = about(field, name, lines);
+                if (!found.isEmpty() || field.equals(TARGET)) {
+                    context.put(name, found);
+                }
+            }
         }
         return new Explanation(cause(story), story, context);
     }
 
-    private static List<LogLine> about(String target, List<LogLine> lines) {
+    /** Lines of other requests are left out, but for those on the crashes of the same request. */
+    private static List<LogLine> about(String field, String name, List<LogLine> lines) {
         List<LogLine> found = new ArrayList<>();
         for (LogLine line : lines) {
-            boolean named =
-                    line.field("target").equals(target) || line.field("order").contains("replica=" + target);
-            if (named && !line.part().equals("call")) {
+            boolean ordered = field.equals(TARGET) && line.field("order").contains("replica=" + name);
+            boolean named = line.field(field).equals(name) || ordered;
+            if (named && (field.equals(REQUEST) || !line.part().equals("call"))) {
                 found.add(line);
             }
         }
--- a/cli/src/test/java/io/sesamehead/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/io/sesamehead/cli/ExplainCommandTest.java
@@ -17,10 +17,15 @@
             call: event=attempt-lost at=701 id=aa target=m0-7/7 sent=true begun=false reason="target is silent"
             call: event=failed at=702 id=aa end=may-have-run reason="candidates 0" took_ms=602 ran=1
             not a line of a daemon
+            call: event=crashed-before at=790 id=dd request=00ff crashes=3
+            call: event=refused at=791 id=dd reason=crashed-before config=7 config_age_ms=10
             call: event=refused at=800 id=cc reason=no-configuration config=7 config_age_ms=5200
             """;
     private static final String COLLECTED = """
               12.4 front-b-2 order: event=sent at=9000 fence=2 order="Leave[target=i-1, replica=m0-7/7]"
+              12.4 front-b-2 call: event=crash-counted at=9001 id=ee target=m0-9/9 request=00ff crashes=1
+              12.4 front-b-2 peer: event=crash-heard at=9002 request=00ff crashes=2 from=front-c-1
+              12.5 front-b-2 group: event=leaving at=9003 upstream=i-1 from="its answer"
               12.5 front-b-2 group: event=silent at=9010 target=m0-8/8 everywhere=false own_calls=2
             """;
 
@@ -50,6 +55,15 @@
         assertThat(run.out()).contains("front-b-2").contains("Leave").doesNotContain("m0-8");
     }
 
+    /** Which crashes stopped a request could not be told from the logs. */
+    @Test
+    void refusalForCrashesNamesTheCrashesOfAllTries() throws IOException {
+        String out = explain("dd").out();
+
+        assertThat(out).contains("broke its upstreams", "crash-counted", "crash-heard", "from=front-c-1");
+        assertThat(explain("aa").out()).contains("group: leaving").doesNotContain("crash-heard");
+    }
+
     @Test
     void refusalNamesItsInputs() throws IOException {
         assertThat(explain("cc").out()).contains("configuration 7, 5200 ms old");
