Repeat a failed read of the refused requests

A daemon that starts while the store refuses its calls read the refused requests again only 2.5 s after the start and then five minutes later. CrashRecorderTest#failedReadAtTheStartIsRepeated fails without the change.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/BusyUpstreams.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/BusyUpstreams.java
@@ -13,8 +13,8 @@
     public static final long MAX_MILLIS = 300_000;
     /** Time over which an upstream's places are used again, in milliseconds: a usual stream ends within it. */
     private static final long RETURN_MILLIS = 1_000;
-    /** Upstreams remembered at most; the design size is 1,000 engines. */
-    private static final int CAPACITY = 4_096;
+    /** Upstreams from which on those whose time has passed are forgotten; the design size is 1,000 engines. */
+    private static final int MANY = 4_096;
 
     private final Map<InstanceId, Long> until = new HashMap<>();
 
@@ -26,7 +26,7 @@
      * @param nowMillis present steady time
      */
     public void recordBusy(InstanceId upstream, long millis, long nowMillis) {
-        if (until.size() >= CAPACITY) {
+        if (until.size() >= MANY) {
             until.values().removeIf(end -> nowMillis - end > RETURN_MILLIS);
         }
         until.merge(upstream, nowMillis + Math.clamp(millis, 0, MAX_MILLIS), Math::max);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -70,7 +70,12 @@
     }
 
     private void read() {
-        store.list(ObjectKind.CRASHES, true, this::take);
+        store.list(ObjectKind.CRASHES, true, answer -> {
+            take(answer);
+            if (!(answer instanceof StoreAnswer.Done<Listing<CrashRecord>>)) {
+                loop.schedule(this::read, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        });
     }
 
     private OptionalLong take(StoreAnswer<Listing<CrashRecord>> answer) {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
@@ -96,6 +96,21 @@
         assertThat(startedNow().refused(FIRST, clocks.now)).isFalse();
     }
 
+    /** A daemon that starts while the store refuses calls knew nothing until the next read, minutes later. */
+    @Test
+    void failedReadAtTheStartIsRepeated() throws Exception {
+        CrashHistory one = new CrashHistory();
+        crash(one, FIRST);
+        recorder(one).check();
+        store.refusedLists = 1;
+        CrashHistory later = startedNow();
+        assertThat(later.refused(FIRST, clocks.now)).isFalse();
+
+        Thread.sleep(1_300);
+
+        assertThat(loop.submit(() -> later.refused(FIRST, clocks.now)).get()).isTrue();
+    }
+
     @Test
     void crashesOfInnocentRequestsCostNoCall() {
         CrashHistory one = new CrashHistory();
@@ -112,12 +127,18 @@
         private final List<StoreAnswer<StoredObject<CrashRecord>>> failures = new ArrayList<>();
         private Optional<StoredObject<CrashRecord>> object = Optional.empty();
         private int lists;
+        private int refusedLists;
         private int writes;
 
         @Override
         @SuppressWarnings("unchecked")
         public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreAnswer<Listing<T>>> done) {
             lists++;
+            if (refusedLists > 0) {
+                refusedLists--;
+                done.accept(new StoreAnswer.Refused<>("status 503"));
+                return;
+            }
             List<StoredObject<T>> objects =
                     object.map(found -> List.of((StoredObject<T>) found)).orElse(List.of());
             done.accept(new StoreAnswer.Done<>(new Listing<>(objects, 1)));
