Leave a daemon that starts again a few repeats

Callers saw (a test of ours, UpstreamStatementsTest, once the retry budget had changed): a call that its upstream had refused without running it was turned away by a daemon in its first ten seconds, although another upstream was free, since a restarted daemon had no fixed part of the budget at all.

Change: for one window after a restart a daemon uses the fifth of the fixed part that the margin keeps unused otherwise. A loss of all daemons in the middle of a window still keeps all within the budget (RetryAllowanceTest).

With it, found on reading: an upstream that says it leaves was forgotten after two minutes although still listed, so that an entry with more orders listed it as ready again; and a call that waits at a silent target logged its crash at each check.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/RetryAllowance.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/RetryAllowance.java
@@ -7,7 +7,10 @@
  */
 public final class RetryAllowance {
     private static final int BUCKETS = 10;
-    /** Part of the limit that is used: other daemons may count one more or one fewer daemon. */
+    /**
+     * Part of the limit that is used: other daemons may count one more or one fewer daemon, and all may start again once in
+     * a window.
+     */
     private static final double MARGIN = 0.8;
 
     private final double ratio;
@@ -24,8 +27,8 @@
      * @param ratio repeats allowed for each call
      * @param slack repeats allowed to all daemons in each window beside those
      * @param windowMillis length of the window, in milliseconds
-     * @param fixedPartFromMillis steady time from which the daemon uses its part of the fixed allowance: a window after a
-     *     restart, since the process before may have used that part up
+     * @param fixedPartFromMillis steady time from which the daemon uses its whole part of the fixed allowance: a window
+     *     after a restart, since the process before may have used that part up; until then it uses what the margin spares
      */
     public RetryAllowance(double ratio, double slack, long windowMillis, long fixedPartFromMillis) {
         this.ratio = ratio;
@@ -68,8 +71,8 @@
      */
     public double left(long nowMillis, int daemons) {
         advance(nowMillis);
-        double fixed = nowMillis < fixedPartFromMillis ? 0 : slack / Math.max(1, daemons);
-        double limit = MARGIN * (ratio * sum(calls) + fixed);
+        double fixedPart = nowMillis < fixedPartFromMillis ? 1 - MARGIN : MARGIN;
+        double limit = MARGIN * ratio * sum(calls) + fixedPart * slack / Math.max(1, daemons);
         return limit - sum(repeats);
     }
 
--- a/core/src/main/java/io/sesamehead/coordination/replica/LeavingUpstreams.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/LeavingUpstreams.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Upstreams that have said in an answer that they are about to end. Their own word holds for the whole life of the upstream,
@@ -12,8 +13,8 @@
 public final class LeavingUpstreams {
     /** Time for which other daemons are told, in milliseconds: many reports, so that a lost one does no harm. */
     private static final long TOLD_MILLIS = 10_000;
-    /** Time after which an upstream that is not listed is forgotten, in milliseconds: it has ended long since. */
-    private static final long FORGOTTEN_MILLIS = 120_000;
+    /** Time for which an upstream that is not listed is remembered, in milliseconds: it has ended long since. */
+    private static final long UNLISTED_MILLIS = 120_000;
 
     private final Map<InstanceId, Known> known = new HashMap<>();
 
@@ -55,6 +56,18 @@
         return leaves && !entry.leaving() ? entry.asLeaving() : entry;
     }
 
+    /**
+     * Forgets upstreams that ended long ago. One that is listed is never forgotten, however long it takes to end.
+     *
+     * @param listed decides whether the registry lists an upstream
+     * @param nowMillis present steady time
+     */
+    public void retain(Predicate<InstanceId> listed, long nowMillis) {
+        known.entrySet()
+                .removeIf(entry -> !listed.test(entry.getKey())
+                        && nowMillis - entry.getValue().learnedAt() > UNLISTED_MILLIS);
+    }
+
     /**
      * Returns what other daemons are told.
      *
@@ -62,7 +75,6 @@
      * @return upstreams that were learned of lately
      */
     public List<Life> told(long nowMillis) {
-        known.values().removeIf(stated -> nowMillis - stated.learnedAt() > FORGOTTEN_MILLIS);
         return known.entrySet().stream()
                 .filter(entry -> nowMillis - entry.getValue().learnedAt() <= TOLD_MILLIS)
                 .map(entry -> new Life(entry.getKey(), entry.getValue().startedAtEpochMillis()))
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -280,6 +280,7 @@
         private final AnswerReader reader;
         private HttpClients.Exchange exchange;
         private boolean over;
+        private boolean crashCounted;
         private boolean firstEventSeen;
 
         Attempt(Target target, long expectedMillis) {
@@ -303,7 +304,12 @@
             }
         }
 
+        /** A silent target is reported again at each check; its crash counts once. */
         void countCrash() {
+            if (crashCounted) {
+                return;
+            }
+            crashCounted = true;
             environment.crashes().recordCrash(fingerprint, target.key(), sentAtMillis, now());
             log.crashCounted(target, fingerprint, environment.crashes().crashes(fingerprint, now()));
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -94,6 +94,7 @@
         if (nowMillis - forgottenAt > FORGET_INTERVAL_MILLIS) {
             forgottenAt = nowMillis;
             formerGroups.retain(entries::containsKey, nowMillis);
+            leaving.retain(entries::containsKey, nowMillis);
         }
         boolean changed = false;
         for (Map.Entry<InstanceId, Long> lapsed : List.copyOf(lapsedUntil.entrySet())) {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -172,4 +172,18 @@
         assertThat(registry.leaving().told(11_000)).isEmpty();
         assertThat(registry.leaving().corrected(entry("i-1", false)).leaving()).isTrue();
     }
+
+    /** An upstream may take minutes to end; an order that it carries out meanwhile makes its entry look newer. */
+    @Test
+    void upstreamThatTakesLongToEndStaysLeaving() {
+        registry.apply(change(entry("i-1", false)), 0);
+        registry.recordLeaving(new LeavingUpstreams.Life(new InstanceId("i-1"), 1), 0);
+        registry.expire(200_000);
+        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), 200_000);
+
+        assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
+        registry.apply(new Changes.Change<>(stored("i-1"), true), 200_100);
+        registry.expire(400_000);
+        assertThat(registry.leaving().corrected(entry("i-1", false)).leaving()).isFalse();
+    }
 }
