--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLogTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLogTest.java
@@ -6,26 +6,15 @@
 
 /** Guards against a log that costs calls their time, or leaves lines out without saying so. */
 final class EventLogTest {
-    private long now;
-
-    private final EventLog log = new EventLog(new Clocks() {
-        @Override
-        public long steadyMillis() {
-            return now;
-        }
-
-        @Override
-        public long bootMillis() {
-            return now;
-        }
-    });
+    private final FakeClocks clocks = new FakeClocks(0);
+    private final EventLog log = new EventLog(clocks);
 
     /** No writer runs here, as if the reader of standard output stood still. */
     @Test
     void floodWithoutAReaderNeverBlocksAndEveryLineIsAccountedFor() {
         int lines = 0;
         for (int second = 0; second < 100; second++) {
-            now += 1_000;
+            clocks.now += 1_000;
             for (int line = 0; line < 100; line++) {
                 log.write(EventLog.Part.CALL, "failed", "id", line);
                 lines++;
