--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -168,10 +168,16 @@
                 feed,
                 log);
         this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashes, log);
+        this.environment = callEnvironment(crashes, leaving, random);
+        this.callers = new Callers(environment, new CallRouter(environment, random));
+    }
+
+    /** Builds what all calls share, from the parts that are already there. */
+    private CallEnvironment callEnvironment(CrashHistory crashes, LeavingNotices leaving, RandomGenerator random) {
         ServiceTimes times = new ServiceTimes();
         BusyUpstreams busy = new BusyUpstreams();
         Dispatcher dispatcher = new Dispatcher(settings.failureDomain(), table, busy, times, random);
-        this.environment = new CallEnvironment(
+        return new CallEnvironment(
                 settings,
                 loop,
                 clocks,
@@ -190,7 +196,6 @@
                 clients,
                 log,
                 metrics);
-        this.callers = new Callers(environment, new CallRouter(environment, random));
     }
 
     /**
