--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CallFingerprint.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CallFingerprint.java
@@ -4,7 +4,6 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.sesamehead.state.ClientAccount;
-import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.Optional;
 
@@ -36,7 +35,7 @@
 
     /** The length goes first, so that two pairs of texts cannot run into the same bytes. */
     private static void putText(Hasher hasher, String text) {
-        hasher.putInt(text.length()).putString(text, StandardCharsets.UTF_8);
+        hasher.putInt(text.length()).putUnencodedChars(text);
     }
 
     /**
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -283,7 +282,7 @@
     private static long hash(TargetKey target, int life) {
         return Hashing.sipHash24()
                 .newHasher()
-                .putString(target.name(), StandardCharsets.UTF_8)
+                .putUnencodedChars(target.name())
                 .putLong(target.generation())
                 .putInt(life)
                 .hash()
