Log the prompt parts and received events of lost attempts

CallMetadata now holds the parts that other requests may share; the last part is left out, because it belongs to the request or its session. No decision depends on them yet.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -47,9 +47,22 @@
         write("moved", "target", from, "after", lastEventId.orElse("-"));
     }
 
-    void attemptLost(Target target, boolean sent, boolean begun, String reason) {
+    void attemptLost(Target target, boolean sent, boolean begun, int events, String reason) {
         environment.metrics().count("attempts_broken");
-        write("attempt-lost", "target", target.key(), "sent", sent, "begun", begun, "reason", reason);
+        write(
+                "attempt-lost",
+                "target",
+                target.key(),
+                "sent",
+                sent,
+                "begun",
+                begun,
+                "events",
+                events,
+                "parts",
+                facts.sharedPromptParts(),
+                "reason",
+                reason);
     }
 
     void crashCounted(Target target, CallFingerprint fingerprint, int crashes) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -288,7 +288,7 @@
         private HttpConnectionPool.Exchange exchange;
         private boolean ended;
         private boolean crashRecorded;
-        private boolean firstEventSeen;
+        private int eventsReceived;
 
         Attempt(Target target, long expectedMillis) {
             this.target = target;
@@ -375,7 +375,10 @@
         /** Counts only whole events as progress, because a failing target may keep sending single bytes. */
         private void onEvent(EventScanner.Event event) {
             environment.targetTable().recordProgress(target.key(), now());
-            recordFirstEvent();
+            eventsReceived++;
+            if (eventsReceived == 1) {
+                recordFirstEvent();
+            }
             OptionalLong number = event.numericId();
             boolean repeated = number.isPresent()
                     && lastEventNumber.isPresent()
@@ -393,10 +396,6 @@
         }
 
         private void recordFirstEvent() {
-            if (firstEventSeen) {
-                return;
-            }
-            firstEventSeen = true;
             long tookMillis = now() - sentAtMillis;
             environment.metrics().time("first_event_ms", tookMillis);
             environment.metrics().time("first_event_late_ms", tookMillis - expectedMillis);
@@ -466,7 +465,7 @@
                 return;
             }
             cancel();
-            log.attemptLost(target, sent, responseBegun, reason);
+            log.attemptLost(target, sent, responseBegun, eventsReceived, reason);
             if (sent) {
                 attemptsRun++;
                 recordCrash();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -153,7 +154,13 @@
         @Override
         public CallMetadata readCall(HttpHeaders headers) {
             return new CallMetadata(
-                    REQUEST_ID, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, Optional.empty());
+                    REQUEST_ID,
+                    OptionalLong.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    0,
+                    ImmutableList.of(),
+                    Optional.empty());
         }
 
         @Override
