Rename CallFingerprint to CrashSubject

Crashes are going to be counted against parts of prompts as well as against whole calls. The value type becomes CrashSubject, and the field CrashReport.request becomes subject. Fields of log lines, of reports and of the stored object keep their names. No behaviour changes.

Tests: Crash*Test, CodecTest, CancelledAttemptsTest.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CancelledAttempts.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CancelledAttempts.java
@@ -26,8 +26,7 @@
      * @param sentAtMillis monotonic time at which the attempt was sent, in milliseconds
      * @param cancelledAtMillis monotonic time at which the attempt was cancelled, in milliseconds
      */
-    public record CancelledAttempt(
-            CallFingerprint request, TargetKey target, long sentAtMillis, long cancelledAtMillis) {}
+    public record CancelledAttempt(CrashSubject request, TargetKey target, long sentAtMillis, long cancelledAtMillis) {}
 
     /**
      * Adds an attempt. The oldest one is evicted if there are too many.
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -45,8 +45,8 @@
     /** Number of refused requests resent at a time, and of other requests: half a kilobyte for each of the two. */
     private static final int RESEND_BATCH_SIZE = 16;
 
-    private final Map<CallFingerprint, Entry> entries = new HashMap<>();
-    private final Map<CallFingerprint, Integer> pendingUpdates = new LinkedHashMap<>();
+    private final Map<CrashSubject, Entry> entries = new HashMap<>();
+    private final Map<CrashSubject, Integer> pendingUpdates = new LinkedHashMap<>();
     private long lastResendMillis = Long.MIN_VALUE / 2;
     private boolean newlyRefused;
 
@@ -93,12 +93,12 @@
             return crashCount() >= CRASHES_TO_REFUSE;
         }
 
-        private CrashReport report(CallFingerprint request, long nowMillis) {
+        private CrashReport report(CrashSubject subject, long nowMillis) {
             ImmutableMap.Builder<Long, Long> ages = ImmutableMap.builder();
             crashedAt.forEach((crash, at) -> ages.put(crash, Math.max(0, nowMillis - at)));
             boolean completed = nowMillis - completedAt <= RETENTION_MILLIS;
             return new CrashReport(
-                    request,
+                    subject,
                     ages.buildOrThrow(),
                     completed ? OptionalLong.of(Math.max(0, nowMillis - completedAt)) : OptionalLong.empty());
         }
@@ -109,13 +109,13 @@
      * attempt sent after a recorded crash of the target reached a later incarnation, which may not be listed yet, and
      * counts as a new crash.
      *
-     * @param request the request
+     * @param subject the subject
      * @param target the target
      * @param sentAtMillis monotonic time at which the attempt was sent, in milliseconds
      * @param nowMillis current monotonic time, in milliseconds
      */
-    public void recordCrash(CallFingerprint request, TargetKey target, long sentAtMillis, long nowMillis) {
-        Entry entry = getOrCreate(request, nowMillis);
+    public void recordCrash(CrashSubject subject, TargetKey target, long sentAtMillis, long nowMillis) {
+        Entry entry = getOrCreate(subject, nowMillis);
         int incarnation = 0;
         long crash = hash(target, incarnation);
         while (entry.crashedAt.getOrDefault(crash, Long.MAX_VALUE) < sentAtMillis) {
@@ -125,59 +125,59 @@
         if (entry.addCrash(crash, nowMillis)) {
             entry.crashedHere = true;
             newlyRefused |= entry.refused();
-            pendingUpdates.put(request, UPDATE_REPEATS);
+            pendingUpdates.put(subject, UPDATE_REPEATS);
         }
     }
 
     /**
      * Records that a request completed, which means that its earlier crashes had another cause.
      *
-     * @param request the request
+     * @param subject the subject
      * @param nowMillis current monotonic time, in milliseconds
      */
-    public void recordCompleted(CallFingerprint request, long nowMillis) {
-        Entry entry = entries.get(request);
+    public void recordCompleted(CrashSubject subject, long nowMillis) {
+        Entry entry = entries.get(subject);
         if (entry != null && entry.crashCount() > 0 && entry.complete(nowMillis)) {
-            pendingUpdates.put(request, UPDATE_REPEATS);
+            pendingUpdates.put(subject, UPDATE_REPEATS);
         }
     }
 
     /**
      * Returns whether a request is refused because of its crashes.
      *
-     * @param request the request
+     * @param subject the subject
      * @param nowMillis current monotonic time, in milliseconds
      * @return true if the retained crashes have reached the limit
      */
-    public boolean isRefused(CallFingerprint request, long nowMillis) {
-        Entry entry = entries.get(request);
+    public boolean isRefused(CrashSubject subject, long nowMillis) {
+        Entry entry = entries.get(subject);
         return entry != null && entry.refused() && entry.retained(nowMillis);
     }
 
     /**
      * Returns the number of known crashes of a request.
      *
-     * @param request the request
+     * @param subject the subject
      * @param nowMillis current monotonic time, in milliseconds
      * @return the count, 0 if the request is unknown or its record has expired
      */
-    public int crashCount(CallFingerprint request, long nowMillis) {
-        Entry entry = entries.get(request);
+    public int crashCount(CrashSubject subject, long nowMillis) {
+        Entry entry = entries.get(subject);
         return entry == null || !entry.retained(nowMillis) ? 0 : entry.crashCount();
     }
 
     /**
      * Merges a report from another daemon or from the store. Duplicate and late reports have no effect.
      *
-     * @param report the crashes of one request
+     * @param report the crashes of one subject
      * @param nowMillis current monotonic time, in milliseconds
      * @return whether the report contained anything new
      */
     public boolean merge(CrashReport report, long nowMillis) {
-        if (report.ageMillisByCrash().isEmpty() && !entries.containsKey(report.request())) {
+        if (report.ageMillisByCrash().isEmpty() && !entries.containsKey(report.subject())) {
             return false;
         }
-        Entry entry = getOrCreate(report.request(), nowMillis);
+        Entry entry = getOrCreate(report.subject(), nowMillis);
         boolean refusedBefore = entry.refused();
         boolean changed = report.completedAgeMillis().isPresent()
                 && entry.complete(nowMillis - report.completedAgeMillis().getAsLong());
@@ -211,7 +211,7 @@
     public List<CrashReport> refusedRequests(long nowMillis) {
         return entries.entrySet().stream()
                 .filter(entry -> entry.getValue().refused() && entry.getValue().retained(nowMillis))
-                .sorted(Comparator.comparingLong((Map.Entry<CallFingerprint, Entry> entry) ->
+                .sorted(Comparator.comparingLong((Map.Entry<CrashSubject, Entry> entry) ->
                         -entry.getValue().lastEventMillis()))
                 .limit(MAX_STORED_REQUESTS)
                 .map(entry -> entry.getValue().report(entry.getKey(), nowMillis))
@@ -229,13 +229,13 @@
         List<CrashReport> reports = new ArrayList<>();
         pendingUpdates.keySet().retainAll(entries.keySet());
         pendingUpdates.keySet().stream()
-                .sorted(Comparator.comparingInt(request -> -entries.get(request).crashCount()))
+                .sorted(Comparator.comparingInt(subject -> -entries.get(subject).crashCount()))
                 .limit(MAX_UPDATES_PER_REPORT)
                 .toList()
-                .forEach(request -> {
-                    addReport(request, nowMillis, reports);
+                .forEach(subject -> {
+                    addReport(subject, nowMillis, reports);
                     pendingUpdates.computeIfPresent(
-                            request, (key, remaining) -> remaining <= 1 ? null : Integer.valueOf(remaining - 1));
+                            subject, (key, remaining) -> remaining <= 1 ? null : Integer.valueOf(remaining - 1));
                 });
         if (nowMillis - lastResendMillis >= RESEND_INTERVAL_MILLIS) {
             lastResendMillis = nowMillis;
@@ -253,17 +253,17 @@
                 .limit(RESEND_BATCH_SIZE)
                 .map(Map.Entry::getKey)
                 .toList()
-                .forEach(request -> addReport(request, nowMillis, reports));
+                .forEach(subject -> addReport(subject, nowMillis, reports));
     }
 
-    private void addReport(CallFingerprint request, long nowMillis, List<CrashReport> reports) {
-        Entry entry = entries.get(request);
+    private void addReport(CrashSubject subject, long nowMillis, List<CrashReport> reports) {
+        Entry entry = entries.get(subject);
         entry.reportedAt = nowMillis;
-        reports.add(entry.report(request, nowMillis));
+        reports.add(entry.report(subject, nowMillis));
     }
 
-    private Entry getOrCreate(CallFingerprint request, long nowMillis) {
-        Entry known = entries.get(request);
+    private Entry getOrCreate(CrashSubject subject, long nowMillis) {
+        Entry known = entries.get(subject);
         if (known != null && known.retained(nowMillis)) {
             return known;
         }
@@ -271,7 +271,7 @@
             evictLeastSuspected(nowMillis);
         }
         Entry entry = new Entry();
-        entries.put(request, entry);
+        entries.put(subject, entry);
         return entry;
     }
 
@@ -280,7 +280,7 @@
         entries.values().removeIf(entry -> !entry.retained(nowMillis));
         int surplus = entries.size() - MAX_REQUESTS + MAX_REQUESTS / EVICTION_DIVISOR;
         entries.entrySet().stream()
-                .sorted(Comparator.comparingInt((Map.Entry<CallFingerprint, Entry> entry) ->
+                .sorted(Comparator.comparingInt((Map.Entry<CrashSubject, Entry> entry) ->
                                 entry.getValue().crashCount())
                         .thenComparingLong(entry -> entry.getValue().lastEventMillis()))
                 .limit(Math.max(0, surplus))
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashReport.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashReport.java
@@ -4,15 +4,15 @@
 import java.util.OptionalLong;
 
 /**
- * Crashes of one request, as a daemon reports them to others. Holds ages instead of times because daemons do not
+ * Crashes of one subject, as a daemon reports them to others. Holds ages instead of times because daemons do not
  * share a clock.
  *
- * @param request the request
+ * @param subject what the crashes are counted against
  * @param ageMillisByCrash time since each crash, in milliseconds, by the hash of the target incarnation that crashed
- * @param completedAgeMillis time since the request last completed, in milliseconds, empty if no completion is known
+ * @param completedAgeMillis time since a call of the subject last completed, in milliseconds, empty if no completion is known
  */
 public record CrashReport(
-        CallFingerprint request, ImmutableMap<Long, Long> ageMillisByCrash, OptionalLong completedAgeMillis) {
+        CrashSubject subject, ImmutableMap<Long, Long> ageMillisByCrash, OptionalLong completedAgeMillis) {
     /**
      * Returns the report with its ages advanced.
      *
@@ -25,6 +25,6 @@
         OptionalLong completed = completedAgeMillis.isPresent()
                 ? OptionalLong.of(completedAgeMillis.getAsLong() + millis)
                 : OptionalLong.empty();
-        return new CrashReport(request, ages.buildOrThrow(), completed);
+        return new CrashReport(subject, ages.buildOrThrow(), completed);
     }
 }
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CallFingerprint.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashSubject.java
@@ -8,29 +8,29 @@
 import java.util.Optional;
 
 /**
- * Hash of a call's path, account and body that identifies the call when its caller retries it. The query is excluded
- * because a retry may change it.
+ * What crashes of targets are counted against, as a hash. The path, account and body of a call identify it when its
+ * caller retries it; the query is excluded because a retry may change it.
  *
  * @param value the hash
  */
-public record CallFingerprint(long value) {
+public record CrashSubject(long value) {
     private static final HashFunction HASH = Hashing.sipHash24();
 
     /**
-     * Hashes a call.
+     * Returns the subject of a call.
      *
      * @param target path and query of the call
      * @param account the caller's account, empty for an anonymous call
      * @param body the body, possibly empty
-     * @return the fingerprint
+     * @return the subject
      */
-    public static CallFingerprint of(String target, Optional<ClientAccount> account, byte[] body) {
+    public static CrashSubject ofCall(String target, Optional<ClientAccount> account, byte[] body) {
         int query = target.indexOf('?');
         Hasher hasher = HASH.newHasher();
         putText(hasher, query < 0 ? target : target.substring(0, query));
         putText(hasher, account.map(ClientAccount::value).orElse(""));
         hasher.putBytes(body);
-        return new CallFingerprint(hasher.hash().asLong());
+        return new CrashSubject(hasher.hash().asLong());
     }
 
     /** Adds a text with a length prefix, so that adjacent fields cannot be shifted into each other and collide. */
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/CancelledAttemptsTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/CancelledAttemptsTest.java
@@ -13,7 +13,7 @@
 
     private static CancelledAttempts.CancelledAttempt attempt(int request, TargetKey target, long cancelledAtMillis) {
         return new CancelledAttempts.CancelledAttempt(
-                new CallFingerprint(request), target, cancelledAtMillis - 50, cancelledAtMillis);
+                new CrashSubject(request), target, cancelledAtMillis - 50, cancelledAtMillis);
     }
 
     @Test
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/CrashHistoryTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/CrashHistoryTest.java
@@ -10,14 +10,14 @@
 
 /** Guards against a request that crashes every upstream it reaches, and against refusing requests that do not. */
 final class CrashHistoryTest {
-    private static final CallFingerprint REQUEST = new CallFingerprint(9);
-    private static final CallFingerprint OTHER = new CallFingerprint(8);
+    private static final CrashSubject REQUEST = new CrashSubject(9);
+    private static final CrashSubject OTHER = new CrashSubject(8);
     private static final long LATER_MILLIS = 300_000;
 
     private final CrashHistory crashes = new CrashHistory();
 
     /** Records a crash of an attempt that was sent 20 ms earlier. */
-    private static void recordCrash(CrashHistory history, CallFingerprint request, TargetKey target, long nowMillis) {
+    private static void recordCrash(CrashHistory history, CrashSubject request, TargetKey target, long nowMillis) {
         history.recordCrash(request, target, nowMillis - 20, nowMillis);
     }
 
@@ -108,7 +108,7 @@
     @Test
     void resendsRefusedRequestAmongManyInnocentOnes() {
         for (int innocent = 0; innocent < 2_000; innocent++) {
-            recordCrash(crashes, new CallFingerprint(1_000 + innocent), target(innocent % 10), innocent);
+            recordCrash(crashes, new CrashSubject(1_000 + innocent), target(innocent % 10), innocent);
         }
         for (int crash = 0; crash < 3; crash++) {
             recordCrash(crashes, REQUEST, target(crash), 3_000);
@@ -133,11 +133,11 @@
             recordCrash(crashes, REQUEST, target(crash), crash);
         }
         for (int innocent = 0; innocent < 20_000; innocent++) {
-            recordCrash(crashes, new CallFingerprint(1_000 + innocent), target(innocent % 10), 1_000 + innocent);
+            recordCrash(crashes, new CrashSubject(1_000 + innocent), target(innocent % 10), 1_000 + innocent);
         }
 
         assertThat(crashes.isRefused(REQUEST, 30_000)).isTrue();
-        CallFingerprint last = new CallFingerprint(1_000 + 19_999);
+        CrashSubject last = new CrashSubject(1_000 + 19_999);
         assertThat(crashes.crashCount(last, 30_000)).isEqualTo(1);
     }
 
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/CallFingerprintTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/CrashSubjectTest.java
@@ -8,9 +8,9 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against retries that are not recognized and against different calls with the same fingerprint. */
-final class CallFingerprintTest {
-    private static CallFingerprint of(String target, String account, String body) {
-        return CallFingerprint.of(
+final class CrashSubjectTest {
+    private static CrashSubject of(String target, String account, String body) {
+        return CrashSubject.ofCall(
                 target, Optional.of(new ClientAccount(account)), body.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -22,12 +22,12 @@
 
     @Test
     void distinguishesPathAccountAndBody() {
-        CallFingerprint call = of("/a/1", "t", "x");
+        CrashSubject call = of("/a/1", "t", "x");
 
         assertThat(of("/a/2", "t", "x")).isNotEqualTo(call);
         assertThat(of("/a/1", "u", "x")).isNotEqualTo(call);
         assertThat(of("/a/1", "t", "y")).isNotEqualTo(call);
         assertThat(of("/a/1t", "x", "")).isNotEqualTo(of("/a/1", "tx", ""));
-        assertThat(CallFingerprint.of("/a/1", Optional.empty(), new byte[0])).isNotEqualTo(of("/a/1", "t", ""));
+        assertThat(CrashSubject.ofCall("/a/1", Optional.empty(), new byte[0])).isNotEqualTo(of("/a/1", "t", ""));
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -2,8 +2,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashReport;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.lease.Lease;
@@ -123,8 +123,7 @@
             OptionalLong completed = crashed.getCompletedAge() > 0
                     ? OptionalLong.of(crashed.getCompletedAge() - 1)
                     : OptionalLong.empty();
-            rows.add(new CrashReport(
-                    new CallFingerprint(crashed.getFingerprint()), ImmutableMap.copyOf(ages), completed));
+            rows.add(new CrashReport(new CrashSubject(crashed.getFingerprint()), ImmutableMap.copyOf(ages), completed));
         }
         return rows;
     }
@@ -137,7 +136,7 @@
      */
     public static CrashedRequest encodeCrash(CrashReport row) {
         CrashedRequest.Builder crashed =
-                CrashedRequest.newBuilder().setFingerprint(row.request().value());
+                CrashedRequest.newBuilder().setFingerprint(row.subject().value());
         row.ageMillisByCrash()
                 .forEach((target, age) -> crashed.addTargets(target).addAgesMillis(age));
         row.completedAgeMillis().ifPresent(age -> crashed.setCompletedAge(age + 1));
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -7,9 +7,9 @@
 import io.sesamehead.coordination.catalog.ActiveConfig;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.dispatch.BusyUpstreams;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CancelledAttempts;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.SharedRetryBudget;
@@ -225,7 +225,7 @@
     }
 
     /** Records an attempt that was cancelled before it had a response or a failure. */
-    void recordCancelledAttempt(CallFingerprint request, TargetKey target, long sentAtMillis) {
+    void recordCancelledAttempt(CrashSubject request, TargetKey target, long sentAtMillis) {
         cancelledAttempts.add(
                 new CancelledAttempts.CancelledAttempt(request, target, sentAtMillis, clocks.steadyMillis()));
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -1,7 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import io.sesamehead.coordination.catalog.Route;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.CallMetadata;
@@ -65,9 +65,9 @@
                 reason);
     }
 
-    void crashCounted(Target target, CallFingerprint fingerprint, int crashes) {
+    void crashCounted(Target target, CrashSubject subject, int crashes) {
         environment.metrics().count("crashes_counted");
-        write("crash-counted", "target", target.key(), "request", fingerprint, "crashes", crashes);
+        write("crash-counted", "target", target.key(), "request", subject, "crashes", crashes);
     }
 
     void attemptRefused(Target target, int status) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -6,7 +6,7 @@
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.coordination.catalog.ServingConfig;
 import io.sesamehead.coordination.catalog.Tenant;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.entry.port.CallMetadata;
 import io.sesamehead.state.ServiceName;
 import java.util.Optional;
@@ -49,23 +49,14 @@
         if (!environment.activeConfig().fresh(bootMillis)) {
             return refuse(facts, responseWriter, ErrorResponse.NO_CONFIGURATION, CONFIG_RETRY_AFTER_MILLIS);
         }
-        CallFingerprint fingerprint = CallFingerprint.of(request.target(), tenant.map(Tenant::account), request.body());
-        if (environment
-                .crashHistory()
-                .isRefused(fingerprint, environment.clocks().steadyMillis())) {
-            logCrashRefusal(facts, fingerprint);
+        CrashSubject subject = CrashSubject.ofCall(request.target(), tenant.map(Tenant::account), request.body());
+        if (environment.crashHistory().isRefused(subject, environment.clocks().steadyMillis())) {
+            logCrashRefusal(facts, subject);
             return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
         }
         environment.peerReporter().recordTraffic();
         ForwardedCall call = new ForwardedCall(
-                environment,
-                request,
-                fingerprint,
-                facts,
-                route.get(),
-                tenant,
-                chooseService(route.get()),
-                responseWriter);
+                environment, request, subject, facts, route.get(), tenant, chooseService(route.get()), responseWriter);
         call.start();
         return Optional.of(call);
     }
@@ -105,7 +96,7 @@
         return Optional.empty();
     }
 
-    private void logCrashRefusal(CallMetadata facts, CallFingerprint fingerprint) {
+    private void logCrashRefusal(CallMetadata facts, CrashSubject subject) {
         environment
                 .log()
                 .write(
@@ -114,11 +105,11 @@
                         "id",
                         facts.requestId(),
                         "request",
-                        fingerprint,
+                        subject,
                         "crashes",
                         environment
                                 .crashHistory()
-                                .crashCount(fingerprint, environment.clocks().steadyMillis()));
+                                .crashCount(subject, environment.clocks().steadyMillis()));
     }
 
     private ServiceName chooseService(Route route) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -13,7 +13,7 @@
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.catalog.Tenant;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.DispatchDecision;
 import io.sesamehead.coordination.dispatch.DispatchRequest;
 import io.sesamehead.coordination.dispatch.Target;
@@ -47,7 +47,7 @@
 
     private final CallEnvironment environment;
     private final CallRequest request;
-    private final CallFingerprint fingerprint;
+    private final CrashSubject subject;
     private final CallMetadata facts;
     private final Route route;
     private final Optional<Tenant> tenant;
@@ -69,7 +69,7 @@
     ForwardedCall(
             CallEnvironment environment,
             CallRequest request,
-            CallFingerprint fingerprint,
+            CrashSubject subject,
             CallMetadata facts,
             Route route,
             Optional<Tenant> tenant,
@@ -77,7 +77,7 @@
             ResponseWriter responseWriter) {
         this.environment = environment;
         this.request = request;
-        this.fingerprint = fingerprint;
+        this.subject = subject;
         this.facts = facts;
         this.route = route;
         this.tenant = tenant;
@@ -207,7 +207,7 @@
         if (attemptsNotRun > MAX_NOT_RUN_RETRIES || now() >= deadlineMillis) {
             return false;
         }
-        if (environment.crashHistory().isRefused(fingerprint, now())) {
+        if (environment.crashHistory().isRefused(subject, now())) {
             return false;
         }
         boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
@@ -306,7 +306,7 @@
 
         void cancelUnanswered() {
             if (!ended) {
-                environment.recordCancelledAttempt(fingerprint, target.key(), sentAtMillis);
+                environment.recordCancelledAttempt(subject, target.key(), sentAtMillis);
                 cancel();
             }
         }
@@ -317,8 +317,8 @@
                 return;
             }
             crashRecorded = true;
-            environment.crashHistory().recordCrash(fingerprint, target.key(), sentAtMillis, now());
-            log.crashCounted(target, fingerprint, environment.crashHistory().crashCount(fingerprint, now()));
+            environment.crashHistory().recordCrash(subject, target.key(), sentAtMillis, now());
+            log.crashCounted(target, subject, environment.crashHistory().crashCount(subject, now()));
         }
 
         /** Cancels the attempt; anything that the upstream still sends is ignored. */
@@ -413,7 +413,7 @@
             markEnded();
             environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
             responseWriter.end();
-            environment.crashHistory().recordCompleted(fingerprint, now());
+            environment.crashHistory().recordCompleted(subject, now());
             complete(HttpResponseStatus.OK.code());
         }
 
@@ -432,7 +432,7 @@
                     return;
                 }
             } else {
-                environment.crashHistory().recordCompleted(fingerprint, now());
+                environment.crashHistory().recordCompleted(subject, now());
             }
             if (responseBegun) {
                 abort("resumed stream ended with status " + head.status().code());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -340,9 +340,9 @@
                         EventLog.Component.PEER,
                         "crash-heard",
                         "request",
-                        row.request(),
+                        row.subject(),
                         "crashes",
-                        crashes.crashCount(row.request(), now),
+                        crashes.crashCount(row.subject(), now),
                         "from",
                         report.getDaemon());
             }
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
@@ -5,8 +5,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.CrashRecord;
@@ -25,8 +25,8 @@
 
 /** Guards against losing the refused requests when all daemons stop at once. */
 final class CrashRecorderTest {
-    private static final CallFingerprint FIRST = new CallFingerprint(1);
-    private static final CallFingerprint SECOND = new CallFingerprint(2);
+    private static final CrashSubject FIRST = new CrashSubject(1);
+    private static final CrashSubject SECOND = new CrashSubject(2);
 
     private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final FakeClocks clocks = new FakeClocks(1_000_000);
@@ -38,7 +38,7 @@
                 loop, clocks, () -> Instant.ofEpochMilli(wallClockMillis), store, history, new EventLog(clocks));
     }
 
-    private void crash(CrashHistory history, CallFingerprint request) {
+    private void crash(CrashHistory history, CrashSubject request) {
         for (int target = 0; target < 3; target++) {
             history.recordCrash(request, new TargetKey("t" + target, 1), clocks.now - 10, clocks.now);
         }
@@ -116,7 +116,7 @@
         CrashHistory one = new CrashHistory();
         CrashRecorder recorder = recorder(one);
         for (int request = 0; request < 100; request++) {
-            one.recordCrash(new CallFingerprint(request), new TargetKey("t", 1), clocks.now - 10, clocks.now);
+            one.recordCrash(new CrashSubject(request), new TargetKey("t", 1), clocks.now - 10, clocks.now);
             recorder.writeIfChanged();
         }
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashingRequestSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashingRequestSimulation.java
@@ -1,8 +1,8 @@
 package io.sesamehead.entry.runtime;
 
-import io.sesamehead.coordination.dispatch.CallFingerprint;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.CrashReport;
+import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.membership.ReportTopology;
 import io.sesamehead.entry.protocol.ReportCodec;
@@ -42,7 +42,7 @@
     private static final int DOMAINS = 5;
     private static final int ENGINES = 54;
     private static final int HARMLESS_PER_DAEMON = 16;
-    private static final CallFingerprint CRASHING = new CallFingerprint(-1);
+    private static final CrashSubject CRASHING = new CrashSubject(-1);
 
     private final SplittableRandom random;
     private final boolean repeatReports;
@@ -124,7 +124,7 @@
             scheduleAt(random.nextLong(MESH_REPORT_MILLIS), () -> sendReport(daemon));
         }
         for (int i = 0; i < HARMLESS_PER_DAEMON * daemons.size(); i++) {
-            CallFingerprint request = new CallFingerprint(i);
+            CrashSubject request = new CrashSubject(i);
             scheduleAt(random.nextLong(2_000), () -> sendHarmlessRequest(request));
         }
         scheduleAt(2_000, this::sendCrashingRequest);
@@ -275,7 +275,7 @@
         engine.downUntil = now + ENGINE_RESTART_MILLIS;
     }
 
-    private void sendHarmlessRequest(CallFingerprint request) {
+    private void sendHarmlessRequest(CrashSubject request) {
         Daemon daemon = randomRunningDaemon();
         harmlessAttempts++;
         if (daemon.history.isRefused(request, now)) {
