Refuse calls with a prompt part that crashes its groups

Cause: crashes were counted against whole requests only (path, account, body). Requests that share nothing but one part of their prompts each began at zero, so none was ever refused.

Change: PromptPartCrashes counts a crash against the parts of the calls that it ended before their answer began. A call that had received an event is not blamed, and an event received by any daemon clears the part, also up to a second before the lost call was sent. A part that nobody has had an answer to is refused after two crashes, another one after four without an answer. Until then its calls go to one group, the same one from all daemons. Calls that still wait are ended. A refused part is tried again by one daemon after 10 to 20 s, later after each further crash, and not any more after the fifth. Crashes are told at once and then with the repeated reports, and stored from the third on.

Why this works: a part that crashes each group never has an answer, and any other part has one soon, wherever it is tried.

Ruled out: counting all calls that ran at a crashed engine.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CancelledAttempts.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CancelledAttempts.java
@@ -1,5 +1,6 @@
 package io.sesamehead.coordination.dispatch;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -22,11 +23,17 @@
      * A cancelled attempt.
      *
      * @param request the request
+     * @param parts parts of its prompt, empty if its answer had begun
      * @param target where the attempt ran
      * @param sentAtMillis monotonic time at which the attempt was sent, in milliseconds
      * @param cancelledAtMillis monotonic time at which the attempt was cancelled, in milliseconds
      */
-    public record CancelledAttempt(CrashSubject request, TargetKey target, long sentAtMillis, long cancelledAtMillis) {}
+    public record CancelledAttempt(
+            CrashSubject request,
+            ImmutableList<CrashSubject> parts,
+            TargetKey target,
+            long sentAtMillis,
+            long cancelledAtMillis) {}
 
     /**
      * Adds an attempt. The oldest one is evicted if there are too many.
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -12,8 +12,8 @@
 import java.util.function.Predicate;
 
 /**
- * Records which targets crashed while they ran a request, so that a request that crashed several targets is not
- * retried. Daemons gossip the state rather than its changes: reports are merged by union, so lost, duplicate and late
+ * Records which targets crashed while they ran a request, or requests with a common part in their prompts, so that what
+ * crashed several targets is not sent again. {@link PromptPartCrashes} decides about parts. Daemons gossip the state rather than its changes: reports are merged by union, so lost, duplicate and late
  * reports are harmless. Not thread-safe.
  */
 public final class CrashHistory {
@@ -44,6 +44,11 @@
     private static final int MAX_STORED_REQUESTS = 256;
     /** Number of refused requests resent at a time, and of other requests: half a kilobyte for each of the two. */
     private static final int RESEND_BATCH_SIZE = 16;
+    /**
+     * Completions less than this much later than the last one, in milliseconds, are not recorded unless they clear a
+     * crash. Each exchange of reports delays a completion a little, which must not go on for ever.
+     */
+    private static final long COMPLETION_TOLERANCE_MILLIS = 1_000;
 
     private final Map<CrashSubject, Entry> entries = new HashMap<>();
     private final Map<CrashSubject, Integer> pendingUpdates = new LinkedHashMap<>();
@@ -52,24 +57,27 @@
 
     private static final class Entry {
         private final Map<Long, Long> crashedAt = new HashMap<>();
+        private final Map<Long, Long> learnedAt = new HashMap<>();
         private long completedAt = Long.MIN_VALUE / 2;
         private long reportedAt = Long.MIN_VALUE / 2;
         private boolean crashedHere;
 
-        private boolean addCrash(long crash, long atMillis) {
+        private boolean addCrash(long crash, long atMillis, long nowMillis) {
             if (atMillis <= completedAt || crashedAt.containsKey(crash) || crashedAt.size() >= MAX_CRASHES) {
                 return false;
             }
             crashedAt.put(crash, atMillis);
+            learnedAt.put(crash, nowMillis);
             return true;
         }
 
         private boolean complete(long atMillis) {
-            if (atMillis <= completedAt) {
+            boolean clears = crashedAt.values().removeIf(at -> at <= atMillis);
+            if (!clears && atMillis <= completedAt + COMPLETION_TOLERANCE_MILLIS) {
                 return false;
             }
-            completedAt = atMillis;
-            crashedAt.values().removeIf(at -> at <= atMillis);
+            learnedAt.keySet().retainAll(crashedAt.keySet());
+            completedAt = Math.max(completedAt, atMillis);
             return true;
         }
 
@@ -122,11 +130,31 @@
             incarnation++;
             crash = hash(target, incarnation);
         }
-        if (entry.addCrash(crash, nowMillis)) {
-            entry.crashedHere = true;
-            newlyRefused |= entry.refused();
-            pendingUpdates.put(subject, UPDATE_REPEATS);
+        addOwnCrash(subject, entry, crash, nowMillis, nowMillis);
+    }
+
+    /**
+     * Records a crash of a group against a part of the prompts that it ran. Attempts that ended in the same crash count
+     * once.
+     *
+     * @param part the subject of the part
+     * @param group the group
+     * @param atMillis monotonic time before which an answer to a call with the part proves nothing, in milliseconds
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return whether the crash was not known yet
+     */
+    boolean recordPartCrash(CrashSubject part, TargetKey group, long atMillis, long nowMillis) {
+        return addOwnCrash(part, getOrCreate(part, nowMillis), hash(group, 0), atMillis, nowMillis);
+    }
+
+    private boolean addOwnCrash(CrashSubject subject, Entry entry, long crash, long atMillis, long nowMillis) {
+        if (!entry.addCrash(crash, atMillis, nowMillis)) {
+            return false;
         }
+        entry.crashedHere = true;
+        newlyRefused |= entry.refused();
+        pendingUpdates.put(subject, UPDATE_REPEATS);
+        return true;
     }
 
     /**
@@ -142,6 +170,52 @@
         }
     }
 
+    /**
+     * Records that a call with a part was answered, if crashes of the part are known.
+     *
+     * @param part the subject of the part
+     * @param atMillis monotonic time of the answer, in milliseconds
+     */
+    void recordPartAnswered(CrashSubject part, long atMillis) {
+        Entry entry = entries.get(part);
+        if (entry != null && entry.complete(atMillis)) {
+            pendingUpdates.put(part, UPDATE_REPEATS);
+        }
+    }
+
+    /**
+     * What is known of the crashes of a subject.
+     *
+     * @param atMillis monotonic times of the crashes in milliseconds, earliest first
+     * @param learnedAtMillis monotonic times at which this daemon learned of the crashes in milliseconds, earliest first
+     * @param completedBefore whether a call of the subject has completed within the retention
+     */
+    record Summary(List<Long> atMillis, List<Long> learnedAtMillis, boolean completedBefore) {
+        private static final Summary EMPTY = new Summary(List.of(), List.of(), false);
+
+        int crashes() {
+            return atMillis.size();
+        }
+    }
+
+    /**
+     * Returns what is known of the crashes of a subject.
+     *
+     * @param subject the subject
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the summary, without crashes if the subject is unknown or its record has expired
+     */
+    Summary summary(CrashSubject subject, long nowMillis) {
+        Entry entry = entries.get(subject);
+        if (entry == null || !entry.retained(nowMillis)) {
+            return Summary.EMPTY;
+        }
+        return new Summary(
+                entry.crashedAt.values().stream().sorted().toList(),
+                entry.learnedAt.values().stream().sorted().toList(),
+                nowMillis - entry.completedAt <= RETENTION_MILLIS);
+    }
+
     /**
      * Returns whether a request is refused because of its crashes.
      *
@@ -183,7 +257,7 @@
                 && entry.complete(nowMillis - report.completedAgeMillis().getAsLong());
         for (Map.Entry<Long, Long> crash : report.ageMillisByCrash().entrySet()) {
             if (crash.getValue() <= RETENTION_MILLIS) {
-                changed |= entry.addCrash(crash.getKey(), nowMillis - crash.getValue());
+                changed |= entry.addCrash(crash.getKey(), nowMillis - crash.getValue(), nowMillis);
             }
         }
         newlyRefused |= entry.crashedHere && !refusedBefore && entry.refused();
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/DispatchRequest.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/DispatchRequest.java
@@ -1,5 +1,7 @@
 package io.sesamehead.coordination.dispatch;
 
+import java.util.Optional;
+
 /**
  * Properties of a call that determine its target and whether it is dispatched at all.
  *
@@ -7,5 +9,11 @@
  * @param objectiveMillis latency objective for the answer or the first event, in milliseconds
  * @param remainingMillis time until the caller's deadline, in milliseconds
  * @param elapsedMillis time that the caller has already waited in earlier tries, in milliseconds
+ * @param suspectedPart part of the prompt that may crash the target, empty if none is suspected
  */
-public record DispatchRequest(int promptTokens, long objectiveMillis, long remainingMillis, long elapsedMillis) {}
+public record DispatchRequest(
+        int promptTokens,
+        long objectiveMillis,
+        long remainingMillis,
+        long elapsedMillis,
+        Optional<CrashSubject> suspectedPart) {}
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -1,6 +1,8 @@
 package io.sesamehead.coordination.dispatch;
 
+import com.google.common.hash.Hashing;
 import io.sesamehead.state.FailureDomain;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -71,7 +73,9 @@
      * @return the decision
      */
     public DispatchDecision decide(DispatchRequest request, List<Target> targets, long nowMillis) {
-        Optional<Target> best = leastLoaded(targets, nowMillis);
+        Optional<Target> best = request.suspectedPart()
+                .flatMap(part -> isolated(part, targets, nowMillis))
+                .or(() -> leastLoaded(targets, nowMillis));
         if (best.isEmpty()) {
             OptionalLong available = earliestAvailableMillis(targets, nowMillis);
             if (available.isPresent()) {
@@ -93,6 +97,27 @@
                 DispatchDecision.Reason.NO_PLACE, retryMillis(serviceTimes.waitMillis(target, load), request));
     }
 
+    /**
+     * Finds the target with a free slot that all daemons choose for calls with a suspected part, so that such calls
+     * crash one target at a time.
+     */
+    private Optional<Target> isolated(CrashSubject part, List<Target> targets, long nowMillis) {
+        return targets.stream()
+                .filter(target -> isUsable(target, nowMillis))
+                .filter(target -> table.inFlight(target.key()) < availableSlots(target, nowMillis))
+                .max(Comparator.comparingLong(target -> isolationWeight(part, target.key())));
+    }
+
+    private static long isolationWeight(CrashSubject part, TargetKey target) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putLong(part.value())
+                .putUnencodedChars(target.name())
+                .putLong(target.generation())
+                .hash()
+                .asLong();
+    }
+
     private boolean worthQueueing(DispatchRequest request, Target target, int load, long expectedMillis) {
         if (expectedMillis > request.remainingMillis()) {
             return false;
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/CancelledAttemptsTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/CancelledAttemptsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +14,7 @@
 
     private static CancelledAttempts.CancelledAttempt attempt(int request, TargetKey target, long cancelledAtMillis) {
         return new CancelledAttempts.CancelledAttempt(
-                new CrashSubject(request), target, cancelledAtMillis - 50, cancelledAtMillis);
+                new CrashSubject(request), ImmutableList.of(), target, cancelledAtMillis - 50, cancelledAtMillis);
     }
 
     @Test
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -26,7 +26,7 @@
     private static final ModelProfile MODEL = new ModelProfile("big", 4, 1, 1.0, 16_000, 1_600);
     private static final EngineProfile ENGINE =
             new EngineProfile(SLOTS, List.of(MODEL), 5.95, 0.06, 50_700, 7, 4.5, 6, 300);
-    private static final DispatchRequest FRESH = new DispatchRequest(1_400, 300, 8_000, 0);
+    private static final DispatchRequest FRESH = new DispatchRequest(1_400, 300, 8_000, 0, Optional.empty());
     private static final long NOW = 1_000;
 
     private final TargetTable table = new TargetTable();
@@ -97,6 +97,28 @@
         }
     }
 
+    /** Guards against calls of several daemons that crash one target each. */
+    @Test
+    void sendsCallsWithSuspectedPartToSameTargetUntilItIsFull() {
+        List<Target> targets = new ArrayList<>();
+        for (int number = 1; number <= 8; number++) {
+            targets.add(target(number, number % 2 == 0 ? "a" : "b"));
+        }
+        DispatchRequest suspected = new DispatchRequest(1_400, 300, 8_000, 0, Optional.of(new CrashSubject(5)));
+        Target[] all = targets.toArray(Target[]::new);
+        TargetKey first = chosen(suspected, all);
+        targets.forEach(target -> load(target, target.key().equals(first) ? SLOTS - 1 : 2));
+
+        for (int daemon = 0; daemon < 20; daemon++) {
+            Dispatcher other = new Dispatcher(
+                    new FailureDomain(daemon % 2 == 0 ? "a" : "b"), table, busy, times, new SplittableRandom(daemon));
+            DispatchDecision.Send send = (DispatchDecision.Send) other.decide(suspected, targets, NOW);
+            assertThat(send.target().key()).isEqualTo(first);
+        }
+        load(target((int) first.generation(), "a"), 1);
+        assertThat(chosen(suspected, all)).isNotEqualTo(first);
+    }
+
     @Test
     void refusesCallWithoutTarget() {
         DispatchDecision decision = dispatcher.decide(FRESH, List.of(), NOW);
@@ -132,7 +154,7 @@
     void allowsShortQueueForRetriedCall() {
         Target only = target(1, "a");
         load(only, SLOTS + 2);
-        DispatchRequest retried = new DispatchRequest(1_400, 300, 6_000, 2_000);
+        DispatchRequest retried = new DispatchRequest(1_400, 300, 6_000, 2_000, Optional.empty());
 
         assertThat(dispatcher.decide(retried, List.of(only), NOW)).isInstanceOf(DispatchDecision.Send.class);
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -1,5 +1,8 @@
 package io.sesamehead.entry.runtime;
 
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.sesamehead.coordination.catalog.Backend;
 import io.sesamehead.coordination.catalog.Route;
@@ -7,6 +10,7 @@
 import io.sesamehead.coordination.catalog.ServingConfig;
 import io.sesamehead.coordination.catalog.Tenant;
 import io.sesamehead.coordination.dispatch.CrashSubject;
+import io.sesamehead.coordination.dispatch.PromptPartVerdict;
 import io.sesamehead.entry.port.CallMetadata;
 import io.sesamehead.state.ServiceName;
 import java.util.Optional;
@@ -54,9 +58,26 @@
             logCrashRefusal(facts, subject);
             return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
         }
+        ImmutableList<CrashSubject> parts = facts.sharedPromptParts().stream()
+                .map(CrashSubject::ofPromptPart)
+                .collect(toImmutableList());
+        PromptPartVerdict verdict =
+                environment.partCrashes().admit(parts, environment.clocks().steadyMillis());
+        if (verdict instanceof PromptPartVerdict.Refused refused) {
+            logPartRefusal(facts, refused);
+            return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
+        }
         environment.peerReporter().recordTraffic();
         ForwardedCall call = new ForwardedCall(
-                environment, request, subject, facts, route.get(), tenant, chooseService(route.get()), responseWriter);
+                environment,
+                request,
+                subject,
+                parts,
+                facts,
+                route.get(),
+                tenant,
+                chooseService(route.get()),
+                responseWriter);
         call.start();
         return Optional.of(call);
     }
@@ -112,6 +133,22 @@
                                 .crashCount(subject, environment.clocks().steadyMillis()));
     }
 
+    private void logPartRefusal(CallMetadata facts, PromptPartVerdict.Refused refused) {
+        environment
+                .log()
+                .write(
+                        EventLog.Component.CALL,
+                        "part-crashed-before",
+                        "id",
+                        facts.requestId(),
+                        "parts",
+                        facts.sharedPromptParts(),
+                        "request",
+                        refused.part(),
+                        "crashes",
+                        refused.crashes());
+    }
+
     private ServiceName chooseService(Route route) {
         int totalWeight = route.backends().stream().mapToInt(Backend::weight).sum();
         int remainingWeight = totalWeight <= 0 ? 0 : random.nextInt(totalWeight);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -10,6 +10,7 @@
 import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
+import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
@@ -146,6 +147,7 @@
         this.translator = platform.translator();
         long incarnation = random.nextLong();
         CrashHistory crashHistory = new CrashHistory();
+        PromptPartCrashes partCrashes = new PromptPartCrashes(crashHistory, new DaemonId(settings.daemon()));
         LeaseSettings leaseSettings =
                 new LeaseSettings(LEASE_TTL_MILLIS, MAX_CLOCK_DRIFT_MILLIS, MAX_ORDER_DELAY_MILLIS);
         LeaseHolder holder =
@@ -175,19 +177,23 @@
                 topology,
                 targetTable,
                 crashHistory,
+                partCrashes,
                 leavingRecorder,
                 modelLoads,
                 lease,
                 storeViewExchange,
                 log);
         this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashHistory, log);
-        this.environment = callEnvironment(crashHistory, leavingRecorder, random);
+        this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
     }
 
     /** Creates the environment shared by all calls. */
     private CallEnvironment callEnvironment(
-            CrashHistory crashHistory, LeavingRecorder leavingRecorder, RandomGenerator random) {
+            CrashHistory crashHistory,
+            PromptPartCrashes partCrashes,
+            LeavingRecorder leavingRecorder,
+            RandomGenerator random) {
         ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
         BusyUpstreams busyUpstreams = new BusyUpstreams();
         Dispatcher dispatcher =
@@ -205,6 +211,7 @@
                 busyUpstreams,
                 dispatcher,
                 crashHistory,
+                partCrashes,
                 leavingRecorder,
                 peerReporter,
                 modelLoads,
@@ -317,6 +324,7 @@
         stalled.forEach(this::onStalled);
         clients.closeExpired();
         crashRecorder.writeIfChanged();
+        environment.endRefusedCalls();
         if (now - lastControlAtMillis >= CONTROL_INTERVAL_MILLIS) {
             lastControlAtMillis = now;
             runController();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.runtime;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -16,6 +17,7 @@
 import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.DispatchDecision;
 import io.sesamehead.coordination.dispatch.DispatchRequest;
+import io.sesamehead.coordination.dispatch.PromptPartVerdict;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.AttemptMetadata;
@@ -48,6 +50,7 @@
     private final CallEnvironment environment;
     private final CallRequest request;
     private final CrashSubject subject;
+    private final ImmutableList<CrashSubject> parts;
     private final CallMetadata facts;
     private final Route route;
     private final Optional<Tenant> tenant;
@@ -62,6 +65,7 @@
     private int attemptsRun;
     private int attemptsNotRun;
     private boolean responseBegun;
+    private boolean trial;
     private boolean finished;
     private Optional<String> lastEventId;
     private OptionalLong lastEventNumber = OptionalLong.empty();
@@ -70,6 +74,7 @@
             CallEnvironment environment,
             CallRequest request,
             CrashSubject subject,
+            ImmutableList<CrashSubject> parts,
             CallMetadata facts,
             Route route,
             Optional<Tenant> tenant,
@@ -78,6 +83,7 @@
         this.environment = environment;
         this.request = request;
         this.subject = subject;
+        this.parts = parts;
         this.facts = facts;
         this.route = route;
         this.tenant = tenant;
@@ -95,6 +101,7 @@
         long timeoutMillis = Math.max(1, deadlineMillis - now() + DEADLINE_GRACE_MILLIS);
         deadlineTimer = environment.loop().schedule(this::onDeadline, timeoutMillis, TimeUnit.MILLISECONDS);
         environment.addCall(this);
+        trial = isPartRefused();
         dispatch();
     }
 
@@ -123,6 +130,30 @@
         attempt.onFailure(true, "target is silent");
     }
 
+    /**
+     * Ends the call if a part of its prompt has been refused since it was sent, before its answer begins and may crash
+     * the target.
+     */
+    void endIfPartRefused() {
+        boolean waiting = !finished && attempt != null && attempt.eventsReceived == 0;
+        if (waiting && !trial && isPartRefused()) {
+            attemptsRun++;
+            giveUp(ErrorResponse.CRASHED_BEFORE, 0, "part of the prompt crashed upstreams");
+        }
+    }
+
+    private boolean isPartRefused() {
+        return environment.partCrashes().verdict(parts, now()) instanceof PromptPartVerdict.Refused;
+    }
+
+    private Optional<CrashSubject> suspectedPart() {
+        return switch (environment.partCrashes().verdict(parts, now())) {
+            case PromptPartVerdict.Clear clear -> Optional.empty();
+            case PromptPartVerdict.Suspected suspected -> Optional.of(suspected.part());
+            case PromptPartVerdict.Refused refused -> Optional.of(refused.part());
+        };
+    }
+
     /** Resumes or pauses reading from the upstream as the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
         if (attempt != null && attempt.exchange != null) {
@@ -141,7 +172,8 @@
                 facts.promptTokens(),
                 route.objectiveMillis(),
                 deadlineMillis - now(),
-                environment.estimateElapsedMillis(route, facts) + now() - request.arrivedAtMillis());
+                environment.estimateElapsedMillis(route, facts) + now() - request.arrivedAtMillis(),
+                suspectedPart());
         switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
             case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
             case DispatchDecision.Refuse refuse -> queueOrRefuse(refuse, candidates);
@@ -207,7 +239,7 @@
         if (attemptsNotRun > MAX_NOT_RUN_RETRIES || now() >= deadlineMillis) {
             return false;
         }
-        if (environment.crashHistory().isRefused(subject, now())) {
+        if (environment.crashHistory().isRefused(subject, now()) || isPartRefused()) {
             return false;
         }
         boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
@@ -306,7 +338,8 @@
 
         void cancelUnanswered() {
             if (!ended) {
-                environment.recordCancelledAttempt(subject, target.key(), sentAtMillis);
+                environment.recordCancelledAttempt(
+                        subject, eventsReceived == 0 ? parts : ImmutableList.of(), target.key(), sentAtMillis);
                 cancel();
             }
         }
@@ -319,6 +352,9 @@
             crashRecorded = true;
             environment.crashHistory().recordCrash(subject, target.key(), sentAtMillis, now());
             log.crashCounted(target, subject, environment.crashHistory().crashCount(subject, now()));
+            if (eventsReceived == 0) {
+                environment.recordPartsLost(parts, target.key(), sentAtMillis);
+            }
         }
 
         /** Cancels the attempt; anything that the upstream still sends is ignored. */
@@ -396,6 +432,7 @@
         }
 
         private void recordFirstEvent() {
+            environment.partCrashes().recordAnswered(parts, now());
             long tookMillis = now() - sentAtMillis;
             environment.metrics().time("first_event_ms", tookMillis);
             environment.metrics().time("first_event_late_ms", tookMillis - expectedMillis);
@@ -433,6 +470,7 @@
                 }
             } else {
                 environment.crashHistory().recordCompleted(subject, now());
+                environment.partCrashes().recordAnswered(parts, now());
             }
             if (responseBegun) {
                 abort("resumed stream ended with status " + head.status().code());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.CrashReport;
+import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.dispatch.TargetTable;
@@ -43,6 +44,8 @@
     private static final long REPORT_INTERVAL_MILLIS = 150;
     /** Report interval with relays, in milliseconds. A report and its sum reach all daemons within the stall time. */
     private static final long RELAYED_REPORT_INTERVAL_MILLIS = 180;
+    /** Delay of the report of a crash, in milliseconds. The attempts that a crash ended fail one after another. */
+    private static final long CRASH_REPORT_DELAY_MILLIS = 5;
     /** Maximum size of a received datagram, in bytes. Holds the sums of a few hundred targets. */
     private static final int MAX_DATAGRAM_BYTES = 16_384;
     /** Maximum number of datagrams per read event. Netty's default when no buffer size is set. */
@@ -60,6 +63,7 @@
     private final ReportTopology topology;
     private final TargetTable table;
     private final CrashHistory crashes;
+    private final PromptPartCrashes partCrashes;
     private final LeavingRecorder leaving;
     private final ModelLoads loads;
     private final LeaseTask lease;
@@ -73,6 +77,8 @@
     private String currentRelay = "";
     private long sequence;
     private boolean trafficSeen;
+    private boolean crashReportScheduled;
+    private long crashReportedAtMillis = Long.MIN_VALUE / 2;
 
     PeerReporter(
             EventLoop loop,
@@ -83,6 +89,7 @@
             ReportTopology topology,
             TargetTable table,
             CrashHistory crashes,
+            PromptPartCrashes partCrashes,
             LeavingRecorder leaving,
             ModelLoads loads,
             LeaseTask lease,
@@ -96,6 +103,7 @@
         this.topology = topology;
         this.table = table;
         this.crashes = crashes;
+        this.partCrashes = partCrashes;
         this.leaving = leaving;
         this.loads = loads;
         this.lease = lease;
@@ -152,6 +160,31 @@
         }
     }
 
+    /**
+     * Reports a crash that this daemon has just recorded, together with those of the same moment. With relays, at most
+     * once per report interval.
+     */
+    void reportCrash() {
+        long now = clocks.steadyMillis();
+        if (crashReportScheduled) {
+            return;
+        }
+        crashReportScheduled = true;
+        long spacing = topology.mesh() ? 0 : RELAYED_REPORT_INTERVAL_MILLIS;
+        long delay = Math.max(CRASH_REPORT_DELAY_MILLIS, crashReportedAtMillis + spacing - now);
+        loop.schedule(this::sendCrashReport, delay, TimeUnit.MILLISECONDS);
+    }
+
+    private void sendCrashReport() {
+        crashReportScheduled = false;
+        crashReportedAtMillis = clocks.steadyMillis();
+        if (topology.mesh()) {
+            send();
+        } else {
+            sendUrgent();
+        }
+    }
+
     private void sendPeriodically() {
         if (channel == null) {
             return;
@@ -272,6 +305,7 @@
                 report.addTargets(ReportCodec.encodeLoad(row.minusInFlight(row.inFlight())));
             }
         }
+        crashes.nextReport(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.encodeCrash(row)));
         write(report, directory.addresses());
         channel.flush();
     }
@@ -335,7 +369,7 @@
     private void mergeCrashes(DaemonReport report) {
         long now = clocks.steadyMillis();
         for (CrashReport row : ReportCodec.decodeCrashes(report)) {
-            if (crashes.merge(row, now)) {
+            if (partCrashes.merge(row, now)) {
                 log.write(
                         EventLog.Component.PEER,
                         "crash-heard",
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.lease.Lease;
@@ -119,6 +120,7 @@
         LeaseTask lease = new LeaseTask(loop, clocks, store, holder, 1_500, log, new SplittableRandom(number));
         RecordingExchange storeViews = new RecordingExchange();
         UpstreamRegistry registry = new UpstreamRegistry();
+        CrashHistory crashes = new CrashHistory();
         PeerReporter reporter = new PeerReporter(
                 loop,
                 clocks,
@@ -127,7 +129,8 @@
                 directory,
                 topology,
                 table,
-                new CrashHistory(),
+                crashes,
+                new PromptPartCrashes(crashes, id),
                 new LeavingRecorder(clocks, registry, log, () -> {}),
                 new ModelLoads(),
                 lease,
