--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
@@ -47,7 +47,7 @@
 
     static final class Daemon {
         final DaemonId id;
-        private final FailureDomain domain;
+        final FailureDomain domain;
         CrashHistory history;
         PromptPartCrashes parts;
         private ReportTopology topology;
