Treat an unframed stream without any event as lost

Callers could see an empty stream that looks complete: an upstream may send a head with neither length nor chunks and crash before its first event, and the end of its connection counted as the end of the answer. Such an end also cleared the crashes of the request.

Now such a stream is a lost attempt, which may be sent again, and only an end that a length or chunks confirm clears the crashes of a request. A stream that ends inside an event was a lost attempt before. An unframed stream that ends between two events can't be told from a whole one and is delivered as before.

Tests: ResponseReaderTest (the two new cases fail on the code before, which reports "ended" for both), EntryProcessTest.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
@@ -16,8 +16,12 @@
     /** Receives bytes of the stream. */
     void onStreamData(byte[] bytes);
 
-    /** Called when the stream has been received completely. */
-    void onStreamEnd();
+    /**
+     * Called when the stream has ended.
+     *
+     * @param framed whether a length or chunks show that the stream is complete; otherwise it ended with its connection
+     */
+    void onStreamEnd(boolean framed);
 
     /** Receives a complete response from an upstream that ran the call. */
     void onResponse(HttpResponse head, byte[] body);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -439,7 +439,7 @@
         }
 
         @Override
-        public void onStreamEnd() {
+        public void onStreamEnd(boolean framed) {
             if (ended) {
                 return;
             }
@@ -450,7 +450,9 @@
             markEnded();
             environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
             responseWriter.end();
-            environment.crashHistory().recordCompleted(subject, now());
+            if (framed) {
+                environment.crashHistory().recordCompleted(subject, now());
+            }
             complete(HttpResponseStatus.OK.code());
         }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.ResponseMetadata;
@@ -28,6 +29,7 @@
     private HttpResponse head;
     private ResponseMetadata facts;
     private boolean streaming;
+    private boolean streamDataSeen;
 
     ResponseReader(CallTranslator translator, String requestId, CallKind kind, AttemptListener listener) {
         this.translator = translator;
@@ -58,6 +60,7 @@
     public void onContent(ByteBuf data) {
         byte[] bytes = ByteBufUtil.getBytes(data);
         if (streaming) {
+            streamDataSeen = true;
             listener.onStreamData(bytes);
             return;
         }
@@ -71,7 +74,7 @@
     @Override
     public void onEnd() {
         if (streaming) {
-            listener.onStreamEnd();
+            endStream();
         } else if (facts.notRun()) {
             listener.onNotRun(head);
         } else if (!verified()) {
@@ -81,6 +84,16 @@
         }
     }
 
+    /** A connection that closes right after the head, without any framing, is that of an upstream that has failed. */
+    private void endStream() {
+        boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        if (framed || streamDataSeen) {
+            listener.onStreamEnd(framed);
+        } else {
+            listener.onFailure(true, "connection closed before the first event");
+        }
+    }
+
     @Override
     public void onFailure(boolean sent, String reason) {
         listener.onFailure(sent, reason);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -108,6 +108,28 @@
         assertThat(listener.events).containsExactly("streaming", "data id: 1\n\n", "failed true reset");
     }
 
+    /** An upstream that crashes between the head and the first event leaves an empty stream that looks complete. */
+    @Test
+    void treatsUnframedStreamWithoutDataAsLost() {
+        ResponseReader reader = reader(CallKind.STREAM);
+        reader.onHead(response(200, "id", REQUEST_ID, "seal", "s"));
+        reader.onEnd();
+
+        assertThat(listener.events)
+                .containsExactly("streaming", "failed true connection closed before the first event");
+    }
+
+    @Test
+    void tellsFramedEndFromEndOfConnection() {
+        deliver(reader(CallKind.STREAM), response(200, "id", REQUEST_ID, "seal", "s"), "id: 1\n\n");
+        deliver(
+                reader(CallKind.STREAM),
+                response(200, "id", REQUEST_ID, "seal", "s", "transfer-encoding", "chunked"),
+                "id: 1\n\n");
+
+        assertThat(listener.events).contains("ended with its connection").endsWith("ended");
+    }
+
     private static final class RecordingListener implements AttemptListener {
         private final List<String> events = new ArrayList<>();
 
@@ -130,8 +152,8 @@
         }
 
         @Override
-        public void onStreamEnd() {
-            events.add("ended");
+        public void onStreamEnd(boolean framed) {
+            events.add(framed ? "ended" : "ended with its connection");
         }
 
         @Override
