--- a/cli/src/main/java/io/sesamehead/cli/explain/Explanation.java
+++ b/cli/src/main/java/io/sesamehead/cli/explain/Explanation.java
@@ -108,7 +108,8 @@
             case "no-configuration" -> "refused: the daemon's configuration was missing or too old to use keys";
             case "unknown-key" -> "refused: no client account holds the key in the configuration in force";
             case "no-route" -> "refused: no route matches in the configuration in force";
-            case "crashed-before" -> "refused: the request, or a part of its prompt, broke its upstreams each time it ran";
+            case "crashed-before" ->
+                "refused: the request or a part of its prompt broke its upstreams each time it ran";
             case "expired-unsent" -> "its time ran out before it could be sent";
             case "expired" -> "its time ran out while it was at an upstream";
             case "may-have-run" -> "given up: the upstream broke off and the request may have run";
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -13,8 +13,9 @@
 
 /**
  * Records which targets crashed while they ran a request, or requests with a common part in their prompts, so that what
- * crashed several targets is not sent again. {@link PromptPartCrashes} decides about parts. Daemons gossip the state rather than its changes: reports are merged by union, so lost, duplicate and late
- * reports are harmless. Not thread-safe.
+ * crashed several targets is not sent again. Decides about requests; {@link PromptPartCrashes} decides about parts.
+ * Daemons gossip the state rather than its changes: reports are merged by union, so lost, duplicate and late reports
+ * are harmless. Not thread-safe.
  */
 public final class CrashHistory {
     /**
@@ -187,7 +188,7 @@
      * What is known of the crashes of a subject.
      *
      * @param atMillis monotonic times of the crashes in milliseconds, earliest first
-     * @param learnedAtMillis monotonic times at which this daemon learned of the crashes in milliseconds, earliest first
+     * @param learnedAtMillis monotonic times at which this daemon learned of them in milliseconds, earliest first
      * @param completedBefore whether a call of the subject has completed within the retention
      */
     record Summary(List<Long> atMillis, List<Long> learnedAtMillis, boolean completedBefore) {
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashReport.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashReport.java
@@ -9,7 +9,8 @@
  *
  * @param subject what the crashes are counted against
  * @param ageMillisByCrash time since each crash, in milliseconds, by the hash of the target incarnation that crashed
- * @param completedAgeMillis time since a call of the subject last completed, in milliseconds, empty if no completion is known
+ * @param completedAgeMillis time since a call of the subject last completed, in milliseconds, empty if no completion is
+ *     known
  */
 public record CrashReport(
         CrashSubject subject, ImmutableMap<Long, Long> ageMillisByCrash, OptionalLong completedAgeMillis) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -65,7 +65,9 @@
     private int attemptsRun;
     private int attemptsNotRun;
     private boolean responseBegun;
+    /** Whether the call finds out if a refused part of its prompt still crashes its target. */
     private boolean trial;
+
     private boolean finished;
     private Optional<String> lastEventId;
     private OptionalLong lastEventNumber = OptionalLong.empty();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
@@ -20,8 +20,8 @@
 import java.util.stream.Collectors;
 
 /**
- * Simulates daemons that exchange crash reports over datagrams that are lost, duplicated, delayed and reordered. Daemons
- * restart, freeze and are partitioned. Runs in virtual time and is deterministic for a seed.
+ * Simulates daemons that exchange crash reports over datagrams that are lost, duplicated, delayed and reordered.
+ * Daemons restart, freeze and are partitioned. Runs in virtual time and is deterministic for a seed.
  */
 abstract class CrashReportSimulation {
     /** Time within which a daemon must have learned of a crash, in milliseconds. */
