Report answers to a prompt part only if they clear crashes

Answers that clear no crash are now recorded every five minutes. An answer that clears one is recorded at once, as before.

Test: PromptPartCrashesTest; with the old interval it fails, 151 reports of one part in 30 s where the resending allows 30.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -46,10 +46,10 @@
     /** Number of refused requests resent at a time, and of other requests: half a kilobyte for each of the two. */
     private static final int RESEND_BATCH_SIZE = 16;
     /**
-     * Completions less than this much later than the last one, in milliseconds, are not recorded unless they clear a
-     * crash. Each exchange of reports delays a completion a little, which must not go on for ever.
+     * Interval at which completions are recorded that clear no crash, in milliseconds. Otherwise each answer to a
+     * popular part would be reported to all daemons.
      */
-    private static final long COMPLETION_TOLERANCE_MILLIS = 1_000;
+    private static final long COMPLETION_INTERVAL_MILLIS = RETENTION_MILLIS / 2;
 
     private final Map<CrashSubject, Entry> entries = new HashMap<>();
     private final Map<CrashSubject, Integer> pendingUpdates = new LinkedHashMap<>();
@@ -74,7 +74,7 @@
 
         private boolean complete(long atMillis) {
             boolean clears = crashedAt.values().removeIf(at -> at <= atMillis);
-            if (!clears && atMillis <= completedAt + COMPLETION_TOLERANCE_MILLIS) {
+            if (!clears && atMillis <= completedAt + COMPLETION_INTERVAL_MILLIS) {
                 return false;
             }
             learnedAt.keySet().retainAll(crashedAt.keySet());
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/PromptPartCrashesTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/PromptPartCrashesTest.java
@@ -117,6 +117,25 @@
         assertThat(parts.admit(CRASHING_CALL, triedAt + 101)).isEqualTo(new PromptPartVerdict.Clear());
     }
 
+    /** Guards against a report to all daemons for each answer to a popular part. */
+    @Test
+    void reportsOnlyAnswersThatClearCrashes() {
+        crash(1, START);
+        for (int report = 0; report < 10; report++) {
+            history.nextReport(START + 100 + report);
+        }
+
+        int reported = 0;
+        for (long now = START + 200; now < START + 30_000; now += 100) {
+            parts.recordAnswered(HARMLESS_CALL, now);
+            reported += (int) history.nextReport(now).stream()
+                    .filter(report -> report.subject().equals(POPULAR))
+                    .count();
+        }
+
+        assertThat(reported).as("resent once a second").isLessThanOrEqualTo(30);
+    }
+
     @Test
     void endsTrialsAfterFifthCrash() {
         for (int number = 1; number <= 5; number++) {
