Store a refused prompt part only while it is refused

The store held that part: it was written at the moment of the third crash, before other daemons had said that they had answers, and nothing took it out again.

Now a part is stored half a second after its last crash, if it is still refused, and what a daemon has stored is written again once a completion clears it.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -6,9 +6,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -50,11 +52,17 @@
      * popular part would be reported to all daemons.
      */
     private static final long COMPLETION_INTERVAL_MILLIS = RETENTION_MILLIS / 2;
+    /**
+     * Time after the last crash of a part before the part is stored, in milliseconds. Other daemons report within it
+     * that they received answers.
+     */
+    private static final long PART_SETTLING_MILLIS = 500;
 
     private final Map<CrashSubject, Entry> entries = new HashMap<>();
     private final Map<CrashSubject, Integer> pendingUpdates = new LinkedHashMap<>();
     private long lastResendMillis = Long.MIN_VALUE / 2;
-    private boolean newlyRefused;
+    private final Set<CrashSubject> settlingParts = new LinkedHashSet<>();
+    private boolean refusalsChanged;
 
     private static final class Entry {
         private final Map<Long, Long> crashedAt = new HashMap<>();
@@ -62,6 +70,8 @@
         private long completedAt = Long.MIN_VALUE / 2;
         private long reportedAt = Long.MIN_VALUE / 2;
         private boolean crashedHere;
+        private boolean part;
+        private boolean stored;
 
         private boolean addCrash(long crash, long atMillis, long nowMillis) {
             if (atMillis <= completedAt || crashedAt.containsKey(crash) || crashedAt.size() >= MAX_CRASHES) {
@@ -102,6 +112,12 @@
             return crashCount() >= CRASHES_TO_REFUSE;
         }
 
+        private boolean storable(long nowMillis) {
+            boolean settled = !part
+                    || learnedAt.values().stream().allMatch(learned -> nowMillis - learned >= PART_SETTLING_MILLIS);
+            return refused() && retained(nowMillis) && settled;
+        }
+
         private CrashReport report(CrashSubject subject, long nowMillis) {
             ImmutableMap.Builder<Long, Long> ages = ImmutableMap.builder();
             crashedAt.forEach((crash, at) -> ages.put(crash, Math.max(0, nowMillis - at)));
@@ -131,7 +147,9 @@
             incarnation++;
             crash = hash(target, incarnation);
         }
-        addOwnCrash(subject, entry, crash, nowMillis, nowMillis);
+        if (addOwnCrash(subject, entry, crash, nowMillis, nowMillis)) {
+            refusalsChanged |= entry.refused();
+        }
     }
 
     /**
@@ -145,7 +163,13 @@
      * @return whether the crash was not known yet
      */
     boolean recordPartCrash(CrashSubject part, TargetKey group, long atMillis, long nowMillis) {
-        return addOwnCrash(part, getOrCreate(part, nowMillis), hash(group, 0), atMillis, nowMillis);
+        Entry entry = getOrCreate(part, nowMillis);
+        entry.part = true;
+        boolean added = addOwnCrash(part, entry, hash(group, 0), atMillis, nowMillis);
+        if (added && entry.refused()) {
+            settlingParts.add(part);
+        }
+        return added;
     }
 
     private boolean addOwnCrash(CrashSubject subject, Entry entry, long crash, long atMillis, long nowMillis) {
@@ -153,7 +177,6 @@
             return false;
         }
         entry.crashedHere = true;
-        newlyRefused |= entry.refused();
         pendingUpdates.put(subject, UPDATE_REPEATS);
         return true;
     }
@@ -166,7 +189,7 @@
      */
     public void recordCompleted(CrashSubject subject, long nowMillis) {
         Entry entry = entries.get(subject);
-        if (entry != null && entry.crashCount() > 0 && entry.complete(nowMillis)) {
+        if (entry != null && entry.crashCount() > 0 && complete(entry, nowMillis)) {
             pendingUpdates.put(subject, UPDATE_REPEATS);
         }
     }
@@ -179,11 +202,21 @@
      */
     void recordPartAnswered(CrashSubject part, long atMillis) {
         Entry entry = entries.get(part);
-        if (entry != null && entry.complete(atMillis)) {
+        if (entry != null && complete(entry, atMillis)) {
             pendingUpdates.put(part, UPDATE_REPEATS);
         }
     }
 
+    /** Records a completion. The store must not keep what this daemon wrote there and a completion has cleared. */
+    private boolean complete(Entry entry, long atMillis) {
+        boolean recorded = entry.complete(atMillis);
+        if (entry.stored && !entry.refused()) {
+            entry.stored = false;
+            refusalsChanged = true;
+        }
+        return recorded;
+    }
+
     /**
      * What is known of the crashes of a subject.
      *
@@ -255,40 +288,57 @@
         Entry entry = getOrCreate(report.subject(), nowMillis);
         boolean refusedBefore = entry.refused();
         boolean changed = report.completedAgeMillis().isPresent()
-                && entry.complete(nowMillis - report.completedAgeMillis().getAsLong());
+                && complete(entry, nowMillis - report.completedAgeMillis().getAsLong());
         for (Map.Entry<Long, Long> crash : report.ageMillisByCrash().entrySet()) {
             if (crash.getValue() <= RETENTION_MILLIS) {
                 changed |= entry.addCrash(crash.getKey(), nowMillis - crash.getValue(), nowMillis);
             }
         }
-        newlyRefused |= entry.crashedHere && !refusedBefore && entry.refused();
+        if (entry.crashedHere && !refusedBefore && entry.refused()) {
+            if (entry.part) {
+                settlingParts.add(report.subject());
+            } else {
+                refusalsChanged = true;
+            }
+        }
         return changed;
     }
 
     /**
-     * Returns whether, since the last call, a request that crashed at this daemon has become refused, or a refused
-     * request has crashed here again. Resets the result to false.
+     * Returns whether the refused subjects that this daemon stores have changed since the last call: a subject that
+     * crashed at this daemon has become refused, or has crashed here again, or one that it stored has been cleared.
+     * Resets the result to false.
      *
+     * @param nowMillis current monotonic time, in milliseconds
      * @return true once after each such change
      */
-    public boolean takeNewlyRefused() {
-        boolean taken = newlyRefused;
-        newlyRefused = false;
+    public boolean takeRefusalsChanged(long nowMillis) {
+        settlingParts.removeIf(part -> {
+            Entry entry = entries.get(part);
+            boolean storable = entry != null && entry.storable(nowMillis);
+            refusalsChanged |= storable;
+            return storable || entry == null || !entry.refused();
+        });
+        boolean taken = refusalsChanged;
+        refusalsChanged = false;
         return taken;
     }
 
     /**
-     * Returns reports of the refused requests.
+     * Returns reports of the refused subjects, which the caller stores.
      *
      * @param nowMillis current monotonic time, in milliseconds
-     * @return one report for each request, limited to those with the most recent events
+     * @return one report for each subject, limited to those with the most recent events
      */
     public List<CrashReport> refusedRequests(long nowMillis) {
-        return entries.entrySet().stream()
-                .filter(entry -> entry.getValue().refused() && entry.getValue().retained(nowMillis))
+        List<Map.Entry<CrashSubject, Entry>> refused = entries.entrySet().stream()
+                .filter(entry -> entry.getValue().storable(nowMillis))
                 .sorted(Comparator.comparingLong((Map.Entry<CrashSubject, Entry> entry) ->
                         -entry.getValue().lastEventMillis()))
                 .limit(MAX_STORED_REQUESTS)
+                .toList();
+        refused.forEach(entry -> entry.getValue().stored = true);
+        return refused.stream()
                 .map(entry -> entry.getValue().report(entry.getKey(), nowMillis))
                 .toList();
     }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/PromptPartCrashesTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/PromptPartCrashesTest.java
@@ -136,6 +136,27 @@
         assertThat(reported).as("resent once a second").isLessThanOrEqualTo(30);
     }
 
+    /** A daemon that starts reads the store, where a part must not be refused that others have cleared. */
+    @Test
+    void storesPartOnlyWhileItIsRefused() {
+        for (int number = 1; number <= 3; number++) {
+            parts.recordLost(CRASHING_CALL, group(number), START, START + 50);
+        }
+        assertThat(history.takeRefusalsChanged(START + 60)).isFalse();
+        parts.recordAnswered(HARMLESS_CALL, START + 200);
+
+        assertThat(history.takeRefusalsChanged(START + 600)).isTrue();
+        assertThat(history.refusedRequests(START + 600))
+                .extracting(CrashReport::subject)
+                .containsExactly(CRASHING);
+
+        parts.recordAnswered(CRASHING_CALL, START + 12_000);
+
+        assertThat(history.takeRefusalsChanged(START + 12_050)).isTrue();
+        assertThat(history.refusedRequests(START + 12_050)).isEmpty();
+        assertThat(history.takeRefusalsChanged(START + 12_100)).isFalse();
+    }
+
     @Test
     void endsTrialsAfterFifthCrash() {
         for (int number = 1; number <= 5; number++) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -60,9 +60,9 @@
         loop.scheduleWithFixedDelay(this::read, READ_INTERVAL_MILLIS, READ_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Writes the refused requests if a request that crashed at this daemon has become refused or crashed again. */
+    /** Writes what is refused if that has changed because of crashes at this daemon. */
     void writeIfChanged() {
-        writePending |= crashHistory.takeNewlyRefused();
+        writePending |= crashHistory.takeRefusalsChanged(clocks.steadyMillis());
         if (writePending && !writeInFlight && clocks.steadyMillis() >= nextWriteAtMillis) {
             writePending = false;
             writeInFlight = true;
