Move the crash records of a call to CallCrashes

Its records of crashes and answers, and the question whether the call may still be sent, are a class of their own now.

Tests: Crash*Test, Prompt*Test, ResponseReaderTest, EntryProcessTest; formatter and linter pass.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -17,7 +17,6 @@
 import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.DispatchDecision;
 import io.sesamehead.coordination.dispatch.DispatchRequest;
-import io.sesamehead.coordination.dispatch.PromptPartVerdict;
 import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.AttemptMetadata;
@@ -49,8 +48,7 @@
 
     private final CallEnvironment environment;
     private final CallRequest request;
-    private final CrashSubject subject;
-    private final ImmutableList<CrashSubject> parts;
+    private final CallCrashes crashes;
     private final CallMetadata facts;
     private final Route route;
     private final Optional<Tenant> tenant;
@@ -65,8 +63,6 @@
     private int attemptsRun;
     private int attemptsNotRun;
     private boolean responseBegun;
-    /** Whether the call finds out if a refused part of its prompt still crashes its target. */
-    private boolean trial;
 
     private boolean finished;
     private Optional<String> lastEventId;
@@ -84,14 +80,13 @@
             ResponseWriter responseWriter) {
         this.environment = environment;
         this.request = request;
-        this.subject = subject;
-        this.parts = parts;
         this.facts = facts;
         this.route = route;
         this.tenant = tenant;
         this.service = service;
         this.responseWriter = responseWriter;
         this.log = new CallLog(environment, facts, route, request.arrivedAtMillis());
+        this.crashes = new CallCrashes(environment, subject, parts, log);
         this.lastEventId = facts.lastEventId();
         long allowedMillis = Math.min(facts.remainingMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
         this.deadlineMillis = request.arrivedAtMillis() + allowedMillis;
@@ -103,7 +98,6 @@
         long timeoutMillis = Math.max(1, deadlineMillis - now() + DEADLINE_GRACE_MILLIS);
         deadlineTimer = environment.loop().schedule(this::onDeadline, timeoutMillis, TimeUnit.MILLISECONDS);
         environment.addCall(this);
-        trial = isPartRefused();
         dispatch();
     }
 
@@ -132,30 +126,15 @@
         attempt.onFailure(true, "target is silent");
     }
 
-    /**
-     * Ends the call if a part of its prompt has been refused since it was sent, before its answer begins and may crash
-     * the target.
-     */
+    /** Ends the call if a part of its prompt has been refused since it was sent and may still crash the target. */
     void endIfPartRefused() {
-        boolean waiting = !finished && attempt != null && attempt.eventsReceived == 0;
-        if (waiting && !trial && isPartRefused()) {
+        boolean waiting = !finished && attempt != null && !attempt.answerBegun();
+        if (waiting && crashes.isPartNewlyRefused()) {
             attemptsRun++;
             giveUp(ErrorResponse.CRASHED_BEFORE, 0, "part of the prompt crashed upstreams");
         }
     }
 
-    private boolean isPartRefused() {
-        return environment.partCrashes().verdict(parts, now()) instanceof PromptPartVerdict.Refused;
-    }
-
-    private Optional<CrashSubject> suspectedPart() {
-        return switch (environment.partCrashes().verdict(parts, now())) {
-            case PromptPartVerdict.Clear clear -> Optional.empty();
-            case PromptPartVerdict.Suspected suspected -> Optional.of(suspected.part());
-            case PromptPartVerdict.Refused refused -> Optional.of(refused.part());
-        };
-    }
-
     /** Resumes or pauses reading from the upstream as the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
         if (attempt != null && attempt.exchange != null) {
@@ -175,7 +154,7 @@
                 route.objectiveMillis(),
                 deadlineMillis - now(),
                 environment.estimateElapsedMillis(route, facts) + now() - request.arrivedAtMillis(),
-                suspectedPart());
+                crashes.suspectedPart());
         switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
             case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
             case DispatchDecision.Refuse refuse -> queueOrRefuse(refuse, candidates);
@@ -238,10 +217,7 @@
         if (mayHaveRun && (!route.idempotent() || attemptsRun >= route.maxAttempts())) {
             return false;
         }
-        if (attemptsNotRun > MAX_NOT_RUN_RETRIES || now() >= deadlineMillis) {
-            return false;
-        }
-        if (environment.crashHistory().isRefused(subject, now()) || isPartRefused()) {
+        if (attemptsNotRun > MAX_NOT_RUN_RETRIES || now() >= deadlineMillis || crashes.isRefused()) {
             return false;
         }
         boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
@@ -340,23 +316,22 @@
 
         void cancelUnanswered() {
             if (!ended) {
-                environment.recordCancelledAttempt(
-                        subject, eventsReceived == 0 ? parts : ImmutableList.of(), target.key(), sentAtMillis);
+                crashes.recordCancelled(target, sentAtMillis, answerBegun());
                 cancel();
             }
         }
 
+        private boolean answerBegun() {
+            return eventsReceived > 0;
+        }
+
         /** Counts a crash once per attempt, although a stalled target is reported at every check. */
         void recordCrash() {
             if (crashRecorded) {
                 return;
             }
             crashRecorded = true;
-            environment.crashHistory().recordCrash(subject, target.key(), sentAtMillis, now());
-            log.crashCounted(target, subject, environment.crashHistory().crashCount(subject, now()));
-            if (eventsReceived == 0) {
-                environment.recordPartsLost(parts, target.key(), sentAtMillis);
-            }
+            crashes.recordCrash(target, sentAtMillis, answerBegun());
         }
 
         /** Cancels the attempt; anything that the upstream still sends is ignored. */
@@ -434,7 +409,7 @@
         }
 
         private void recordFirstEvent() {
-            environment.partCrashes().recordAnswered(parts, now());
+            crashes.recordAnswered();
             long tookMillis = now() - sentAtMillis;
             environment.metrics().time("first_event_ms", tookMillis);
             environment.metrics().time("first_event_late_ms", tookMillis - expectedMillis);
@@ -453,7 +428,7 @@
             environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
             responseWriter.end();
             if (framed) {
-                environment.crashHistory().recordCompleted(subject, now());
+                crashes.recordCompleted();
             }
             complete(HttpResponseStatus.OK.code());
         }
@@ -473,8 +448,8 @@
                     return;
                 }
             } else {
-                environment.crashHistory().recordCompleted(subject, now());
-                environment.partCrashes().recordAnswered(parts, now());
+                crashes.recordCompleted();
+                crashes.recordAnswered();
             }
             if (responseBegun) {
                 abort("resumed stream ended with status " + head.status().code());
