--- a/core/src/main/java/io/sesamehead/coordination/dispatch/PromptPartCrashes.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/PromptPartCrashes.java
@@ -22,9 +22,9 @@
      * lost at once.
      */
     private static final long ANSWER_VALIDITY_MILLIS = 1_000;
-    /** Time that other daemons have to report that they received answers, in milliseconds: two reports. */
-    private static final long OBJECTION_MILLIS = 300;
-    /** Age from which a crash leaves no daemon without the time to object, in milliseconds. */
+    /** Time for which other daemons may still report answers before a part is refused, in milliseconds: two reports. */
+    private static final long CONFIRMATION_MILLIS = 300;
+    /** Age from which a crash needs no further confirmation, in milliseconds: answers have been reported by then. */
     private static final long SETTLED_MILLIS = ANSWER_VALIDITY_MILLIS + 3_000;
     /** Time from the last crash to the next trial of a refused part, in milliseconds. Doubles with each crash. */
     private static final long TRIAL_INTERVAL_MILLIS = 10_000;
@@ -148,7 +148,7 @@
             return false;
         }
         long latest = summary.atMillis().get(summary.crashes() - 1);
-        return nowMillis - summary.learnedAtMillis().get(needed - 1) >= OBJECTION_MILLIS
+        return nowMillis - summary.learnedAtMillis().get(needed - 1) >= CONFIRMATION_MILLIS
                 || nowMillis - latest >= SETTLED_MILLIS;
     }
 
