Log how long a target was silent and which connections the daemon closed

`silent` now has the time without progress at this daemon and at all daemons, and the version of the configuration. `connection-closed` names connections that this daemon closed or that ended with whole requests unanswered.

TargetTable.isLost names what the controller asks, with the same answer as before. No change of behaviour.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -190,6 +190,17 @@
         return (state != null && state.suspected(nowMillis)) || peerSuspicions.containsKey(key);
     }
 
+    /**
+     * Returns whether a target is lost, so that its group can be replaced.
+     *
+     * @param key the target
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return true if the target is lost
+     */
+    public boolean isLost(TargetKey key, long nowMillis) {
+        return isSuspected(key, nowMillis);
+    }
+
     /**
      * Returns whether a peer suspects a target.
      *
@@ -244,6 +255,29 @@
         return stalled;
     }
 
+    /**
+     * Returns the time since this daemon last received anything from a target.
+     *
+     * @param key the target
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the time in milliseconds, or 0 if this daemon has sent nothing there
+     */
+    public long ownSilenceMillis(TargetKey key, long nowMillis) {
+        LocalState state = local.get(key);
+        return state == null ? 0 : nowMillis - state.lastProgressMillis;
+    }
+
+    /**
+     * Returns the time since any daemon last received anything from a target.
+     *
+     * @param key the target
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the time in milliseconds, or 0 if this daemon has sent nothing there
+     */
+    public long silenceMillis(TargetKey key, long nowMillis) {
+        return Math.min(ownSilenceMillis(key, nowMillis), nowMillis - peerLastProgress(key));
+    }
+
     /**
      * Returns this daemon's rows for its report to peers.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -45,6 +45,15 @@
     private boolean inputRejected;
     private Optional<ForwardedCall> call = Optional.empty();
     private Response currentResponse;
+    private CloseReason closeReason = CloseReason.OTHER;
+
+    /** Why a connection was closed. */
+    enum CloseReason {
+        IDLE,
+        ABORTED,
+        /** By the caller, after the last response, or after an error. */
+        OTHER
+    }
 
     CallerConnection(CallerServer server) {
         this.server = server;
@@ -178,6 +187,7 @@
         }
         long limit = stopping ? stoppingIdleMillis : limits.idleTimeoutMillis();
         if (partialSinceMillis < 0 && nowMillis - lastActivityMillis > limit) {
+            closeReason = CloseReason.IDLE;
             channel.close();
         }
     }
@@ -185,6 +195,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.remove(this);
+        server.onConnectionClosed(closeReason, pendingRequests.size(), head != null || partialSinceMillis >= 0);
         pendingRequests.clear();
         call.ifPresent(ForwardedCall::cancel);
         call = Optional.empty();
@@ -269,6 +280,7 @@
             }
             ended = true;
             onResponseEnded(false);
+            closeReason = CloseReason.ABORTED;
             channel.close();
         }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -150,6 +150,32 @@
         connections.remove(connection);
     }
 
+    /**
+     * Logs a connection that was closed by this daemon, or with requests that were neither answered nor refused.
+     *
+     * @param unanswered number of complete requests that had not been started
+     * @param partial whether a request was incomplete
+     */
+    void onConnectionClosed(CallerConnection.CloseReason reason, int unanswered, boolean partial) {
+        if (reason == CallerConnection.CloseReason.OTHER && unanswered == 0) {
+            return;
+        }
+        environment.metrics().count("connections_closed{reason=\"" + reason + "\"}");
+        environment
+                .log()
+                .write(
+                        EventLog.Component.CALL,
+                        "connection-closed",
+                        "reason",
+                        reason,
+                        "unanswered",
+                        unanswered,
+                        "partial",
+                        partial,
+                        "config",
+                        environment.configVersion());
+    }
+
     void sendError(ResponseWriter responseWriter, ErrorResponse error) {
         environment.metrics().count("calls_refused{reason=\"" + error.type() + "\"}");
         environment.log().write(EventLog.Component.CALL, "refused", "reason", error.type());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -155,7 +155,7 @@
     private Set<ReplicaKey> stalled(List<UpstreamEntry> entries, long nowMillis) {
         Set<ReplicaKey> stalled = new HashSet<>();
         for (Replica replica : ReplicaIndex.of(entries).values()) {
-            if (table.isSuspected(TargetKey.of(replica.key()), nowMillis)) {
+            if (table.isLost(TargetKey.of(replica.key()), nowMillis)) {
                 stalled.add(replica.key());
             }
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -333,7 +333,8 @@
     }
 
     private void onStalled(TargetKey key) {
-        boolean everywhere = targetTable.isSuspected(key, clocks.steadyMillis());
+        long now = clocks.steadyMillis();
+        boolean everywhere = targetTable.isSuspected(key, now);
         log.write(
                 EventLog.Component.GROUP,
                 "silent",
@@ -342,7 +343,13 @@
                 "everywhere",
                 everywhere,
                 "own_calls",
-                targetTable.ownInFlight(key));
+                targetTable.ownInFlight(key),
+                "own_silent_ms",
+                targetTable.ownSilenceMillis(key, now),
+                "silent_ms",
+                targetTable.silenceMillis(key, now),
+                "config",
+                environment.configVersion());
         metrics.count("targets_silent");
         if (everywhere) {
             peerReporter.reportStalled(key);
