Accept a response without an id only on a connection of its call alone

Callers saw 503 "not run" for a request that their engine was running, or a failure of an earlier request as their own: an engine wrote an earlier response once more on a kept connection, without an id.

Cause: ResponseReader.accepts took each response without an id for that of the call in flight, and onNotRun believes it. It also recorded Server-Leaving and Retry-After of each response before it looked at the id, so that an outdated statement took the upstream out of service again.

With another id the response was skipped before as well.

Now a response without an id is accepted only if its connection has carried no other request, where it can only refer to this one; elsewhere it is skipped like one with another id. A refusal with the call's own id is believed as before, on new and on kept connections. Statements count only in accepted responses: an engine repeats them in all its responses. After a skipped response that closes the connection the exchange fails at once instead of waiting for its deadline.

Ruled out: failing the attempt at a response without an id on a kept connection. Engines echo the id, so these bytes belong to no request, and the engine's own response still follows.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
@@ -5,9 +5,7 @@
 
 /** Receives the verified outcome of one attempt. */
 interface AttemptListener {
-    /**
-     * Receives the head of every response on the attempt's connection, including one that belongs to another request.
-     */
+    /** Receives the head of each response that belongs to the attempt, before it is known to be complete. */
     void onResponseHead(HttpResponse head, ResponseMetadata facts);
 
     /** Receives the head of a verified event stream. Returns false if the stream is no longer wanted. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -38,12 +38,19 @@
         this.listener = listener;
     }
 
+    /**
+     * Accepts a response that states this call's id, or that states no id and can only refer to this call. Any other
+     * response says nothing about this call, and its statements about the upstream may be outdated.
+     */
     @Override
-    public boolean accepts(HttpResponse response) {
+    public boolean accepts(HttpResponse response, boolean onlyRequest) {
         ResponseMetadata stated = translator.readResponse(response);
-        listener.onResponseHead(response, stated);
-        String requestIdInResponse = stated.requestId();
-        return requestIdInResponse.isEmpty() || requestIdInResponse.equals(requestId);
+        boolean accepted =
+                stated.requestId().isEmpty() ? onlyRequest : stated.requestId().equals(requestId);
+        if (accepted) {
+            listener.onResponseHead(response, stated);
+        }
+        return accepted;
     }
 
     @Override
--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -24,8 +24,10 @@
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
     private ExchangeListener listener;
+    private long requestsSent;
     private boolean accepted;
     private boolean skipping;
+    private boolean skippedResponseCloses;
     private int skippedResponses;
     private long skippedBytes;
     private boolean keepAlive;
@@ -62,6 +64,7 @@
 
     void send(FullHttpRequest request, ExchangeListener exchange) {
         listener = exchange;
+        requestsSent++;
         accepted = false;
         skipping = false;
         skippedResponses = 0;
@@ -109,8 +112,9 @@
 
     private void receiveHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        skipping = interim || !listener.accepts(head);
+        skipping = interim || !listener.accepts(head, requestsSent == 1);
         if (skipping) {
+            skippedResponseCloses = !interim && !HttpUtil.isKeepAlive(head);
             skippedResponses++;
             failIfSkippedTooMuch();
             return;
@@ -127,6 +131,9 @@
             skipping = !last;
             skippedBytes += content.content().readableBytes();
             failIfSkippedTooMuch();
+            if (last && skippedResponseCloses) {
+                fail("connection ends after a response to another request");
+            }
             return;
         }
         if (!accepted || listener == null) {
--- a/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
@@ -95,7 +95,7 @@
         }
 
         @Override
-        public boolean accepts(HttpResponse head) {
+        public boolean accepts(HttpResponse head, boolean onlyRequest) {
             return true;
         }
 
--- a/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
@@ -9,9 +9,10 @@
      * Returns whether a response belongs to this request. An upstream may send a duplicate response to an earlier request.
      *
      * @param head response head
+     * @param onlyRequest whether the connection has carried no other request
      * @return false to skip this response and wait for the next
      */
-    boolean accepts(HttpResponse head);
+    boolean accepts(HttpResponse head, boolean onlyRequest);
 
     /**
      * Called when the response head is received.
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -49,8 +49,33 @@
     void skipsResponseToEarlierCall() {
         ResponseReader reader = reader(CallKind.SAFE);
 
-        assertThat(reader.accepts(response(200, "id", "try-0", "seal", "s"))).isFalse();
-        assertThat(reader.accepts(response(200, "id", REQUEST_ID, "seal", "s"))).isTrue();
+        assertThat(reader.accepts(response(200, "id", "try-0", "seal", "s"), false))
+                .isFalse();
+        assertThat(reader.accepts(response(200, "id", REQUEST_ID, "seal", "s"), false))
+                .isTrue();
+    }
+
+    @Test
+    void acceptsResponseWithoutIdOnlyOnConnectionOfThisCallAlone() {
+        ResponseReader reader = reader(CallKind.UNSAFE);
+
+        assertThat(reader.accepts(response(503, "not-run", "1"), false)).isFalse();
+        assertThat(reader.accepts(response(503, "not-run", "1"), true)).isTrue();
+        assertThat(reader.accepts(response(503, "id", "try-0", "not-run", "1"), true))
+                .isFalse();
+    }
+
+    @Test
+    void ignoresStatementsInResponsesToOtherCalls() {
+        ResponseReader reader = reader(CallKind.UNSAFE);
+        reader.accepts(response(503, "id", "try-0", "leaving", "1"), false);
+        reader.accepts(response(503, "leaving", "1"), false);
+
+        assertThat(listener.events).isEmpty();
+
+        reader.accepts(response(200, "id", REQUEST_ID, "leaving", "1"), false);
+
+        assertThat(listener.events).containsExactly("leaving");
     }
 
     @Test
