Send a retry on another connection than earlier attempts of its call

Callers saw 503 "not run" for a call that was running: an engine refused its first attempt, the retry went over the same kept connection, and there the engine wrote the old refusal once more.

Cause: all attempts of a call bear the same id, so the id does not tell their responses apart. A retry goes to another target, but two targets can have one address: a group that was formed anew at the same head.

A connection now remembers the last 64 ids that it has carried, and a request with one of them takes another connection or opens one. A call without an id, whose response could not be told from any earlier one, always opens one. This also excludes a late second copy of an answer with the id of the attempt that is in flight: no connection carries an id twice.

Ruled out: a new connection for each retry, since engines price connections.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -12,6 +12,7 @@
 import io.sesamehead.entry.port.ResponseMetadata;
 import io.sesamehead.entry.transport.ExchangeListener;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 
 /**
  * Verifies an upstream's response before any of it reaches the caller: that it belongs to the call, is sealed by the
@@ -38,6 +39,11 @@
         this.listener = listener;
     }
 
+    @Override
+    public Optional<String> requestId() {
+        return Optional.of(requestId);
+    }
+
     /**
      * Accepts a response that states this call's id, or that states no id and can only refer to this call. Any other
      * response says nothing about this call, and its statements about the upstream may be outdated.
--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -11,12 +11,15 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
 import java.util.function.Consumer;
 
 /** A connection to a peer that carries one request at a time. Confined to the event loop. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Maximum number of responses to other requests to skip: an upstream occasionally sends a late duplicate. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
+    /** Maximum number of request ids to remember: a duplicate arrives with one of the next responses. */
+    private static final int MAX_REQUEST_IDS = 64;
     /** Maximum total body size of skipped responses in bytes, far above the size of one late duplicate. */
     private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
@@ -24,6 +27,7 @@
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
     private ExchangeListener listener;
+    private final ArrayDeque<String> requestIds = new ArrayDeque<>();
     private long requestsSent;
     private boolean accepted;
     private boolean skipping;
@@ -65,6 +69,7 @@
     void send(FullHttpRequest request, ExchangeListener exchange) {
         listener = exchange;
         requestsSent++;
+        exchange.requestId().ifPresent(this::rememberId);
         accepted = false;
         skipping = false;
         skippedResponses = 0;
@@ -77,6 +82,18 @@
         });
     }
 
+    private void rememberId(String requestId) {
+        if (requestIds.size() == MAX_REQUEST_IDS) {
+            requestIds.removeFirst();
+        }
+        requestIds.addLast(requestId);
+    }
+
+    /** Returns whether a response to an earlier request here could not be told from one to a request with this id. */
+    boolean isAmbiguousFor(String requestId) {
+        return requestId.isEmpty() || requestIds.contains(requestId);
+    }
+
     void setAutoRead(boolean autoRead) {
         channel.config().setAutoRead(autoRead);
     }
--- a/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
@@ -12,6 +12,7 @@
 import io.sesamehead.state.Endpoint;
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Sends small requests to the store and to upstreams and buffers the whole response. Confined to the event loop. */
@@ -94,6 +95,11 @@
             this.done = done;
         }
 
+        @Override
+        public Optional<String> requestId() {
+            return Optional.empty();
+        }
+
         @Override
         public boolean accepts(HttpResponse head, boolean onlyRequest) {
             return true;
--- a/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
@@ -2,9 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 
 /** Receives the events of one request on a client connection. No event follows an end or a failure. */
 public interface ExchangeListener {
+    /**
+     * Returns the id of the request, by which it tells its own response from others on the same connection. A request
+     * without an id, as stated by its caller, has an empty string and is sent on a new connection.
+     *
+     * @return the id, or empty if responses are not told apart
+     */
+    Optional<String> requestId();
+
     /**
      * Returns whether a response belongs to this request. An upstream may send a duplicate response to an earlier request.
      *
--- a/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
@@ -13,7 +13,9 @@
 import io.sesamehead.state.Endpoint;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Pool of keep-alive client connections by peer. Confined to the event loop. */
@@ -56,7 +58,7 @@
      */
     public Exchange send(Endpoint peer, FullHttpRequest request, Freshness freshness, ExchangeListener listener) {
         Exchange exchange = new Exchange(listener);
-        ClientConnection idleConnection = takeIdle(peer, freshness);
+        ClientConnection idleConnection = takeIdle(peer, freshness, listener.requestId());
         if (idleConnection != null) {
             exchange.start(idleConnection, request);
         } else {
@@ -102,14 +104,19 @@
         idle.values().removeIf(ArrayDeque::isEmpty);
     }
 
-    private ClientConnection takeIdle(Endpoint peer, Freshness freshness) {
-        ArrayDeque<ClientConnection> queue = idle.get(peer);
-        while (queue != null && !queue.isEmpty()) {
-            ClientConnection connection = queue.pollLast();
-            if (connection.isUsable() && isFresh(connection, freshness)) {
+    /** Takes the connection used last. One that has carried an attempt of the same request is left for others. */
+    private ClientConnection takeIdle(Endpoint peer, Freshness freshness, Optional<String> requestId) {
+        Iterator<ClientConnection> latestFirst =
+                idle.getOrDefault(peer, new ArrayDeque<>()).descendingIterator();
+        while (latestFirst.hasNext()) {
+            ClientConnection connection = latestFirst.next();
+            if (!connection.isUsable() || !isFresh(connection, freshness)) {
+                latestFirst.remove();
+                connection.close();
+            } else if (requestId.isEmpty() || !connection.isAmbiguousFor(requestId.get())) {
+                latestFirst.remove();
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
