Close an upstream connection with bytes after a complete response

Callers could get the status of one response with the headers and body of another: an upstream wrote the start of a further response after a complete one, and the decoder kept these bytes for the next request on the connection.

Cause: ClientConnection saw only decoded messages. A part of a response is none, so the connection stayed in the pool with bytes left in its decoder.

Evidence: RepeatedResponseTest, "HTTP/1.1 200 " after a complete response and 500 for the next call. Before the change the caller got 200 for the 500 of its engine; now it gets 500 over a new connection, whether the bytes come with the end of the response or 50 ms later. A whole further response on an idle connection closed it before as well (same test class, passed before).

ResponseDecoder replaces the response side of Netty's HttpClientCodec, which does not show its undecoded bytes. It keeps the codec's rule for responses to HEAD (ResponseDecoderTest).

--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -23,6 +24,7 @@
     /** Maximum total body size of skipped responses in bytes, far above the size of one late duplicate. */
     private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
+    private final ResponseDecoder decoder;
     private final Consumer<ClientConnection> onIdle;
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
@@ -39,7 +41,8 @@
     private long keepAliveMillis;
     private long idleSinceMillis;
 
-    ClientConnection(Consumer<ClientConnection> onIdle, Consumer<ClientConnection> onClosed) {
+    ClientConnection(ResponseDecoder decoder, Consumer<ClientConnection> onIdle, Consumer<ClientConnection> onClosed) {
+        this.decoder = decoder;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
     }
@@ -75,6 +78,7 @@
         skippedResponses = 0;
         skippedBytes = 0;
         keepAlive = HttpUtil.isKeepAlive(request);
+        decoder.expectResponse(request.method().equals(HttpMethod.HEAD));
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
                 fail("write failed: " + written.cause());
@@ -174,7 +178,7 @@
     private void finish() {
         ExchangeListener done = listener;
         listener = null;
-        boolean reusable = keepAlive && channel.isActive();
+        boolean reusable = keepAlive && channel.isActive() && !decoder.hasUndecodedBytes();
         if (reusable) {
             channel.config().setAutoRead(true);
             onIdle.accept(this);
@@ -184,6 +188,14 @@
         done.onEnd();
     }
 
+    /** Closes an idle connection on which a part of a response has arrived: it would be joined to the next response. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onClosed.accept(this);
--- a/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.sesamehead.entry.runtime.Clocks;
 import io.sesamehead.state.Endpoint;
@@ -132,8 +132,9 @@
 
     private void connect(Endpoint peer, FullHttpRequest request, Exchange exchange) {
         openedConnections++;
+        ResponseDecoder decoder = new ResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
         ClientConnection connection =
-                new ClientConnection(done -> addIdle(peer, done), closed -> removeIdle(peer, closed));
+                new ClientConnection(decoder, done -> addIdle(peer, done), closed -> removeIdle(peer, closed));
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -144,7 +145,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 });
