--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -6,26 +6,34 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
 import java.util.function.Consumer;
 
 /** A connection to a peer that carries one request at a time. Confined to the event loop. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Maximum number of responses to other requests to skip: an upstream occasionally sends a late duplicate. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
+    /** Maximum number of request ids to remember: a duplicate arrives with one of the next responses. */
+    private static final int MAX_REQUEST_IDS = 64;
     /** Maximum total body size of skipped responses in bytes, far above the size of one late duplicate. */
     private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
+    private final ResponseDecoder decoder;
     private final Consumer<ClientConnection> onIdle;
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
     private ExchangeListener listener;
+    private final ArrayDeque<String> requestIds = new ArrayDeque<>();
+    private long requestsSent;
     private boolean accepted;
     private boolean skipping;
+    private boolean skippedResponseCloses;
     private int skippedResponses;
     private long skippedBytes;
     private boolean keepAlive;
@@ -33,7 +41,8 @@
     private long keepAliveMillis;
     private long idleSinceMillis;
 
-    ClientConnection(Consumer<ClientConnection> onIdle, Consumer<ClientConnection> onClosed) {
+    ClientConnection(ResponseDecoder decoder, Consumer<ClientConnection> onIdle, Consumer<ClientConnection> onClosed) {
+        this.decoder = decoder;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
     }
@@ -62,11 +71,14 @@
 
     void send(FullHttpRequest request, ExchangeListener exchange) {
         listener = exchange;
+        requestsSent++;
+        exchange.requestId().ifPresent(this::rememberId);
         accepted = false;
         skipping = false;
         skippedResponses = 0;
         skippedBytes = 0;
         keepAlive = HttpUtil.isKeepAlive(request);
+        decoder.expectResponse(request.method().equals(HttpMethod.HEAD));
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
                 fail("write failed: " + written.cause());
@@ -74,6 +86,18 @@
         });
     }
 
+    private void rememberId(String requestId) {
+        if (requestIds.size() == MAX_REQUEST_IDS) {
+            requestIds.removeFirst();
+        }
+        requestIds.addLast(requestId);
+    }
+
+    /** Returns whether a response to an earlier request here could not be told from one to a request with this id. */
+    boolean isAmbiguousFor(String requestId) {
+        return requestId.isEmpty() || requestIds.contains(requestId);
+    }
+
     void setAutoRead(boolean autoRead) {
         channel.config().setAutoRead(autoRead);
     }
@@ -109,8 +133,9 @@
 
     private void receiveHead(HttpResponse head) {
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        skipping = interim || !listener.accepts(head);
+        skipping = interim || !listener.accepts(head, requestsSent == 1);
         if (skipping) {
+            skippedResponseCloses = !interim && !HttpUtil.isKeepAlive(head);
             skippedResponses++;
             failIfSkippedTooMuch();
             return;
@@ -127,6 +152,9 @@
             skipping = !last;
             skippedBytes += content.content().readableBytes();
             failIfSkippedTooMuch();
+            if (last && skippedResponseCloses) {
+                fail("connection ends after a response to another request");
+            }
             return;
         }
         if (!accepted || listener == null) {
@@ -150,7 +178,7 @@
     private void finish() {
         ExchangeListener done = listener;
         listener = null;
-        boolean reusable = keepAlive && channel.isActive();
+        boolean reusable = keepAlive && channel.isActive() && !decoder.hasUndecodedBytes();
         if (reusable) {
             channel.config().setAutoRead(true);
             onIdle.accept(this);
@@ -160,6 +188,14 @@
         done.onEnd();
     }
 
+    /** Closes an idle connection on which a part of a response has arrived: it would be joined to the next response. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && decoder.hasUndecodedBytes()) {
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onClosed.accept(this);
