Keep the idle limit of connections that are already idle

Callers lost requests when a configuration lowered idle_timeout_ms: the check applied the new limit to the idle time already spent, so connections that callers could still reuse under the old limit were closed together while the next requests were on their way.

A lowered limit applies from the next period on; a raised one at once. The daemon now states its limit in Keep-Alive with each response that keeps the connection, so the caller knows the lowered limit when the next period begins. Between the check and the close the event loop reads all sockets once more, so that a request that has arrived is served; the same holds for the close of idle connections in a graceful stop.

Ruled out: half-closing an idle connection and reading on. A request that crosses the close could not be answered any more, and would count as read; a reset tells the caller that it may send it again.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -24,15 +24,20 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.sesamehead.coordination.catalog.CallLimits;
+import io.sesamehead.coordination.catalog.IdlePeriod;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** One connection of a caller: buffers complete requests, runs them one at a time in order and writes the responses. */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Maximum number of pipelined requests; reading from the connection pauses when it is reached. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
+    private static final String KEEP_ALIVE = "Keep-Alive";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     private final CallerServer server;
     private final ArrayDeque<CallRequest> pendingRequests = new ArrayDeque<>();
     private Channel channel;
@@ -40,6 +45,7 @@
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
     private long lastActivityMillis;
+    private IdlePeriod idlePeriod;
     private long partialSinceMillis = -1;
     private boolean responding;
     private boolean inputRejected;
@@ -63,6 +69,7 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         lastActivityMillis = server.nowMillis();
+        idlePeriod = new IdlePeriod(lastActivityMillis, server.limits().idleTimeoutMillis());
         server.add(this);
     }
 
@@ -175,21 +182,37 @@
         server.sendError(currentResponse, error);
     }
 
-    /** Closes the connection if it is idle for too long, or rejects an incomplete request that stopped arriving. */
-    void closeIfTimedOut(long nowMillis, CallLimits limits, boolean stopping, long stoppingIdleMillis) {
-        if (channel == null || responding) {
-            return;
-        }
-        boolean slow = partialSinceMillis >= 0 && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
+    /** Rejects an incomplete request that stopped arriving. */
+    void rejectIfSlow(long nowMillis, CallLimits limits) {
+        boolean slow =
+                !responding && partialSinceMillis >= 0 && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
         if (slow) {
             rejectAndClose(ErrorResponse.SLOW_REQUEST);
-            return;
         }
-        long limit = stopping ? stoppingIdleMillis : limits.idleTimeoutMillis();
-        if (partialSinceMillis < 0 && nowMillis - lastActivityMillis > limit) {
-            closeReason = CloseReason.IDLE;
-            channel.close();
+    }
+
+    /**
+     * Returns whether the connection has been idle for too long.
+     *
+     * @param nowMillis current time, in milliseconds
+     * @param limits the limits in force
+     * @param stoppingIdleMillis idle time after which a stopping daemon closes a connection, in milliseconds; empty if it
+     *     is not stopping
+     */
+    boolean isIdleTooLong(long nowMillis, CallLimits limits, OptionalLong stoppingIdleMillis) {
+        boolean idle = channel != null && !responding && pendingRequests.isEmpty() && head == null;
+        if (!idle || partialSinceMillis >= 0) {
+            return false;
         }
+        idlePeriod.raiseLimit(limits.idleTimeoutMillis());
+        return stoppingIdleMillis.isPresent()
+                ? idlePeriod.isLongerThan(stoppingIdleMillis.getAsLong(), nowMillis)
+                : idlePeriod.hasExpired(nowMillis);
+    }
+
+    void closeIdle() {
+        closeReason = CloseReason.IDLE;
+        channel.close();
     }
 
     @Override
@@ -212,10 +235,11 @@
         context.close();
     }
 
-    private void onResponseEnded(boolean keepAlive) {
+    private void onResponseEnded(boolean keepAlive, long statedIdleMillis) {
         responding = false;
         call = Optional.empty();
         lastActivityMillis = server.nowMillis();
+        idlePeriod = new IdlePeriod(lastActivityMillis, statedIdleMillis);
         if (keepAlive) {
             // A call that is answered immediately ends inside the loop of startNext, which then continues by itself.
             channel.eventLoop().execute(this::startNext);
@@ -226,6 +250,8 @@
     private final class Response implements ResponseWriter {
         private boolean keepAlive;
         private boolean ended;
+        /** Limit for the idle period after the response, in milliseconds. */
+        private long idleMillis;
 
         Response(boolean keepAlive) {
             this.keepAlive = keepAlive;
@@ -279,15 +305,18 @@
                 return;
             }
             ended = true;
-            onResponseEnded(false);
+            onResponseEnded(false, idleMillis);
             closeReason = CloseReason.ABORTED;
             channel.close();
         }
 
         private void setConnectionHeader(HttpHeaders headers) {
             keepAlive = keepAlive && !server.stopping() && !inputRejected;
+            idleMillis = server.limits().idleTimeoutMillis();
             if (!keepAlive) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            } else if (idleMillis >= MILLIS_PER_SECOND) {
+                headers.set(KEEP_ALIVE, "timeout=" + idleMillis / MILLIS_PER_SECOND);
             }
         }
 
@@ -296,7 +325,7 @@
             if (!keepAlive) {
                 written.addListener(ChannelFutureListener.CLOSE);
             }
-            onResponseEnded(keepAlive);
+            onResponseEnded(keepAlive, idleMillis);
         }
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +25,11 @@
 final class CallerServer {
     /** Interval of the check for idle and slow connections, in milliseconds. */
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
+    /**
+     * Delay between the check that finds a connection idle and its close, in milliseconds. The event loop reads all
+     * sockets in between, so that no connection is closed whose next request has arrived.
+     */
+    private static final long IDLE_CLOSE_DELAY_MILLIS = 1;
     /** Retry-After value of a request rejected during the stop, in milliseconds: another daemon can take it at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
     /** Maximum number of connections waiting to be accepted. */
@@ -39,7 +45,7 @@
     private Optional<Channel> listener = Optional.empty();
     private boolean stopping;
     private boolean rejecting;
-    private long stoppingIdleMillis = Long.MAX_VALUE;
+    private OptionalLong stoppingIdleMillis = OptionalLong.empty();
 
     CallerServer(CallEnvironment environment, CallRouter router) {
         this.environment = environment;
@@ -109,7 +115,7 @@
         listener.ifPresent(Channel::close);
         listener = Optional.empty();
         rejecting = true;
-        stoppingIdleMillis = idleMillis;
+        stoppingIdleMillis = OptionalLong.of(idleMillis);
         closeTimedOut();
     }
 
@@ -190,8 +196,20 @@
     private void closeTimedOut() {
         long now = nowMillis();
         CallLimits limits = limits();
-        for (CallerConnection connection : List.copyOf(connections)) {
-            connection.closeIfTimedOut(now, limits, stopping, stoppingIdleMillis);
+        List.copyOf(connections).forEach(connection -> connection.rejectIfSlow(now, limits));
+        List<CallerConnection> idle = connections.stream()
+                .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
+                .toList();
+        if (!idle.isEmpty()) {
+            environment.loop().schedule(() -> closeStillIdle(idle), IDLE_CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    private void closeStillIdle(List<CallerConnection> idle) {
+        long now = nowMillis();
+        CallLimits limits = limits();
+        idle.stream()
+                .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
+                .forEach(CallerConnection::closeIdle);
+    }
 }
