Run no request after a response that closes the connection

A request that followed a response with Connection: close on its connection was routed while the last bytes of that response waited for a slow reader: it ran at an upstream and its connection closed without an answer. In a graceful stop the opposite happened as well: the first response after SIGTERM closed the connection although whole requests were queued behind it.

Once a response that closes has been decided, or the caller has asked for the close, later input is read and discarded and no request is started. After the last byte the daemon shuts its output down and waits up to a second for the caller's close, because a close beside unread bytes becomes a reset that can destroy the response. While stopping, the response that closes is the one to the last request that has been read, at least in part. A connection whose response waits for a slow reader is not idle any more; the idle time begins when the response has been written.

Ruled out: pausing reads instead of discarding. The daemon would not notice that a caller has left during a long stream.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -3,9 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -35,6 +36,11 @@
     /** Maximum number of pipelined requests; reading from the connection pauses when it is reached. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
+    /** Maximum number of bytes read and discarded after the last request of a connection. */
+    private static final long MAX_DISCARDED_BYTES = 16_777_216;
+    /** Maximum time to wait for the caller's close after the last response, in milliseconds. */
+    private static final long CALLER_CLOSE_TIMEOUT_MILLIS = 1_000;
+
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -48,7 +54,14 @@
     private IdlePeriod idlePeriod;
     private long partialSinceMillis = -1;
     private boolean responding;
-    private boolean inputRejected;
+    /** Whether the last request of the connection has been read; later input is discarded. */
+    private boolean inputEnded;
+    /** Whether the current or last response closes the connection; no further request is run. */
+    private boolean closing;
+
+    private long discardedBytes;
+    private long outputEndedAtMillis = -1;
+    private Optional<ChannelFuture> lastWrite = Optional.empty();
     private Optional<ForwardedCall> call = Optional.empty();
     private Response currentResponse;
     private CloseReason closeReason = CloseReason.OTHER;
@@ -73,17 +86,40 @@
         server.add(this);
     }
 
-    /** Records when bytes arrive, and when an incomplete request began. Called before the decoder. */
-    void onBytesReceived() {
+    /**
+     * Records when bytes arrive, and when an incomplete request began. Called before the decoder.
+     *
+     * @param byteCount number of bytes
+     * @return whether to decode the bytes; otherwise they are discarded
+     */
+    boolean onBytesReceived(int byteCount) {
+        if (inputEnded) {
+            onBytesDiscarded(byteCount);
+            return false;
+        }
         lastActivityMillis = server.nowMillis();
         if (!responding && partialSinceMillis < 0) {
             partialSinceMillis = lastActivityMillis;
         }
+        return true;
+    }
+
+    /** Bytes that stay unread turn the close into a reset, which may destroy the last response on its way. */
+    private void onBytesDiscarded(int byteCount) {
+        discardedBytes += byteCount;
+        if (discardedBytes <= MAX_DISCARDED_BYTES) {
+            return;
+        }
+        if (outputEndedAtMillis >= 0) {
+            channel.close();
+        } else {
+            channel.config().setAutoRead(false);
+        }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (inputRejected) {
+        if (inputEnded) {
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -133,7 +169,9 @@
                 || HttpUtil.isTransferEncodingChunked(request);
         pendingRequests.add(new CallRequest(
                 request.method(), request.uri(), request.headers(), body.toByteArray(), hasBody, headArrivedAtMillis));
-        if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
+        if (!keepAlive(request.headers())) {
+            endInput();
+        } else if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
             channel.config().setAutoRead(false);
         }
         // The caller may have closed the connection after the request. The event loop reads the socket until it is
@@ -143,11 +181,11 @@
     }
 
     private void startNext() {
-        while (!responding && !pendingRequests.isEmpty() && channel.isActive()) {
+        while (!responding && !closing && !pendingRequests.isEmpty() && channel.isActive()) {
             CallRequest request = pendingRequests.poll();
             channel.config().setAutoRead(true);
             responding = true;
-            currentResponse = new Response(keepAlive(request));
+            currentResponse = new Response(keepAlive(request.headers()));
             if (server.rejecting()) {
                 server.sendError(currentResponse, ErrorResponse.STOPPING);
                 continue;
@@ -157,8 +195,30 @@
         }
     }
 
-    private static boolean keepAlive(CallRequest request) {
-        return !request.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    private static boolean keepAlive(HttpHeaders headers) {
+        return !headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
+
+    /** Reads on, so that a disconnect of the caller is noticed, but no further request. */
+    private void endInput() {
+        inputEnded = true;
+        channel.config().setAutoRead(true);
+    }
+
+    private void endOutput() {
+        if (discardedBytes <= MAX_DISCARDED_BYTES && channel instanceof DuplexChannel duplex) {
+            outputEndedAtMillis = server.nowMillis();
+            duplex.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
+    /** Closes a connection whose caller has not closed it after the last response. */
+    void closeIfOutputEnded(long nowMillis) {
+        if (outputEndedAtMillis >= 0 && nowMillis - outputEndedAtMillis > CALLER_CLOSE_TIMEOUT_MILLIS) {
+            channel.close();
+        }
     }
 
     private void rejectMalformed(Throwable cause) {
@@ -170,7 +230,7 @@
 
     /** Rejects a request that cannot be read completely, and closes, because later bytes have no known framing. */
     private void rejectAndClose(ErrorResponse error) {
-        inputRejected = true;
+        endInput();
         head = null;
         if (responding) {
             // The response to the earlier request closes the connection.
@@ -184,8 +244,10 @@
 
     /** Rejects an incomplete request that stopped arriving. */
     void rejectIfSlow(long nowMillis, CallLimits limits) {
-        boolean slow =
-                !responding && partialSinceMillis >= 0 && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
+        boolean slow = !responding
+                && !inputEnded
+                && partialSinceMillis >= 0
+                && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
         if (slow) {
             rejectAndClose(ErrorResponse.SLOW_REQUEST);
         }
@@ -200,8 +262,9 @@
      *     is not stopping
      */
     boolean isIdleTooLong(long nowMillis, CallLimits limits, OptionalLong stoppingIdleMillis) {
-        boolean idle = channel != null && !responding && pendingRequests.isEmpty() && head == null;
-        if (!idle || partialSinceMillis >= 0) {
+        boolean requestOpen = responding || !pendingRequests.isEmpty() || head != null || partialSinceMillis >= 0;
+        boolean written = lastWrite.stream().allMatch(ChannelFuture::isDone);
+        if (channel == null || requestOpen || inputEnded || !written) {
             return false;
         }
         idlePeriod.raiseLimit(limits.idleTimeoutMillis());
@@ -235,11 +298,10 @@
         context.close();
     }
 
-    private void onResponseEnded(boolean keepAlive, long statedIdleMillis) {
+    private void onResponseEnded(boolean keepAlive) {
         responding = false;
         call = Optional.empty();
         lastActivityMillis = server.nowMillis();
-        idlePeriod = new IdlePeriod(lastActivityMillis, statedIdleMillis);
         if (keepAlive) {
             // A call that is answered immediately ends inside the loop of startNext, which then continues by itself.
             channel.eventLoop().execute(this::startNext);
@@ -305,27 +367,41 @@
                 return;
             }
             ended = true;
-            onResponseEnded(false, idleMillis);
+            closing = true;
+            endInput();
+            onResponseEnded(false);
             closeReason = CloseReason.ABORTED;
             channel.close();
         }
 
         private void setConnectionHeader(HttpHeaders headers) {
-            keepAlive = keepAlive && !server.stopping() && !inputRejected;
+            boolean requestFollows = head != null || !pendingRequests.isEmpty();
+            keepAlive = keepAlive && (!server.stopping() || requestFollows);
             idleMillis = server.limits().idleTimeoutMillis();
             if (!keepAlive) {
+                closing = true;
+                endInput();
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (idleMillis >= MILLIS_PER_SECOND) {
                 headers.set(KEEP_ALIVE, "timeout=" + idleMillis / MILLIS_PER_SECOND);
             }
         }
 
-        private void writeLast(HttpObject last) {
-            var written = channel.writeAndFlush(last);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
+        private void onWritten(boolean success) {
+            if (!success) {
+                channel.close();
+            } else if (keepAlive) {
+                idlePeriod = new IdlePeriod(server.nowMillis(), idleMillis);
+            } else {
+                endOutput();
             }
-            onResponseEnded(keepAlive, idleMillis);
+        }
+
+        private void writeLast(HttpObject last) {
+            ChannelFuture written = channel.writeAndFlush(last);
+            lastWrite = Optional.of(written);
+            written.addListener(done -> onWritten(done.isSuccess()));
+            onResponseEnded(keepAlive);
         }
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,6 +12,7 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ReferenceCountUtil;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.state.Endpoint;
@@ -92,8 +94,11 @@
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext context, Object message) {
-                        connection.onBytesReceived();
-                        context.fireChannelRead(message);
+                        if (connection.onBytesReceived(((ByteBuf) message).readableBytes())) {
+                            context.fireChannelRead(message);
+                        } else {
+                            ReferenceCountUtil.release(message);
+                        }
                     }
                 })
                 .addLast(new HttpServerCodec(limits.maxHeaderBytes(), limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
@@ -196,7 +201,10 @@
     private void closeTimedOut() {
         long now = nowMillis();
         CallLimits limits = limits();
-        List.copyOf(connections).forEach(connection -> connection.rejectIfSlow(now, limits));
+        for (CallerConnection connection : List.copyOf(connections)) {
+            connection.rejectIfSlow(now, limits);
+            connection.closeIfOutputEnded(now);
+        }
         List<CallerConnection> idle = connections.stream()
                 .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
                 .toList();
