Send 100 Continue only after the earlier responses of the connection

A caller that pipelined a request with Expect: 100-continue received the interim response before, or in the middle of, the response to its earlier request. The connection wrote it as soon as the head had been read.

It is now sent when all earlier requests have been answered, and not any more on a connection that closes.

Evidence: with a request that its upstream answers after 600 ms and a second one that expects 100 Continue, the caller read 100, 200 before; after: 200, 100, 200.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -53,6 +53,7 @@
     private long lastActivityMillis;
     private IdlePeriod idlePeriod;
     private long partialSinceMillis = -1;
+    private boolean continueExpected;
     private boolean responding;
     /** Whether the last request of the connection has been read; later input is discarded. */
     private boolean inputEnded;
@@ -138,7 +139,14 @@
         head = request;
         headArrivedAtMillis = server.nowMillis();
         body = new ByteArrayOutputStream();
-        if (HttpUtil.is100ContinueExpected(request)) {
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        sendContinueIfDue();
+    }
+
+    /** Asks for the body of an incomplete request once all earlier requests have been answered. */
+    private void sendContinueIfDue() {
+        if (continueExpected && head != null && !responding && pendingRequests.isEmpty()) {
+            continueExpected = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
@@ -193,6 +201,9 @@
             Optional<ForwardedCall> started = server.router().route(request, currentResponse);
             call = responding ? started : Optional.empty();
         }
+        if (!closing && channel.isActive()) {
+            sendContinueIfDue();
+        }
     }
 
     private static boolean keepAlive(HttpHeaders headers) {
