Judge a request by the limits at its head and reject it in its turn

Three faults of requests that cannot be read completely:

A body that began under a larger max_body_bytes was refused with 413 when a configuration lowered the limit meanwhile. A request is now judged by the limits in force when it began; a declared length above the limit is refused at the head, before the body is read into memory.

A malformed request behind pipelined ones was answered first, so the caller took the 400 for the answer to its earlier request, and the earlier ones ran or were dropped without an answer. The rejection now waits until the earlier requests have been answered.

A pipelined request that stopped arriving while an earlier one was answered was never rejected with 408, because its clock was started only between responses.

Evidence: appliesBodyLimitThatWasInForceWhenRequestBegan got 413 before; answersPipelinedRequestsBeforeMalformedOne read 400 first; both are answered in order now. callerReadsRefusalWhileItIsStillSending (413, 431, 400 beside 4 MB that are still being sent) passed before as well: the reset that would hide the refusal was not reproduced on loopback. The test of the slow pipelined request was not run on the old code.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -50,6 +50,9 @@
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
+    /** Limits in force when the request that is being read began. */
+    private CallLimits requestLimits;
+
     private long lastActivityMillis;
     private IdlePeriod idlePeriod;
     private long partialSinceMillis = -1;
@@ -57,6 +60,8 @@
     private boolean responding;
     /** Whether the last request of the connection has been read; later input is discarded. */
     private boolean inputEnded;
+    /** Response to a request that could not be read completely. */
+    private Optional<ErrorResponse> rejection = Optional.empty();
     /** Whether the current or last response closes the connection; no further request is run. */
     private boolean closing;
 
@@ -64,7 +69,6 @@
     private long outputEndedAtMillis = -1;
     private Optional<ChannelFuture> lastWrite = Optional.empty();
     private Optional<ForwardedCall> call = Optional.empty();
-    private Response currentResponse;
     private CloseReason closeReason = CloseReason.OTHER;
 
     /** Why a connection was closed. */
@@ -101,6 +105,7 @@
         lastActivityMillis = server.nowMillis();
         if (!responding && partialSinceMillis < 0) {
             partialSinceMillis = lastActivityMillis;
+            requestLimits = server.limits();
         }
         return true;
     }
@@ -138,7 +143,12 @@
     private void beginRequest(HttpRequest request) {
         head = request;
         headArrivedAtMillis = server.nowMillis();
+        requestLimits = server.limits();
         body = new ByteArrayOutputStream();
+        if (HttpUtil.getContentLength(request, 0L) > requestLimits.maxBodyBytes()) {
+            reject(ErrorResponse.BODY_TOO_LARGE);
+            return;
+        }
         continueExpected = HttpUtil.is100ContinueExpected(request);
         sendContinueIfDue();
     }
@@ -153,9 +163,8 @@
 
     private void appendBody(HttpContent content) {
         ByteBuf data = content.content();
-        CallLimits limits = server.limits();
-        if (body.size() + data.readableBytes() > limits.maxBodyBytes()) {
-            rejectAndClose(ErrorResponse.BODY_TOO_LARGE);
+        if (body.size() + data.readableBytes() > requestLimits.maxBodyBytes()) {
+            reject(ErrorResponse.BODY_TOO_LARGE);
             return;
         }
         if (data.isReadable()) {
@@ -193,15 +202,21 @@
             CallRequest request = pendingRequests.poll();
             channel.config().setAutoRead(true);
             responding = true;
-            currentResponse = new Response(keepAlive(request.headers()));
+            Response response = new Response(keepAlive(request.headers()));
             if (server.rejecting()) {
-                server.sendError(currentResponse, ErrorResponse.STOPPING);
+                server.sendError(response, ErrorResponse.STOPPING);
                 continue;
             }
-            Optional<ForwardedCall> started = server.router().route(request, currentResponse);
+            Optional<ForwardedCall> started = server.router().route(request, response);
             call = responding ? started : Optional.empty();
         }
-        if (!closing && channel.isActive()) {
+        if (responding || closing || !channel.isActive()) {
+            return;
+        }
+        if (rejection.isPresent()) {
+            responding = true;
+            server.sendError(new Response(false), rejection.get());
+        } else {
             sendContinueIfDue();
         }
     }
@@ -236,31 +251,30 @@
         ErrorResponse error = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
                 ? ErrorResponse.HEAD_TOO_LARGE
                 : ErrorResponse.BAD_REQUEST;
-        rejectAndClose(error);
+        reject(error);
     }
 
-    /** Rejects a request that cannot be read completely, and closes, because later bytes have no known framing. */
-    private void rejectAndClose(ErrorResponse error) {
+    /**
+     * Rejects a request that cannot be read completely, after the responses to the earlier ones. The rejection closes the
+     * connection, because later bytes have no known framing.
+     */
+    private void reject(ErrorResponse error) {
         endInput();
         head = null;
-        if (responding) {
-            // The response to the earlier request closes the connection.
-            currentResponse.disableKeepAlive();
-            return;
-        }
-        responding = true;
-        currentResponse = new Response(false);
-        server.sendError(currentResponse, error);
+        body = null;
+        rejection = Optional.of(error);
+        channel.eventLoop().execute(this::startNext);
     }
 
     /** Rejects an incomplete request that stopped arriving. */
-    void rejectIfSlow(long nowMillis, CallLimits limits) {
+    void rejectIfSlow(long nowMillis) {
+        boolean incomplete = head != null || partialSinceMillis >= 0;
         boolean slow = !responding
                 && !inputEnded
-                && partialSinceMillis >= 0
-                && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
+                && incomplete
+                && nowMillis - lastActivityMillis > requestLimits.headerTimeoutMillis();
         if (slow) {
-            rejectAndClose(ErrorResponse.SLOW_REQUEST);
+            reject(ErrorResponse.SLOW_REQUEST);
         }
     }
 
@@ -330,10 +344,6 @@
             this.keepAlive = keepAlive;
         }
 
-        void disableKeepAlive() {
-            keepAlive = false;
-        }
-
         @Override
         public void send(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
             if (ended) {
@@ -386,7 +396,7 @@
         }
 
         private void setConnectionHeader(HttpHeaders headers) {
-            boolean requestFollows = head != null || !pendingRequests.isEmpty();
+            boolean requestFollows = head != null || !pendingRequests.isEmpty() || rejection.isPresent();
             keepAlive = keepAlive && (!server.stopping() || requestFollows);
             idleMillis = server.limits().idleTimeoutMillis();
             if (!keepAlive) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -202,7 +202,7 @@
         long now = nowMillis();
         CallLimits limits = limits();
         for (CallerConnection connection : List.copyOf(connections)) {
-            connection.rejectIfSlow(now, limits);
+            connection.rejectIfSlow(now);
             connection.closeIfOutputEnded(now);
         }
         List<CallerConnection> idle = connections.stream()
