--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -3,9 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -24,27 +25,50 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.sesamehead.coordination.catalog.CallLimits;
+import io.sesamehead.coordination.catalog.IdlePeriod;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** One connection of a caller: buffers complete requests, runs them one at a time in order and writes the responses. */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Maximum number of pipelined requests; reading from the connection pauses when it is reached. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
 
+    /** Maximum number of bytes read and discarded after the last request of a connection. */
+    private static final long MAX_DISCARDED_BYTES = 16_777_216;
+    /** Maximum time to wait for the caller's close after the last response, in milliseconds. */
+    private static final long CALLER_CLOSE_TIMEOUT_MILLIS = 1_000;
+
+    private static final String KEEP_ALIVE = "Keep-Alive";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     private final CallerServer server;
     private final ArrayDeque<CallRequest> pendingRequests = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
+    /** Limits in force when the request that is being read began. */
+    private CallLimits requestLimits;
+
     private long lastActivityMillis;
+    private IdlePeriod idlePeriod;
     private long partialSinceMillis = -1;
+    private boolean continueExpected;
     private boolean responding;
-    private boolean inputRejected;
+    /** Whether the last request of the connection has been read; later input is discarded. */
+    private boolean inputEnded;
+    /** Response to a request that could not be read completely. */
+    private Optional<ErrorResponse> rejection = Optional.empty();
+    /** Whether the current or last response closes the connection; no further request is run. */
+    private boolean closing;
+
+    private long discardedBytes;
+    private long outputEndedAtMillis = -1;
+    private Optional<ChannelFuture> lastWrite = Optional.empty();
     private Optional<ForwardedCall> call = Optional.empty();
-    private Response currentResponse;
     private CloseReason closeReason = CloseReason.OTHER;
 
     /** Why a connection was closed. */
@@ -63,20 +87,45 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         lastActivityMillis = server.nowMillis();
+        idlePeriod = new IdlePeriod(lastActivityMillis, server.limits().idleTimeoutMillis());
         server.add(this);
     }
 
-    /** Records when bytes arrive, and when an incomplete request began. Called before the decoder. */
-    void onBytesReceived() {
+    /**
+     * Records when bytes arrive, and when an incomplete request began. Called before the decoder.
+     *
+     * @param byteCount number of bytes
+     * @return whether to decode the bytes; otherwise they are discarded
+     */
+    boolean onBytesReceived(int byteCount) {
+        if (inputEnded) {
+            onBytesDiscarded(byteCount);
+            return false;
+        }
         lastActivityMillis = server.nowMillis();
         if (!responding && partialSinceMillis < 0) {
             partialSinceMillis = lastActivityMillis;
+            requestLimits = server.limits();
+        }
+        return true;
+    }
+
+    /** Bytes that stay unread turn the close into a reset, which may destroy the last response on its way. */
+    private void onBytesDiscarded(int byteCount) {
+        discardedBytes += byteCount;
+        if (discardedBytes <= MAX_DISCARDED_BYTES) {
+            return;
+        }
+        if (outputEndedAtMillis >= 0) {
+            channel.close();
+        } else {
+            channel.config().setAutoRead(false);
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (inputRejected) {
+        if (inputEnded) {
             return;
         }
         if (message.decoderResult().isFailure()) {
@@ -94,17 +143,28 @@
     private void beginRequest(HttpRequest request) {
         head = request;
         headArrivedAtMillis = server.nowMillis();
+        requestLimits = server.limits();
         body = new ByteArrayOutputStream();
-        if (HttpUtil.is100ContinueExpected(request)) {
+        if (HttpUtil.getContentLength(request, 0L) > requestLimits.maxBodyBytes()) {
+            reject(ErrorResponse.BODY_TOO_LARGE);
+            return;
+        }
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        sendContinueIfDue();
+    }
+
+    /** Asks for the body of an incomplete request once all earlier requests have been answered. */
+    private void sendContinueIfDue() {
+        if (continueExpected && head != null && !responding && pendingRequests.isEmpty()) {
+            continueExpected = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
     private void appendBody(HttpContent content) {
         ByteBuf data = content.content();
-        CallLimits limits = server.limits();
-        if (body.size() + data.readableBytes() > limits.maxBodyBytes()) {
-            rejectAndClose(ErrorResponse.BODY_TOO_LARGE);
+        if (body.size() + data.readableBytes() > requestLimits.maxBodyBytes()) {
+            reject(ErrorResponse.BODY_TOO_LARGE);
             return;
         }
         if (data.isReadable()) {
@@ -126,7 +186,9 @@
                 || HttpUtil.isTransferEncodingChunked(request);
         pendingRequests.add(new CallRequest(
                 request.method(), request.uri(), request.headers(), body.toByteArray(), hasBody, headArrivedAtMillis));
-        if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
+        if (!keepAlive(request.headers())) {
+            endInput();
+        } else if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
             channel.config().setAutoRead(false);
         }
         // The caller may have closed the connection after the request. The event loop reads the socket until it is
@@ -136,60 +198,109 @@
     }
 
     private void startNext() {
-        while (!responding && !pendingRequests.isEmpty() && channel.isActive()) {
+        while (!responding && !closing && !pendingRequests.isEmpty() && channel.isActive()) {
             CallRequest request = pendingRequests.poll();
             channel.config().setAutoRead(true);
             responding = true;
-            currentResponse = new Response(keepAlive(request));
+            Response response = new Response(keepAlive(request.headers()));
             if (server.rejecting()) {
-                server.sendError(currentResponse, ErrorResponse.STOPPING);
+                server.sendError(response, ErrorResponse.STOPPING);
                 continue;
             }
-            Optional<ForwardedCall> started = server.router().route(request, currentResponse);
+            Optional<ForwardedCall> started = server.router().route(request, response);
             call = responding ? started : Optional.empty();
         }
+        if (responding || closing || !channel.isActive()) {
+            return;
+        }
+        if (rejection.isPresent()) {
+            responding = true;
+            server.sendError(new Response(false), rejection.get());
+        } else {
+            sendContinueIfDue();
+        }
+    }
+
+    private static boolean keepAlive(HttpHeaders headers) {
+        return !headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    }
+
+    /** Reads on, so that a disconnect of the caller is noticed, but no further request. */
+    private void endInput() {
+        inputEnded = true;
+        channel.config().setAutoRead(true);
+    }
+
+    private void endOutput() {
+        if (discardedBytes <= MAX_DISCARDED_BYTES && channel instanceof DuplexChannel duplex) {
+            outputEndedAtMillis = server.nowMillis();
+            duplex.shutdownOutput();
+        } else {
+            channel.close();
+        }
     }
 
-    private static boolean keepAlive(CallRequest request) {
-        return !request.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+    /** Closes a connection whose caller has not closed it after the last response. */
+    void closeIfOutputEnded(long nowMillis) {
+        if (outputEndedAtMillis >= 0 && nowMillis - outputEndedAtMillis > CALLER_CLOSE_TIMEOUT_MILLIS) {
+            channel.close();
+        }
     }
 
     private void rejectMalformed(Throwable cause) {
         ErrorResponse error = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
                 ? ErrorResponse.HEAD_TOO_LARGE
                 : ErrorResponse.BAD_REQUEST;
-        rejectAndClose(error);
+        reject(error);
     }
 
-    /** Rejects a request that cannot be read completely, and closes, because later bytes have no known framing. */
-    private void rejectAndClose(ErrorResponse error) {
-        inputRejected = true;
+    /**
+     * Rejects a request that cannot be read completely, after the responses to the earlier ones. The rejection closes the
+     * connection, because later bytes have no known framing.
+     */
+    private void reject(ErrorResponse error) {
+        endInput();
         head = null;
-        if (responding) {
-            // The response to the earlier request closes the connection.
-            currentResponse.disableKeepAlive();
-            return;
-        }
-        responding = true;
-        currentResponse = new Response(false);
-        server.sendError(currentResponse, error);
+        body = null;
+        rejection = Optional.of(error);
+        channel.eventLoop().execute(this::startNext);
     }
 
-    /** Closes the connection if it is idle for too long, or rejects an incomplete request that stopped arriving. */
-    void closeIfTimedOut(long nowMillis, CallLimits limits, boolean stopping, long stoppingIdleMillis) {
-        if (channel == null || responding) {
-            return;
-        }
-        boolean slow = partialSinceMillis >= 0 && nowMillis - lastActivityMillis > limits.headerTimeoutMillis();
+    /** Rejects an incomplete request that stopped arriving. */
+    void rejectIfSlow(long nowMillis) {
+        boolean incomplete = head != null || partialSinceMillis >= 0;
+        boolean slow = !responding
+                && !inputEnded
+                && incomplete
+                && nowMillis - lastActivityMillis > requestLimits.headerTimeoutMillis();
         if (slow) {
-            rejectAndClose(ErrorResponse.SLOW_REQUEST);
-            return;
+            reject(ErrorResponse.SLOW_REQUEST);
         }
-        long limit = stopping ? stoppingIdleMillis : limits.idleTimeoutMillis();
-        if (partialSinceMillis < 0 && nowMillis - lastActivityMillis > limit) {
-            closeReason = CloseReason.IDLE;
-            channel.close();
+    }
+
+    /**
+     * Returns whether the connection has been idle for too long.
+     *
+     * @param nowMillis current time, in milliseconds
+     * @param limits the limits in force
+     * @param stoppingIdleMillis idle time after which a stopping daemon closes a connection, in milliseconds; empty if it
+     *     is not stopping
+     */
+    boolean isIdleTooLong(long nowMillis, CallLimits limits, OptionalLong stoppingIdleMillis) {
+        boolean requestOpen = responding || !pendingRequests.isEmpty() || head != null || partialSinceMillis >= 0;
+        boolean written = lastWrite.stream().allMatch(ChannelFuture::isDone);
+        if (channel == null || requestOpen || inputEnded || !written) {
+            return false;
         }
+        idlePeriod.raiseLimit(limits.idleTimeoutMillis());
+        return stoppingIdleMillis.isPresent()
+                ? idlePeriod.isLongerThan(stoppingIdleMillis.getAsLong(), nowMillis)
+                : idlePeriod.hasExpired(nowMillis);
+    }
+
+    void closeIdle() {
+        closeReason = CloseReason.IDLE;
+        channel.close();
     }
 
     @Override
@@ -226,15 +337,13 @@
     private final class Response implements ResponseWriter {
         private boolean keepAlive;
         private boolean ended;
+        /** Limit for the idle period after the response, in milliseconds. */
+        private long idleMillis;
 
         Response(boolean keepAlive) {
             this.keepAlive = keepAlive;
         }
 
-        void disableKeepAlive() {
-            keepAlive = false;
-        }
-
         @Override
         public void send(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
             if (ended) {
@@ -279,23 +388,40 @@
                 return;
             }
             ended = true;
+            closing = true;
+            endInput();
             onResponseEnded(false);
             closeReason = CloseReason.ABORTED;
             channel.close();
         }
 
         private void setConnectionHeader(HttpHeaders headers) {
-            keepAlive = keepAlive && !server.stopping() && !inputRejected;
+            boolean requestFollows = head != null || !pendingRequests.isEmpty() || rejection.isPresent();
+            keepAlive = keepAlive && (!server.stopping() || requestFollows);
+            idleMillis = server.limits().idleTimeoutMillis();
             if (!keepAlive) {
+                closing = true;
+                endInput();
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            } else if (idleMillis >= MILLIS_PER_SECOND) {
+                headers.set(KEEP_ALIVE, "timeout=" + idleMillis / MILLIS_PER_SECOND);
             }
         }
 
-        private void writeLast(HttpObject last) {
-            var written = channel.writeAndFlush(last);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
+        private void onWritten(boolean success) {
+            if (!success) {
+                channel.close();
+            } else if (keepAlive) {
+                idlePeriod = new IdlePeriod(server.nowMillis(), idleMillis);
+            } else {
+                endOutput();
             }
+        }
+
+        private void writeLast(HttpObject last) {
+            ChannelFuture written = channel.writeAndFlush(last);
+            lastWrite = Optional.of(written);
+            written.addListener(done -> onWritten(done.isSuccess()));
             onResponseEnded(keepAlive);
         }
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,12 +12,14 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ReferenceCountUtil;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.state.Endpoint;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +27,11 @@
 final class CallerServer {
     /** Interval of the check for idle and slow connections, in milliseconds. */
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
+    /**
+     * Delay between the check that finds a connection idle and its close, in milliseconds. The event loop reads all
+     * sockets in between, so that no connection is closed whose next request has arrived.
+     */
+    private static final long IDLE_CLOSE_DELAY_MILLIS = 1;
     /** Retry-After value of a request rejected during the stop, in milliseconds: another daemon can take it at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
     /** Maximum number of connections waiting to be accepted. */
@@ -39,7 +47,7 @@
     private Optional<Channel> listener = Optional.empty();
     private boolean stopping;
     private boolean rejecting;
-    private long stoppingIdleMillis = Long.MAX_VALUE;
+    private OptionalLong stoppingIdleMillis = OptionalLong.empty();
 
     CallerServer(CallEnvironment environment, CallRouter router) {
         this.environment = environment;
@@ -86,8 +94,11 @@
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext context, Object message) {
-                        connection.onBytesReceived();
-                        context.fireChannelRead(message);
+                        if (connection.onBytesReceived(((ByteBuf) message).readableBytes())) {
+                            context.fireChannelRead(message);
+                        } else {
+                            ReferenceCountUtil.release(message);
+                        }
                     }
                 })
                 .addLast(new HttpServerCodec(limits.maxHeaderBytes(), limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
@@ -109,7 +120,7 @@
         listener.ifPresent(Channel::close);
         listener = Optional.empty();
         rejecting = true;
-        stoppingIdleMillis = idleMillis;
+        stoppingIdleMillis = OptionalLong.of(idleMillis);
         closeTimedOut();
     }
 
@@ -191,7 +202,22 @@
         long now = nowMillis();
         CallLimits limits = limits();
         for (CallerConnection connection : List.copyOf(connections)) {
-            connection.closeIfTimedOut(now, limits, stopping, stoppingIdleMillis);
+            connection.rejectIfSlow(now);
+            connection.closeIfOutputEnded(now);
         }
+        List<CallerConnection> idle = connections.stream()
+                .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
+                .toList();
+        if (!idle.isEmpty()) {
+            environment.loop().schedule(() -> closeStillIdle(idle), IDLE_CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void closeStillIdle(List<CallerConnection> idle) {
+        long now = nowMillis();
+        CallLimits limits = limits();
+        idle.stream()
+                .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
+                .forEach(CallerConnection::closeIdle);
     }
 }
