Name the planner's set of groups to give up for what it means

FleetView.stalled becomes FleetView.lost: the planner dissolves what it contains, and a silent group is not in it as such. The field 'stalled' of the plan line keeps its outer name. No change of behaviour. FleetPlannerTest and ControllerChangeTest pass.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -179,7 +179,7 @@
             long nowMillis,
             List<ReplicaAction> actions) {
         for (FormingReplica group : List.copyOf(forming.values())) {
-            FormingReplica.Progress progress = view.stalled().contains(group.key())
+            FormingReplica.Progress progress = view.lost().contains(group.key())
                     ? FormingReplica.Progress.FAILED
                     : group.advance(byId, nowMillis, actions);
             switch (progress) {
@@ -237,7 +237,7 @@
                 .flatMap(view.engine()::model)
                 .filter(model -> listed.serving(model.groupSize()))
                 .isPresent();
-        return serves && !group.anyMemberLeft() && !view.stalled().contains(group.key());
+        return serves && !group.anyMemberLeft() && !view.lost().contains(group.key());
     }
 
     /**
@@ -255,8 +255,8 @@
 
     private Optional<String> inspect(FleetView view, Replica replica, long nowMillis) {
         Optional<ModelProfile> model = replica.key().model().flatMap(view.engine()::model);
-        boolean stalled = view.stalled().contains(replica.key());
-        if (model.isEmpty() || stalled || replica.head().isEmpty()) {
+        boolean lost = view.lost().contains(replica.key());
+        if (model.isEmpty() || lost || replica.head().isEmpty()) {
             dissolve(replica);
             return Optional.empty();
         }
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetView.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetView.java
@@ -10,7 +10,7 @@
  *
  * @param engine the service's models and limits
  * @param entries the service's upstreams as listed in the registry
- * @param stalled groups whose streams have stalled
+ * @param lost groups whose head is lost; a head that is silent for a short time is not
  * @param demand load by model
  * @param trafficSeen whether callers have sent calls; before the first call, the rate of loads is not limited
  * @param formerGroups groups that upstreams have left, as observed in the registry
@@ -19,7 +19,7 @@
 public record FleetView(
         EngineProfile engine,
         List<UpstreamEntry> entries,
-        Set<ReplicaKey> stalled,
+        Set<ReplicaKey> lost,
         Map<String, ModelDemand> demand,
         boolean trafficSeen,
         FormerGroups formerGroups,
@@ -27,7 +27,7 @@
     /** Copies the collections. */
     public FleetView {
         entries = List.copyOf(entries);
-        stalled = Set.copyOf(stalled);
+        lost = Set.copyOf(lost);
         demand = Map.copyOf(demand);
     }
 }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -31,7 +31,7 @@
     private final Map<InstanceId, String> copying = new HashMap<>();
     private final Map<InstanceId, UpstreamEntry> disconnected = new LinkedHashMap<>();
     private final Set<InstanceId> dead = new HashSet<>();
-    private final Set<ReplicaKey> stalled = new HashSet<>();
+    private final Set<ReplicaKey> lost = new HashSet<>();
     final List<String> violations = new ArrayList<>();
     final Map<String, ModelDemand> demand = new HashMap<>();
     final FormerGroups formerGroups = new FormerGroups();
@@ -71,7 +71,7 @@
     /** Kills an engine without notice; the registry still lists it. */
     void kill(InstanceId id) {
         dead.add(id);
-        entry(id).membership().ifPresent(membership -> stalled.add(membership.replica()));
+        entry(id).membership().ifPresent(membership -> lost.add(membership.replica()));
     }
 
     /** Cuts an engine off from orders and the registry, which still lists it; the engine itself keeps running. */
@@ -92,9 +92,9 @@
         for (long end = now + millis; now < end; now += 50) {
             completePending();
             entries.values().forEach(entry -> formerGroups.observe(entry, now));
-            stalled.retainAll(ReplicaIndex.of(entries.values()).keySet());
+            lost.retainAll(ReplicaIndex.of(entries.values()).keySet());
             FleetView view = new FleetView(
-                    PROFILE, List.copyOf(entries.values()), stalled, demand, traffic, formerGroups, firstStart);
+                    PROFILE, List.copyOf(entries.values()), lost, demand, traffic, formerGroups, firstStart);
             for (ReplicaAction action : planner.plan(view, now)) {
                 planner.onResult(action, execute(action), now);
             }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -103,7 +103,7 @@
         FleetView view = new FleetView(
                 engine,
                 entries,
-                stalled(entries, now),
+                lost(entries, now),
                 loads.demand(fleet.servingTargets(), table, now),
                 trafficSeen,
                 formerGroups,
@@ -147,19 +147,19 @@
                 "listed",
                 summary.listed(),
                 "stalled",
-                view.stalled().size(),
+                view.lost().size(),
                 "demand",
                 view.demand());
     }
 
-    private Set<ReplicaKey> stalled(List<UpstreamEntry> entries, long nowMillis) {
-        Set<ReplicaKey> stalled = new HashSet<>();
+    private Set<ReplicaKey> lost(List<UpstreamEntry> entries, long nowMillis) {
+        Set<ReplicaKey> lost = new HashSet<>();
         for (Replica replica : ReplicaIndex.of(entries).values()) {
             if (table.isLost(TargetKey.of(replica.key()), nowMillis)) {
-                stalled.add(replica.key());
+                lost.add(replica.key());
             }
         }
-        return stalled;
+        return lost;
     }
 
     private void send(FleetPlanner planner, UpstreamEntry target, ReplicaAction action) {
