Dissolve a kept group when a leave order is answered late

What follows for callers: a group that was lost for a moment and is whole again stands on, and its leave orders are no longer resent. An order that was sent during the silence may still be carried out, seconds later. Its answer was ignored, since the planner had dropped the group; the group then counted as serving until the registry listed the departure, and calls went to a head that had lost a member.

The planner now keeps the state of such a group. A late answer resumes dissolving: leave orders to the other members, a replacement, and the same wait for the head as before. A late order without an answer shows in the registry, as before.

Evidence: dissolvesKeptGroupWhenLeaveOrderIsAnsweredLate failed on the old planner (dissolving 0 instead of 1). The other new tests passed before and guard what must hold: the replacement begins within 100 ms of the evidence and not after the registry, leave orders stop when the group is whole, and a group that carries out its orders late is replaced without a common member. FleetPlannerTest and ControllerChangeTest pass.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -43,6 +43,9 @@
     private final ReachabilityTracker reachability = new ReachabilityTracker();
     private final Map<ReplicaKey, FormingReplica> forming = new LinkedHashMap<>();
     private final Map<ReplicaKey, DissolvingReplica> dissolving = new HashMap<>();
+    /** Groups that are kept although leave orders were sent. The orders may still be carried out. */
+    private final Map<ReplicaKey, DissolvingReplica> kept = new HashMap<>();
+
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
     /** Groups given up before their head can have opened. Their members may join other groups immediately. */
     private final Set<ReplicaKey> abandoned = new HashSet<>();
@@ -120,8 +123,7 @@
         switch (action) {
             case ReplicaAction.Join join -> formingOf(join.replica()).ifPresent(group -> group.onResult(join, result));
             case ReplicaAction.Open open -> formingOf(open.replica()).ifPresent(group -> group.onResult(open, result));
-            case ReplicaAction.Leave leave ->
-                dissolvingOf(leave.replica()).ifPresent(group -> group.onResult(leave, result, nowMillis));
+            case ReplicaAction.Leave leave -> onLeaveResult(leave, result, nowMillis);
             case ReplicaAction.Stage stage -> stager.onResult(stage, result);
         }
     }
@@ -168,8 +170,16 @@
         return Optional.ofNullable(forming.get(key));
     }
 
-    private Optional<DissolvingReplica> dissolvingOf(ReplicaKey key) {
-        return Optional.ofNullable(dissolving.get(key));
+    private void onLeaveResult(ReplicaAction.Leave leave, OrderResult result, long nowMillis) {
+        ReplicaKey key = leave.replica();
+        DissolvingReplica group = dissolving.getOrDefault(key, kept.get(key));
+        if (group == null) {
+            return;
+        }
+        group.onResult(leave, result, nowMillis);
+        if (group.anyMemberLeft() && kept.remove(key) != null) {
+            dissolving.put(key, group);
+        }
     }
 
     private void advanceForming(
@@ -201,6 +211,7 @@
     }
 
     private void dissolve(Replica replica) {
+        kept.remove(replica.key());
         dissolving.computeIfAbsent(replica.key(), key -> new DissolvingReplica(replica, stallMillis));
     }
 
@@ -211,7 +222,15 @@
     private Map<String, Integer> inspectExisting(FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         Map<String, Integer> healthy = new HashMap<>();
         leavingSince.keySet().retainAll(replicas.keySet());
-        dissolving.values().removeIf(group -> dissolvingDone(view, group, replicas.get(group.key()), nowMillis));
+        kept.keySet().retainAll(replicas.keySet());
+        for (DissolvingReplica group : List.copyOf(dissolving.values())) {
+            if (dissolvingDone(view, group, replicas.get(group.key()), nowMillis)) {
+                dissolving.remove(group.key());
+                if (replicas.containsKey(group.key())) {
+                    kept.put(group.key(), group);
+                }
+            }
+        }
         abandoned.retainAll(replicas.keySet());
         for (Replica replica : replicas.values()) {
             ReplicaKey key = replica.key();
@@ -225,8 +244,8 @@
     }
 
     /**
-     * Returns whether a group no longer needs to be dissolved: nothing is left of it, or it is complete again, as after
-     * a partition of its failure domain during which its members received no order.
+     * Returns whether a group no longer needs to be dissolved: nothing is left of it, or it is complete and not lost, as
+     * after a partition of its failure domain or a long silence during which its members received no order.
      */
     private boolean dissolvingDone(FleetView view, DissolvingReplica group, Replica listed, long nowMillis) {
         if (listed == null) {
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -2,6 +2,8 @@
 
 import io.sesamehead.coordination.catalog.EngineProfile;
 import io.sesamehead.coordination.catalog.ModelProfile;
+import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.InstanceId;
@@ -16,8 +18,9 @@
 import java.util.Set;
 
 /**
- * Simulated engines that execute orders immediately, except that joins and copies take time. Records a violation when
- * an engine accepts a join while the head of its current group serves.
+ * Simulated engines that execute orders immediately, except that joins and copies take time. Each serving group has a
+ * call in flight that makes progress while the head is not silent. Records a violation when an engine accepts a join
+ * while the head of its current group serves.
  */
 final class FakeEngines {
     static final ModelProfile BIG = new ModelProfile("big", 4, 0.57, 1.0, 16_000, 1_600);
@@ -32,6 +35,11 @@
     private final Map<InstanceId, UpstreamEntry> disconnected = new LinkedHashMap<>();
     private final Set<InstanceId> dead = new HashSet<>();
     private final Set<ReplicaKey> lost = new HashSet<>();
+    private final Map<InstanceId, Long> silentUntil = new HashMap<>();
+    private final Map<InstanceId, List<ReplicaAction>> lateOrders = new HashMap<>();
+    private final Set<TargetKey> called = new HashSet<>();
+    private final TargetTable calls = new TargetTable();
+    final List<ReplicaAction> orders = new ArrayList<>();
     final List<String> violations = new ArrayList<>();
     final Map<String, ModelDemand> demand = new HashMap<>();
     final FormerGroups formerGroups = new FormerGroups();
@@ -79,6 +87,21 @@
         disconnected.put(id, entries.get(id));
     }
 
+    /** Silences an engine on all connections. It then executes the orders that it has received meanwhile. */
+    void silence(InstanceId id, long millis) {
+        silentUntil.put(id, now + millis);
+    }
+
+    /** Adds evidence that a group is lost. */
+    void addLost(ReplicaKey key) {
+        lost.add(key);
+    }
+
+    /** Removes the evidence that a group is lost. */
+    void removeLost(ReplicaKey key) {
+        lost.remove(key);
+    }
+
     /** Removes a disconnected engine from the registry. */
     void dropFromRegistry(InstanceId id) {
         entries.remove(id);
@@ -90,17 +113,56 @@
 
     void run(FleetPlanner planner, long millis) {
         for (long end = now + millis; now < end; now += 50) {
+            endSilences();
             completePending();
+            recordCalls();
             entries.values().forEach(entry -> formerGroups.observe(entry, now));
             lost.retainAll(ReplicaIndex.of(entries.values()).keySet());
             FleetView view = new FleetView(
-                    PROFILE, List.copyOf(entries.values()), lost, demand, traffic, formerGroups, firstStart);
+                    PROFILE, List.copyOf(entries.values()), lost(), demand, traffic, formerGroups, firstStart);
             for (ReplicaAction action : planner.plan(view, now)) {
+                orders.add(action);
                 planner.onResult(action, execute(action), now);
             }
         }
     }
 
+    private void endSilences() {
+        for (InstanceId id : List.copyOf(silentUntil.keySet())) {
+            if (silentUntil.get(id) <= now) {
+                silentUntil.remove(id);
+                List<ReplicaAction> late = lateOrders.remove(id);
+                if (late != null) {
+                    late.forEach(this::execute);
+                }
+            }
+        }
+    }
+
+    private void recordCalls() {
+        for (Replica replica : ReplicaIndex.of(entries.values()).values()) {
+            TargetKey key = TargetKey.of(replica.key());
+            boolean open = replica.head()
+                    .filter(head -> head.membership().orElseThrow().state() == MemberState.OPEN)
+                    .isPresent();
+            if (open && called.add(key)) {
+                calls.recordSent(key, now);
+            }
+            if (open && !silentUntil.containsKey(replica.members().get(0).id())) {
+                calls.recordProgress(key, now);
+            }
+        }
+        calls.findStalled(now);
+    }
+
+    private Set<ReplicaKey> lost() {
+        Set<ReplicaKey> all = new HashSet<>(lost);
+        ReplicaIndex.of(entries.values()).keySet().stream()
+                .filter(key -> calls.isLost(TargetKey.of(key), now))
+                .forEach(all::add);
+        return all;
+    }
+
     UpstreamEntry entry(InstanceId id) {
         return entries.get(id);
     }
@@ -120,6 +182,11 @@
             unanswered++;
             return OrderResult.UNKNOWN;
         }
+        if (silentUntil.containsKey(action.target())) {
+            lateOrders.computeIfAbsent(action.target(), id -> new ArrayList<>()).add(action);
+            unanswered++;
+            return OrderResult.UNKNOWN;
+        }
         switch (action) {
             case ReplicaAction.Join join -> join(entry, join);
             case ReplicaAction.Open open -> state(entry, MemberState.OPEN);
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -125,6 +125,96 @@
         assertThat(engines.violations).isEmpty();
     }
 
+    private static long leaveOrders(FakeEngines fleet, ReplicaKey key) {
+        return fleet.orders.stream()
+                .filter(order -> order instanceof ReplicaAction.Leave leave
+                        && leave.replica().equals(key))
+                .count();
+    }
+
+    /** Guards against a replacement that waits until the registry no longer lists the lost head. */
+    @Test
+    void startsReplacementOfLostGroupAtOnce() {
+        FakeEngines wide = new FakeEngines();
+        wide.addDomains(4, 23);
+        wide.run(planner, WARM_UP_MILLIS);
+        wide.traffic = true;
+        wide.run(planner, 3_000);
+        Replica group = wide.serving(FakeEngines.SMALL).get(0);
+        List<InstanceId> former =
+                group.members().stream().map(UpstreamEntry::id).toList();
+        wide.orders.clear();
+
+        wide.kill(former.get(0));
+        wide.run(planner, 100);
+
+        assertThat(leaveOrders(wide, group.key())).isEqualTo(former.size());
+        assertThat(wide.orders.stream()
+                        .filter(order -> order instanceof ReplicaAction.Join)
+                        .map(ReplicaAction::target))
+                .hasSize(FakeEngines.SMALL.groupSize())
+                .doesNotContainAnyElementsOf(former);
+        assertThat(wide.violations).isEmpty();
+    }
+
+    /** Guards against leave orders that are resent to a group that has turned out to be whole. */
+    @Test
+    void stopsLeaveOrdersWhenLostGroupIsWholeAgain() {
+        start();
+        Replica group = engines.serving(FakeEngines.BIG).get(0);
+        group.members().forEach(member -> engines.disconnect(member.id()));
+        engines.addLost(group.key());
+        engines.run(planner, 200);
+        assertThat(leaveOrders(engines, group.key())).isPositive();
+        engines.removeLost(group.key());
+        group.members().forEach(member -> engines.reconnect(member.id()));
+        engines.orders.clear();
+        engines.run(planner, 5_000);
+
+        assertThat(leaveOrders(engines, group.key())).isZero();
+        assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key)).contains(group.key());
+    }
+
+    /**
+     * Guards against a kept group of which a member has left: an order sent during the silence may be carried out and
+     * answered after it.
+     */
+    @Test
+    void dissolvesKeptGroupWhenLeaveOrderIsAnsweredLate() {
+        start();
+        Replica group = engines.serving(FakeEngines.BIG).get(0);
+        group.members().forEach(member -> engines.disconnect(member.id()));
+        engines.addLost(group.key());
+        engines.run(planner, 200);
+        engines.removeLost(group.key());
+        engines.run(planner, 200);
+        assertThat(planner.summary().dissolving()).isZero();
+        engines.orders.clear();
+        ReplicaAction.Leave late =
+                new ReplicaAction.Leave(group.members().get(1).id(), group.key());
+        planner.onResult(late, OrderResult.ACCEPTED, engines.now);
+        engines.run(planner, 2_000);
+
+        assertThat(planner.summary().dissolving()).isEqualTo(1);
+        assertThat(leaveOrders(engines, group.key())).isPositive();
+    }
+
+    /** Guards against two serving groups with a common member after leave orders that were carried out late. */
+    @Test
+    void replacesGroupThatLeavesLate() {
+        start();
+        Replica group = engines.serving(FakeEngines.BIG).get(0);
+        int before = engines.serving(FakeEngines.BIG).size();
+        group.members().forEach(member -> engines.silence(member.id(), 4_000));
+        engines.run(planner, 3_900);
+        assertThat(leaveOrders(engines, group.key())).isPositive();
+        engines.run(planner, STALL_MILLIS + 6_000);
+
+        assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key)).doesNotContain(group.key());
+        assertThat(engines.serving(FakeEngines.BIG)).hasSizeGreaterThanOrEqualTo(before);
+        assertThat(engines.violations).isEmpty();
+    }
+
     @Test
     void newHolderAdoptsServingGroupsWithoutOrders() {
         start();
