--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -487,21 +487,10 @@
     }
 
     private Map<String, Integer> groupsByFailureDomain(FleetView view, ModelProfile model) {
-        Map<String, Integer> counts = new HashMap<>();
-        Set<InstanceId> heads = new HashSet<>();
-        forming.values().stream()
+        Set<InstanceId> heads = forming.values().stream()
                 .filter(group -> group.model().equals(model.name()))
-                .forEach(group -> heads.add(group.members().get(0)));
-        for (UpstreamEntry entry : view.entries()) {
-            boolean existing = entry.membership()
-                    .filter(Membership::head)
-                    .flatMap(membership -> membership.replica().model())
-                    .filter(model.name()::equals)
-                    .isPresent();
-            if (existing || heads.contains(entry.id())) {
-                counts.merge(entry.failureDomain().value(), 1, Integer::sum);
-            }
-        }
-        return counts;
+                .map(group -> group.members().get(0))
+                .collect(Collectors.toSet());
+        return MemberSelector.groupsByFailureDomain(view.entries(), model, heads);
     }
 }
--- a/core/src/main/java/io/sesamehead/coordination/replica/MemberSelector.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/MemberSelector.java
@@ -1,12 +1,14 @@
 package io.sesamehead.coordination.replica;
 
 import io.sesamehead.coordination.catalog.ModelProfile;
+import io.sesamehead.state.InstanceId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Selects the free upstreams that form a group, all within one fabric domain. */
 final class MemberSelector {
@@ -61,6 +63,29 @@
         return domains;
     }
 
+    /**
+     * Counts the groups of a model by the failure domain of their head.
+     *
+     * @param entries the service's upstreams as listed in the registry
+     * @param model the model
+     * @param formingHeads heads of groups of the model that are being formed
+     */
+    static Map<String, Integer> groupsByFailureDomain(
+            List<UpstreamEntry> entries, ModelProfile model, Set<InstanceId> formingHeads) {
+        Map<String, Integer> counts = new HashMap<>();
+        for (UpstreamEntry entry : entries) {
+            boolean existing = entry.membership()
+                    .filter(Membership::head)
+                    .flatMap(membership -> membership.replica().model())
+                    .filter(model.name()::equals)
+                    .isPresent();
+            if (existing || formingHeads.contains(entry.id())) {
+                counts.merge(entry.failureDomain().value(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
     static String failureDomain(Candidate candidate) {
         return candidate.members().get(0).failureDomain().value();
     }
