Replace a group whose connections are refused without waiting for the registry

Callers saw: after a head's process has ended, its group counted as serving until the registry dropped the head, about 3 s later, and its replacement began only then, although each new connection was refused at once.

HttpConnectionPool reports each refused connection (not one that timed out or was closed), also those of orders. The daemon maps the address to the serving target and records it in RefusedConnections; periodic reports tell the refusals as a state with ages, by daemon, and relays pass them on. The progress that clears them is taken from the reports of calls in flight. ControllerTerm unites them with TargetTable.isLost, and logs 'refuses-connections'.

Tests: PeerReporterTest, 5 daemons in a mesh and 45 with relays: refusals of two daemons reach all, a refusal of one counts once everywhere (they fail if the reports carry no refusals).

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/RefusedConnections.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/RefusedConnections.java
@@ -81,6 +81,16 @@
         ownProgress.merge(target, atMillis, Math::max);
     }
 
+    /**
+     * Records the progress of all targets that this daemon reports.
+     *
+     * @param table calls of this daemon
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordOwnProgress(TargetTable table, long nowMillis) {
+        table.localReports(nowMillis).forEach(row -> recordProgress(row.key(), nowMillis - row.silentMillis()));
+    }
+
     /**
      * Records that a target has sent something to another daemon.
      *
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.sesamehead.coordination.dispatch.CrashReport;
 import io.sesamehead.coordination.dispatch.CrashSubject;
+import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.lease.Lease;
@@ -12,6 +13,7 @@
 import io.sesamehead.entry.protocol.generated.DaemonReport;
 import io.sesamehead.entry.protocol.generated.LeavingUpstream;
 import io.sesamehead.entry.protocol.generated.ModelLoad;
+import io.sesamehead.entry.protocol.generated.RefusedTarget;
 import io.sesamehead.entry.protocol.generated.TargetLoad;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
@@ -143,6 +145,41 @@
         return crashed.build();
     }
 
+    /**
+     * Decodes the refused connections of a report.
+     *
+     * @param report the report
+     * @return one entry per target
+     */
+    public static List<RefusedConnections.Refusal> decodeRefusedTargets(DaemonReport report) {
+        List<RefusedConnections.Refusal> rows = new ArrayList<>(report.getRefusedCount());
+        for (RefusedTarget refused : report.getRefusedList()) {
+            Map<Long, Long> ages = new HashMap<>();
+            int daemons = Math.min(refused.getDaemonsCount(), refused.getAgesMillisCount());
+            for (int i = 0; i < daemons; i++) {
+                ages.put(refused.getDaemons(i), refused.getAgesMillis(i));
+            }
+            TargetKey target = new TargetKey(refused.getName(), refused.getGeneration());
+            rows.add(new RefusedConnections.Refusal(target, ImmutableMap.copyOf(ages)));
+        }
+        return rows;
+    }
+
+    /**
+     * Encodes the refused connections of a target.
+     *
+     * @param row the target and the daemons
+     * @return the message
+     */
+    public static RefusedTarget encodeRefusedTarget(RefusedConnections.Refusal row) {
+        RefusedTarget.Builder refused = RefusedTarget.newBuilder()
+                .setName(row.target().name())
+                .setGeneration(row.target().generation());
+        row.ageMillisByDaemon()
+                .forEach((daemon, age) -> refused.addDaemons(daemon).addAgesMillis(age));
+        return refused.build();
+    }
+
     /**
      * Decodes the upstreams that a report lists as leaving.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -2,6 +2,7 @@
 
 import io.sesamehead.coordination.catalog.EngineProfile;
 import io.sesamehead.coordination.catalog.ServiceProfile;
+import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.replica.FleetPlanner;
@@ -35,6 +36,8 @@
     private final Clocks clocks;
     private final Fleet fleet;
     private final TargetTable table;
+    private final RefusedConnections refused;
+    private final BooleanSupplier alone;
     private final ModelLoads loads;
     private final UpstreamOrderSender orders;
     private final EventLog log;
@@ -43,6 +46,7 @@
     private final Runnable onFenced;
     private final long startedAtMillis;
     private final Map<ServiceName, FleetPlanner> planners = new HashMap<>();
+    private final Set<ReplicaKey> loggedRefusals = new HashSet<>();
     private int ordersInFlight;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
@@ -54,6 +58,8 @@
             Clocks clocks,
             Fleet fleet,
             TargetTable table,
+            RefusedConnections refused,
+            BooleanSupplier alone,
             ModelLoads loads,
             UpstreamOrderSender orders,
             EventLog log,
@@ -67,6 +73,8 @@
         this.clocks = clocks;
         this.fleet = fleet;
         this.table = table;
+        this.refused = refused;
+        this.alone = alone;
         this.loads = loads;
         this.orders = orders;
         this.log = log;
@@ -153,9 +161,15 @@
     }
 
     private Set<ReplicaKey> lost(List<UpstreamEntry> entries, long nowMillis) {
+        refused.recordOwnProgress(table, nowMillis);
         Set<ReplicaKey> lost = new HashSet<>();
         for (Replica replica : ReplicaIndex.of(entries).values()) {
-            if (table.isLost(TargetKey.of(replica.key()), nowMillis)) {
+            TargetKey target = TargetKey.of(replica.key());
+            boolean refusesConnections = refused.isLost(target, alone.getAsBoolean(), nowMillis);
+            if (refusesConnections && loggedRefusals.add(replica.key())) {
+                log.write(EventLog.Component.GROUP, "refuses-connections", "target", target);
+            }
+            if (refusesConnections || table.isLost(target, nowMillis)) {
                 lost.add(replica.key());
             }
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -11,7 +11,9 @@
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
+import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
+import io.sesamehead.coordination.dispatch.Target;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.lease.LeaseHolder;
@@ -24,6 +26,7 @@
 import io.sesamehead.entry.transport.ControlClient;
 import io.sesamehead.entry.transport.HttpConnectionPool;
 import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.Incarnation;
 import java.time.InstantSource;
 import java.util.List;
@@ -81,6 +84,7 @@
     private final UpstreamRegistry registry = new UpstreamRegistry();
     private final Fleet fleet = new Fleet();
     private final TargetTable targetTable = new TargetTable();
+    private final RefusedConnections refusedConnections;
     private final ModelLoads modelLoads = new ModelLoads();
     private final HttpConnectionPool clients;
     private final MeteredStore store;
@@ -140,7 +144,8 @@
         this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         this.log = new EventLog(clocks);
         this.activeConfig = new ActiveConfig(settings.keyRevocationMillis() - MAX_WATCH_SILENCE_MILLIS);
-        this.clients = new HttpConnectionPool(loop, clocks);
+        this.refusedConnections = new RefusedConnections(new DaemonId(settings.daemon()));
+        this.clients = new HttpConnectionPool(loop, clocks, this::onConnectionRefused);
         ControlClient control = new ControlClient(clients);
         this.store = new MeteredStore(platform.store(control), metrics, log);
         this.orders = platform.orders(control);
@@ -178,6 +183,7 @@
                 targetTable,
                 crashHistory,
                 partCrashes,
+                refusedConnections,
                 leavingRecorder,
                 modelLoads,
                 lease,
@@ -357,6 +363,14 @@
         environment.onStalled(key);
     }
 
+    private void onConnectionRefused(Endpoint peer) {
+        for (Target target : fleet.servingTargets()) {
+            if (target.upstream().endpoint().equals(peer)) {
+                refusedConnections.recordRefused(target.key(), clocks.steadyMillis());
+            }
+        }
+    }
+
     private void runController() {
         OptionalLong epoch = stopStartedAtMillis >= 0 ? OptionalLong.empty() : lease.epoch();
         Optional<RouteTable> config = activeConfig.table();
@@ -372,6 +386,8 @@
                     clocks,
                     fleet,
                     targetTable,
+                    refusedConnections,
+                    peerReporter::alone,
                     modelLoads,
                     orders,
                     log,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -14,6 +14,7 @@
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.CrashReport;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
+import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
 import io.sesamehead.coordination.dispatch.TargetTable;
@@ -64,6 +65,7 @@
     private final TargetTable table;
     private final CrashHistory crashes;
     private final PromptPartCrashes partCrashes;
+    private final RefusedConnections refused;
     private final LeavingRecorder leaving;
     private final ModelLoads loads;
     private final LeaseTask lease;
@@ -90,6 +92,7 @@
             TargetTable table,
             CrashHistory crashes,
             PromptPartCrashes partCrashes,
+            RefusedConnections refused,
             LeavingRecorder leaving,
             ModelLoads loads,
             LeaseTask lease,
@@ -104,6 +107,7 @@
         this.table = table;
         this.crashes = crashes;
         this.partCrashes = partCrashes;
+        this.refused = refused;
         this.leaving = leaving;
         this.loads = loads;
         this.lease = lease;
@@ -146,6 +150,11 @@
         return directory.daemons().size();
     }
 
+    /** Returns whether this daemon knows of no other. */
+    boolean alone() {
+        return directory.daemons().isEmpty() && table.peerCount() == 0;
+    }
+
     /** Returns the number of daemons that use this one as their relay. */
     int relayedDaemons() {
         return topology.reporters(clocks.steadyMillis()).size();
@@ -238,6 +247,9 @@
     private DaemonReport.Builder addBroadcastData(DaemonReport.Builder report) {
         crashes.nextReport(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.encodeCrash(row)));
         leaving.toAnnounce().forEach(upstream -> report.addLeaving(ReportCodec.leaving(upstream)));
+        refused.recordOwnProgress(table, clocks.steadyMillis());
+        refused.reports(!topology.mesh(), clocks.steadyMillis())
+                .forEach(row -> report.addRefused(ReportCodec.encodeRefusedTarget(row)));
         return report;
     }
 
@@ -351,6 +363,8 @@
             return;
         }
         mergeCrashes(report);
+        long now = clocks.steadyMillis();
+        ReportCodec.decodeRefusedTargets(report).forEach(row -> refused.merge(row, now));
         ReportCodec.leaving(report).forEach(upstream -> leaving.recordFromPeer(upstream, report.getDaemon()));
         String sender = report.getDaemon() + "/" + report.getIncarnation();
         long lastSequence = lastSequences.getOrDefault(sender, 0L);
@@ -359,7 +373,6 @@
         }
         lastSequences.put(sender, report.getSequence());
         directory.onReport(new DaemonId(report.getDaemon()), origin);
-        long now = clocks.steadyMillis();
         recordTargetLoads(report, now);
         trafficSeen |= report.getTrafficSeen();
         ReportCodec.decodeLease(report).ifPresent(this::recordLeaseHolder);
@@ -386,6 +399,7 @@
     private void recordTargetLoads(DaemonReport report, long nowMillis) {
         DaemonId sender = new DaemonId(report.getDaemon());
         List<TargetReport> rows = ReportCodec.decodeLoads(report);
+        rows.forEach(row -> refused.recordPeerProgress(row.key(), nowMillis - row.silentMillis()));
         switch (report.getKind()) {
             case OWN -> {
                 table.replaceReport(sender.value(), rows, nowMillis);
--- a/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/HttpConnectionPool.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -11,10 +12,12 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.sesamehead.entry.runtime.Clocks;
 import io.sesamehead.state.Endpoint;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Pool of keep-alive client connections by peer. Confined to the event loop. */
 public final class HttpConnectionPool {
@@ -31,6 +34,7 @@
 
     private final EventLoop loop;
     private final Clocks clocks;
+    private final Consumer<Endpoint> onRefused;
     private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
     private long openedConnections;
 
@@ -39,10 +43,12 @@
      *
      * @param loop the event loop
      * @param clocks clocks for idle times
+     * @param onRefused receives each peer that has refused a connection
      */
-    public HttpConnectionPool(EventLoop loop, Clocks clocks) {
+    public HttpConnectionPool(EventLoop loop, Clocks clocks, Consumer<Endpoint> onRefused) {
         this.loop = loop;
         this.clocks = clocks;
+        this.onRefused = onRefused;
     }
 
     /**
@@ -146,11 +152,18 @@
                 exchange.start(connection, request);
             } else {
                 request.release();
+                if (refused(connected.cause())) {
+                    onRefused.accept(peer);
+                }
                 exchange.failToConnect(String.valueOf(connected.cause().getMessage()));
             }
         });
     }
 
+    private static boolean refused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     private void addIdle(Endpoint peer, ClientConnection connection) {
         connection.markIdle(clocks.steadyMillis());
         idle.computeIfAbsent(peer, key -> new ArrayDeque<>()).addLast(connection);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
+import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.lease.Lease;
@@ -43,6 +44,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against daemons of a large deployment that miss part of the others' load or count it twice. */
 final class PeerReporterTest {
@@ -50,6 +53,7 @@
     private static final int MESH_DAEMONS = 5;
     private static final int DOMAINS = 3;
     private static final TargetKey GROUP = TargetKey.of(ReplicaKey.of("big", 7));
+    private static final TargetKey LOST_GROUP = TargetKey.of(ReplicaKey.of("big", 8));
     /** Report interval with relays, in milliseconds. */
     private static final long REPORT_MILLIS = 180;
     /** Several times the two intervals of a report and its sum, in milliseconds. */
@@ -63,6 +67,7 @@
     private record Daemon(
             TargetTable table,
             ReportTopology topology,
+            RefusedConnections refused,
             LeaseTask lease,
             RecordingExchange storeViews,
             UpstreamRegistry registry,
@@ -121,6 +126,7 @@
         RecordingExchange storeViews = new RecordingExchange();
         UpstreamRegistry registry = new UpstreamRegistry();
         CrashHistory crashes = new CrashHistory();
+        RefusedConnections refused = new RefusedConnections(id);
         PeerReporter reporter = new PeerReporter(
                 loop,
                 clocks,
@@ -131,12 +137,13 @@
                 table,
                 crashes,
                 new PromptPartCrashes(crashes, id),
+                refused,
                 new LeavingRecorder(clocks, registry, log, () -> {}),
                 new ModelLoads(),
                 lease,
                 storeViews,
                 log);
-        return new Daemon(table, topology, lease, storeViews, registry, reporter);
+        return new Daemon(table, topology, refused, lease, storeViews, registry, reporter);
     }
 
     private <T> T onLoop(Callable<T> task) throws ExecutionException, InterruptedException {
@@ -246,6 +253,47 @@
                 .isZero();
     }
 
+    /** Returns the daemons that find the lost group when the first ones have been refused, after some reports. */
+    private long daemonsThatFindLoss(int refusedDaemons) throws Exception {
+        for (int round = 0; round < 10; round++) {
+            boolean refuse = round == 0;
+            onLoop(() -> {
+                long now = clocks.steadyMillis();
+                if (refuse) {
+                    daemons.stream()
+                            .limit(refusedDaemons)
+                            .forEach(daemon -> daemon.refused().recordRefused(LOST_GROUP, now));
+                }
+                daemons.forEach(daemon -> daemon.table().recordProgress(GROUP, now + 1));
+                return null;
+            });
+            Thread.sleep(REPORT_MILLIS / 2);
+        }
+        return onLoop(() -> daemons.stream()
+                .filter(daemon -> daemon.refused().isLost(LOST_GROUP, false, clocks.steadyMillis()))
+                .count());
+    }
+
+    /** Guards against refused connections that the lease holder does not learn of, in a mesh and through relays. */
+    @ParameterizedTest
+    @ValueSource(ints = {MESH_DAEMONS, DAEMONS})
+    void reportsRefusedConnectionsToAll(int count) throws Exception {
+        startAll(count);
+        await(() -> allCount(count));
+
+        assertThat(daemonsThatFindLoss(2)).isEqualTo(count);
+    }
+
+    /** Guards against a single daemon whose refusal is counted again by each relay. */
+    @ParameterizedTest
+    @ValueSource(ints = {MESH_DAEMONS, DAEMONS})
+    void refusalOfOneDaemonCountsOnce(int count) throws Exception {
+        startAll(count);
+        await(() -> allCount(count));
+
+        assertThat(daemonsThatFindLoss(1)).isZero();
+    }
+
     /** Guards against daemons that each query the store for the lease while the holder is alive. */
     @Test
     void relaysForwardLeaseHolder() throws Exception {
