Tell silence of a target from its loss

What callers saw: after a silence of one second none of the next ten calls was served, and the controller dissolved sound groups.

Cause: TargetTable had one belief, "suspected", after 400 ms without progress. It lasted for 2.5 s after the target had gone on, and isLost was the same as isSuspected. A reversible belief led to steps that cannot be taken back.

TargetEvidence now lists the kinds of evidence against a target, and EvidencePolicy decides what each of them justifies. Silence of up to 2 s justifies only that new calls prefer other targets and that a call begins a second attempt. A target is lost after 2 s without progress at any daemon with calls in flight all that time. Suspicion and loss end as soon as any daemon sees progress. A report no longer shows a call that was just sent as progress: its silentMillis says when the target last sent something. Otherwise calls sent to a dead group one after another by different daemons would hide its silence. Targets whose last call has just completed are reported too, so that peers learn of it.

While every target is suspected, Dispatcher.decideAmongSilent offers a silent one to calls that may be repeated, if it has a free slot and a sound silence would end within the call's time, until it is lost. Calls that may not be repeated are still refused at once: if the group is dead, they could not be sent again.

CrashingPromptPartSimulation recorded no events of its streams, so that its tables saw every group as silent. It records them now.

Ruled out: a frozen silentMillis for targets without calls in flight, because receivers would take it for progress.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -97,6 +97,33 @@
                 DispatchDecision.Reason.NO_PLACE, retryMillis(serviceTimes.waitMillis(target, load), request));
     }
 
+    /**
+     * Chooses a target for a call that may be repeated while every target is suspected. A silent target usually goes on
+     * before a refused caller would return. One that is lost, or that has no free slot, gets no call.
+     *
+     * @param request the call
+     * @param targets targets that serve the call and have not been tried
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the decision, or empty if no target is likely to answer within the call's remaining time
+     */
+    public Optional<DispatchDecision.Send> decideAmongSilent(
+            DispatchRequest request, List<Target> targets, long nowMillis) {
+        List<Target> silent = targets.stream()
+                .filter(target -> table.isOnlySilent(target.key(), nowMillis))
+                .filter(target -> table.inFlight(target.key()) < availableSlots(target, nowMillis))
+                .filter(target -> millisUntilFirstEvent(request, target, nowMillis) <= request.remainingMillis())
+                .toList();
+        return lowestScore(silent, nowMillis)
+                .map(target -> new DispatchDecision.Send(target, millisUntilFirstEvent(request, target, nowMillis)));
+    }
+
+    /** Estimates the time until the first event of a call to a silent target that goes on, in milliseconds. */
+    private long millisUntilFirstEvent(DispatchRequest request, Target target, long nowMillis) {
+        long silentMillis = table.silence(target.key(), nowMillis).anywhereMillis();
+        return Math.max(0, SilenceLimits.MAX_SOUND_SILENCE_MILLIS - silentMillis)
+                + serviceTimes.firstEventMillis(target, table.inFlight(target.key()), request.promptTokens());
+    }
+
     /**
      * Finds the target with a free slot that all daemons choose for calls with a suspected part, so that such calls
      * crash one target at a time.
--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetEvidence.java
@@ -0,0 +1,22 @@
+package io.sesamehead.coordination.dispatch;
+
+/** Evidence that a target may have failed. {@link EvidencePolicy} decides what follows from it. */
+public sealed interface TargetEvidence {
+    /**
+     * The target has sent nothing while calls were in flight there. A sound target may be silent for a while and go on.
+     *
+     * @param ownMillis time without progress of this daemon's calls, in milliseconds, 0 if it has none in flight
+     * @param anywhereMillis time without progress at any daemon while calls were in flight, in milliseconds
+     * @param limits limits of the silence at this target
+     */
+    record Silence(long ownMillis, long anywhereMillis, SilenceLimits limits) implements TargetEvidence {}
+
+    /** An attempt ended without a valid and complete response, for example because its connection closed. */
+    record AttemptFailed() implements TargetEvidence {}
+
+    /** A connection was refused or timed out. */
+    record ConnectFailed() implements TargetEvidence {}
+
+    /** The target no longer accepts calls according to the registry or the configuration. */
+    record NotServing() implements TargetEvidence {}
+}
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetReport.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetReport.java
@@ -5,10 +5,14 @@
  *
  * @param key the target
  * @param inFlight number of calls in flight
- * @param silentMillis time since the target last sent an event or answer to any of the daemons, in milliseconds
+ * @param silentMillis time since the target last sent an event or answer to any of the daemons, in milliseconds,
+ *     {@link #NO_PROGRESS_MILLIS} or more if it has sent none
  * @param suspected whether any of the daemons suspects that the target has stalled
  */
 public record TargetReport(TargetKey key, int inFlight, long silentMillis, boolean suspected) {
+    /** Silence of a target that has not sent anything, in milliseconds. */
+    static final long NO_PROGRESS_MILLIS = Integer.MAX_VALUE;
+
     /** Returns the report as of a later time, assuming no further progress. */
     TargetReport aged(long millis) {
         return new TargetReport(key, inFlight, silentMillis + millis, suspected);
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -12,32 +13,21 @@
  * progress. Detects stalled targets. Not thread-safe: confined to the event loop.
  */
 public final class TargetTable {
-    /** Time without progress at any daemon after which a target is stalled, in milliseconds: seven event intervals. */
-    public static final long STALL_MILLIS = 400;
     /**
-     * Added to the stall time while peers report in aggregate, in milliseconds: two reports and a slow event loop turn on
+     * Added to the limits of silence while peers report in aggregate, in milliseconds: two reports and a slow event loop turn on
      * a small VM.
      */
     private static final long AGGREGATE_LAG_MILLIS = 450;
-    /**
-     * Time without progress at this daemon after which its calls move to other targets, in milliseconds: allows for the
-     * retransmission of a lost packet.
-     */
-    public static final long LOCAL_STALL_MILLIS = 1_000;
-    /** Stall time of a plain service, which answers in one piece, in milliseconds: above its longest usual run time. */
-    private static final long PLAIN_STALL_MILLIS = 1_500;
     /** Age after which a peer's report expires, in milliseconds: several consecutive lost datagrams. */
     private static final long REPORT_TTL_MILLIS = 1_200;
-    /** Multiple of the average event interval that a slow target may take before it is considered stalled. */
-    private static final int SLOW_FACTOR = 6;
     /** Time after which calls probe a suspected target again, in milliseconds: about the duration of a repair. */
     private static final long SUSPICION_MILLIS = 2_500;
     /** Initial backoff after a failed connection to a target, in milliseconds: about the connect timeout. */
     private static final long MIN_UNREACHABLE_MILLIS = 1_000;
     /** Maximum backoff, in milliseconds, so that a target that recovers is used again within a few seconds. */
     private static final long MAX_UNREACHABLE_MILLIS = 4_000;
-    /** Maximum stall time granted to a slow target, in milliseconds. */
-    private static final long MAX_STALL_MILLIS = 1_500;
+    /** Time for which progress is reported after the last call ended, in milliseconds: two reports. */
+    private static final long RECENT_PROGRESS_MILLIS = 400;
     /** Weight of the newest event interval in the moving average. */
     private static final double INTERVAL_WEIGHT = 0.2;
 
@@ -46,11 +36,17 @@
     private final Map<TargetKey, Integer> peerInFlight = new HashMap<>();
     private final Map<TargetKey, Long> peerLastProgressMillis = new HashMap<>();
     private final Map<TargetKey, Integer> peerSuspicions = new HashMap<>();
+    private final Map<TargetKey, Long> peerSuspectedSince = new HashMap<>();
+    /** Time since when calls have been in flight at a target without a gap, over all daemons. */
+    private final Map<TargetKey, Long> inFlightSince = new HashMap<>();
+
+    private final Map<TargetKey, Long> lostUntil = new HashMap<>();
     private boolean aggregated;
 
     private static final class LocalState {
         private int inFlight;
-        private long lastProgressMillis;
+        private long inFlightSinceMillis;
+        private long lastProgressMillis = Long.MIN_VALUE / 2;
         private double intervalMillis;
         private long suspectedUntil = Long.MIN_VALUE;
         private long unreachableUntil = Long.MIN_VALUE;
@@ -59,6 +55,10 @@
         private boolean suspected(long nowMillis) {
             return nowMillis < suspectedUntil;
         }
+
+        private long silentSinceMillis() {
+            return Math.max(inFlightSinceMillis, lastProgressMillis);
+        }
     }
 
     private record PeerReport(long receivedAt, int daemons, List<TargetReport> rows) {}
@@ -72,7 +72,7 @@
     public void recordSent(TargetKey key, long nowMillis) {
         LocalState state = local.computeIfAbsent(key, name -> new LocalState());
         if (state.inFlight == 0) {
-            state.lastProgressMillis = nowMillis;
+            state.inFlightSinceMillis = nowMillis;
         }
         state.inFlight++;
     }
@@ -88,12 +88,13 @@
         if (state == null) {
             return;
         }
-        double interval = nowMillis - state.lastProgressMillis;
+        double interval = nowMillis - state.silentSinceMillis();
         state.intervalMillis += (interval - state.intervalMillis) * INTERVAL_WEIGHT;
         state.lastProgressMillis = nowMillis;
         state.suspectedUntil = Long.MIN_VALUE;
         state.unreachableUntil = Long.MIN_VALUE;
         state.unreachableMillis = 0;
+        lostUntil.remove(key);
     }
 
     /**
@@ -152,8 +153,22 @@
             peerLastProgressMillis.merge(row.key(), nowMillis - row.silentMillis(), Math::max);
             if (row.suspected()) {
                 peerSuspicions.merge(row.key(), 1, Integer::sum);
+                peerSuspectedSince.putIfAbsent(row.key(), nowMillis);
+            }
+            if (row.silentMillis() <= limits(row.key()).anywhereMillis()) {
+                endSuspicion(row.key());
             }
         }
+        peerSuspectedSince.keySet().retainAll(peerSuspicions.keySet());
+    }
+
+    /** Ends this daemon's suspicion because a peer has seen progress. */
+    private void endSuspicion(TargetKey key) {
+        lostUntil.remove(key);
+        LocalState state = local.get(key);
+        if (state != null) {
+            state.suspectedUntil = Long.MIN_VALUE;
+        }
     }
 
     /**
@@ -179,7 +194,8 @@
     }
 
     /**
-     * Returns whether a target is suspected: it has calls in flight and no daemon has seen progress for too long.
+     * Returns whether a target is suspected: it has calls in flight and no daemon has seen progress for too long. The
+     * suspicion ends when any daemon sees progress.
      *
      * @param key the target
      * @param nowMillis current monotonic time, in milliseconds
@@ -187,28 +203,31 @@
      */
     public boolean isSuspected(TargetKey key, long nowMillis) {
         LocalState state = local.get(key);
-        return (state != null && state.suspected(nowMillis)) || peerSuspicions.containsKey(key);
+        return (state != null && state.suspected(nowMillis)) || isSuspectedByPeer(key);
     }
 
     /**
-     * Returns whether a target is lost, so that its group can be replaced.
+     * Returns whether a target is lost, so that its group can be replaced: it has been silent for longer than any sound
+     * target, with calls in flight all that time.
      *
      * @param key the target
      * @param nowMillis current monotonic time, in milliseconds
      * @return true if the target is lost
      */
     public boolean isLost(TargetKey key, long nowMillis) {
-        return isSuspected(key, nowMillis);
+        return nowMillis < lostUntil.getOrDefault(key, Long.MIN_VALUE)
+                || EvidencePolicy.justifies(silence(key, nowMillis), EvidenceReaction.REPLACE);
     }
 
     /**
      * Returns whether a peer suspects a target.
      *
      * @param key the target
-     * @return true while a peer reports a suspicion
+     * @return true while a peer reports a suspicion and no daemon has seen progress since
      */
     public boolean isSuspectedByPeer(TargetKey key) {
-        return peerSuspicions.containsKey(key);
+        Long since = peerSuspectedSince.get(key);
+        return since != null && lastProgressMillis(key) <= since;
     }
 
     /**
@@ -219,77 +238,106 @@
      * @return false while the target is suspected, or during the backoff after a failed connection from this daemon
      */
     public boolean isUsable(TargetKey key, long nowMillis) {
+        return isReachable(key, nowMillis) && !isSuspected(key, nowMillis);
+    }
+
+    /**
+     * Returns whether a target is silent and nothing else speaks against it.
+     *
+     * @param key the target
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return true while the target is suspected, but neither lost nor unreachable
+     */
+    public boolean isOnlySilent(TargetKey key, long nowMillis) {
+        return isSuspected(key, nowMillis) && isReachable(key, nowMillis) && !isLost(key, nowMillis);
+    }
+
+    private boolean isReachable(TargetKey key, long nowMillis) {
         LocalState state = local.get(key);
-        boolean reachable = state == null || nowMillis >= state.unreachableUntil;
-        return reachable && !isSuspected(key, nowMillis);
+        return state == null || nowMillis >= state.unreachableUntil;
     }
 
     /**
-     * Expires outdated reports and finds stalled targets.
+     * Expires outdated reports, suspects silent targets, and finds those at which calls of this daemon wait.
      *
      * @param nowMillis current monotonic time, in milliseconds
-     * @return targets at which calls of this daemon make no progress; a target that no daemon sees progress at becomes
-     *     suspected and is returned once per suspicion, the others are returned each time
+     * @return targets at which calls of this daemon make no progress, until they go on or the calls have ended
      */
     public List<TargetKey> findStalled(long nowMillis) {
         expire(nowMillis);
-        long lag = aggregated ? AGGREGATE_LAG_MILLIS : 0;
+        recordInFlight(nowMillis);
         List<TargetKey> stalled = new ArrayList<>();
-        for (Map.Entry<TargetKey, LocalState> entry : local.entrySet()) {
-            LocalState state = entry.getValue();
-            if (state.inFlight == 0 || state.suspected(nowMillis)) {
-                continue;
+        local.forEach((key, state) -> {
+            if (state.inFlight == 0) {
+                return;
+            }
+            Set<EvidenceReaction> reactions = EvidencePolicy.reactions(silence(key, nowMillis));
+            if (reactions.contains(EvidenceReaction.PREFER_OTHERS)) {
+                state.suspectedUntil = nowMillis + SUSPICION_MILLIS;
+            }
+            if (reactions.contains(EvidenceReaction.SECOND_ATTEMPT)) {
+                stalled.add(key);
             }
-            long ownSilence = nowMillis - state.lastProgressMillis;
-            long silence = nowMillis - Math.max(state.lastProgressMillis, peerLastProgress(entry.getKey()));
-            boolean group = entry.getKey().replica().model().isPresent();
-            long limit = lag + stallMillis(state, group ? STALL_MILLIS : PLAIN_STALL_MILLIS);
-            long localLimit = stallMillis(state, group ? LOCAL_STALL_MILLIS : PLAIN_STALL_MILLIS);
-            if (silence > limit || ownSilence > localLimit) {
-                if (silence > limit) {
-                    state.suspectedUntil = nowMillis + SUSPICION_MILLIS;
+        });
+        return stalled;
+    }
+
+    /** Updates since when calls have been in flight, and remembers which targets are lost. */
+    private void recordInFlight(long nowMillis) {
+        inFlightSince.keySet().removeIf(key -> inFlight(key) == 0);
+        for (Set<TargetKey> keys : List.of(local.keySet(), peerInFlight.keySet())) {
+            for (TargetKey key : keys) {
+                if (inFlight(key) > 0) {
+                    inFlightSince.putIfAbsent(key, nowMillis);
                 }
-                stalled.add(entry.getKey());
             }
         }
-        return stalled;
+        lostUntil.values().removeIf(end -> nowMillis >= end);
+        for (TargetKey key : inFlightSince.keySet()) {
+            if (EvidencePolicy.justifies(silence(key, nowMillis), EvidenceReaction.REPLACE)) {
+                lostUntil.put(key, nowMillis + SUSPICION_MILLIS);
+            }
+        }
     }
 
     /**
-     * Returns the time since this daemon last received anything from a target.
+     * Returns the silence of a target.
      *
      * @param key the target
      * @param nowMillis current monotonic time, in milliseconds
-     * @return the time in milliseconds, or 0 if this daemon has sent nothing there
+     * @return the time without progress while calls were in flight
      */
-    public long ownSilenceMillis(TargetKey key, long nowMillis) {
+    public TargetEvidence.Silence silence(TargetKey key, long nowMillis) {
         LocalState state = local.get(key);
-        return state == null ? 0 : nowMillis - state.lastProgressMillis;
+        boolean own = state != null && state.inFlight > 0;
+        long sinceMillis =
+                Math.min(inFlightSince.getOrDefault(key, nowMillis), own ? state.inFlightSinceMillis : nowMillis);
+        long anywhereMillis = nowMillis - Math.max(sinceMillis, lastProgressMillis(key));
+        long ownMillis = own ? nowMillis - state.silentSinceMillis() : 0;
+        return new TargetEvidence.Silence(ownMillis, anywhereMillis, limits(key));
     }
 
-    /**
-     * Returns the time since any daemon last received anything from a target.
-     *
-     * @param key the target
-     * @param nowMillis current monotonic time, in milliseconds
-     * @return the time in milliseconds, or 0 if this daemon has sent nothing there
-     */
-    public long silenceMillis(TargetKey key, long nowMillis) {
-        return Math.min(ownSilenceMillis(key, nowMillis), nowMillis - peerLastProgress(key));
+    private SilenceLimits limits(TargetKey key) {
+        LocalState state = local.get(key);
+        return SilenceLimits.of(
+                key.replica().model().isPresent(),
+                state == null ? 0 : state.intervalMillis,
+                aggregated ? AGGREGATE_LAG_MILLIS : 0);
     }
 
     /**
      * Returns this daemon's rows for its report to peers.
      *
      * @param nowMillis current monotonic time, in milliseconds
-     * @return one row for each target that has calls in flight or is suspected
+     * @return one row for each target that has calls in flight, is suspected or has just made progress
      */
     public List<TargetReport> localReports(long nowMillis) {
         List<TargetReport> rows = new ArrayList<>();
         local.forEach((key, state) -> {
             boolean suspected = state.suspected(nowMillis);
-            if (state.inFlight > 0 || suspected) {
-                rows.add(new TargetReport(key, state.inFlight, nowMillis - state.lastProgressMillis, suspected));
+            long silentMillis = Math.min(TargetReport.NO_PROGRESS_MILLIS, nowMillis - state.lastProgressMillis);
+            if (state.inFlight > 0 || suspected || silentMillis <= RECENT_PROGRESS_MILLIS) {
+                rows.add(new TargetReport(key, state.inFlight, silentMillis, suspected));
             }
         });
         return rows;
@@ -337,6 +385,7 @@
                 removeReports(sender.getValue());
             }
         }
+        peerSuspectedSince.keySet().retainAll(peerSuspicions.keySet());
     }
 
     /**
@@ -361,6 +410,7 @@
     public void retainTargets(Predicate<TargetKey> known) {
         local.entrySet().removeIf(entry -> entry.getValue().inFlight == 0 && !known.test(entry.getKey()));
         peerLastProgressMillis.keySet().removeIf(key -> !known.test(key));
+        lostUntil.keySet().removeIf(key -> !known.test(key));
     }
 
     /**
@@ -370,7 +420,11 @@
      * @param pauseMillis length of the pause, in milliseconds
      */
     public void compensatePause(long pauseMillis) {
-        local.values().forEach(state -> state.lastProgressMillis += pauseMillis);
+        local.values().forEach(state -> {
+            state.inFlightSinceMillis += pauseMillis;
+            state.lastProgressMillis += pauseMillis;
+        });
+        inFlightSince.replaceAll((key, at) -> at + pauseMillis);
         peerLastProgressMillis.replaceAll((key, at) -> at + pauseMillis);
     }
 
@@ -383,12 +437,16 @@
         return daemonCount(sender -> true);
     }
 
-    private static long stallMillis(LocalState state, long floorMillis) {
-        return Math.max(floorMillis, Math.min(MAX_STALL_MILLIS, (long) (state.intervalMillis * SLOW_FACTOR)));
-    }
-
-    private long peerLastProgress(TargetKey key) {
-        return peerLastProgressMillis.getOrDefault(key, Long.MIN_VALUE / 2);
+    /**
+     * Returns when any daemon last saw progress, as far as known here.
+     *
+     * @param key the target
+     * @return a monotonic time in milliseconds, far in the past if there was no progress
+     */
+    public long lastProgressMillis(TargetKey key) {
+        LocalState state = local.get(key);
+        long own = state == null ? Long.MIN_VALUE / 2 : state.lastProgressMillis;
+        return Math.max(own, peerLastProgressMillis.getOrDefault(key, Long.MIN_VALUE / 2));
     }
 
     private void expire(long nowMillis) {
@@ -401,6 +459,7 @@
                 removeReports(peer);
             }
         }
+        peerSuspectedSince.keySet().retainAll(peerSuspicions.keySet());
     }
 
     private void removeReports(PeerReport old) {
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -207,4 +207,32 @@
         busy.recordBusy(id, Long.MAX_VALUE, NOW);
         assertThat(busy.remainingMillis(id, NOW)).isEqualTo(BusyUpstreams.MAX_BUSY_MILLIS);
     }
+
+    /** Guards against refusing every call while all groups are silent for a second, and against filling a dead one. */
+    @Test
+    void repeatableCallMayWaitAtSilentTargetUntilItIsLost() {
+        Target silent = target(1, "a");
+        load(silent, SLOTS - 1);
+        table.findStalled(NOW + 500);
+        assertThat(dispatcher.decide(FRESH, List.of(silent), NOW + 500)).isInstanceOf(DispatchDecision.Refuse.class);
+        assertThat(dispatcher.decideAmongSilent(FRESH, List.of(silent), NOW + 500))
+                .hasValueSatisfying(send -> assertThat(send.expectedMillis()).isBetween(1_000L, 1_200L));
+        DispatchRequest hurried = new DispatchRequest(1_400, 300, 900, 0, Optional.empty());
+        assertThat(dispatcher.decideAmongSilent(hurried, List.of(silent), NOW + 500))
+                .isEmpty();
+
+        table.findStalled(NOW + 2_050);
+        assertThat(dispatcher.decideAmongSilent(FRESH, List.of(silent), NOW + 2_050))
+                .isEmpty();
+    }
+
+    @Test
+    void silentTargetWithoutFreeSlotGetsNoCall() {
+        Target silent = target(1, "a");
+        load(silent, SLOTS);
+        table.findStalled(NOW + 500);
+
+        assertThat(dispatcher.decideAmongSilent(FRESH, List.of(silent), NOW + 500))
+                .isEmpty();
+    }
 }
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/EvidencePolicyTest.java
@@ -0,0 +1,70 @@
+package io.sesamehead.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against steps that cannot be reversed on evidence that may turn out to be wrong. */
+final class EvidencePolicyTest {
+    private static final SilenceLimits GROUP = SilenceLimits.of(true, 50, 0);
+    private static final SilenceLimits SLOW_PLAIN = SilenceLimits.of(false, 800, 0);
+
+    @Test
+    void shortSilenceJustifiesNothing() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.Silence(390, 390, GROUP)))
+                .isEmpty();
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.Silence(990, 20, GROUP)))
+                .isEmpty();
+    }
+
+    @Test
+    void silenceOfSoundTargetJustifiesOnlyReversibleSteps() {
+        for (long millis = 401; millis <= 1_500; millis++) {
+            assertThat(EvidencePolicy.reactions(new TargetEvidence.Silence(millis, millis, GROUP)))
+                    .containsExactlyInAnyOrder(EvidenceReaction.PREFER_OTHERS, EvidenceReaction.SECOND_ATTEMPT);
+        }
+    }
+
+    @Test
+    void silenceTowardsThisDaemonAloneJustifiesOnlySecondAttempt() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.Silence(5_000, 20, GROUP)))
+                .containsExactly(EvidenceReaction.SECOND_ATTEMPT);
+    }
+
+    @Test
+    void longSilenceJustifiesReplacementButDoesNotEndAttempts() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.Silence(2_050, 2_050, GROUP)))
+                .contains(EvidenceReaction.REPLACE, EvidenceReaction.COUNT_CRASH)
+                .doesNotContain(EvidenceReaction.END_ATTEMPT);
+    }
+
+    /** Guards against counting a crash of a call that runs for a second after a silence of its upstream. */
+    @Test
+    void slowTargetIsLostLater() {
+        assertThat(EvidencePolicy.justifies(
+                        new TargetEvidence.Silence(2_900, 2_900, SLOW_PLAIN), EvidenceReaction.COUNT_CRASH))
+                .isFalse();
+        assertThat(EvidencePolicy.justifies(
+                        new TargetEvidence.Silence(3_200, 3_200, SLOW_PLAIN), EvidenceReaction.COUNT_CRASH))
+                .isTrue();
+    }
+
+    @Test
+    void failedAttemptEndsAndCountsButDoesNotReplace() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.AttemptFailed()))
+                .containsExactlyInAnyOrder(EvidenceReaction.END_ATTEMPT, EvidenceReaction.COUNT_CRASH);
+    }
+
+    @Test
+    void failedConnectionEndsAttemptAndPrefersOthers() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.ConnectFailed()))
+                .containsExactlyInAnyOrder(
+                        EvidenceReaction.PREFER_OTHERS, EvidenceReaction.END_ATTEMPT, EvidenceReaction.COUNT_CRASH);
+    }
+
+    @Test
+    void targetThatNoLongerServesCountsOnly() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.NotServing()))
+                .containsExactly(EvidenceReaction.COUNT_CRASH);
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -345,9 +345,9 @@
                 "own_calls",
                 targetTable.ownInFlight(key),
                 "own_silent_ms",
-                targetTable.ownSilenceMillis(key, now),
+                targetTable.silence(key, now).ownMillis(),
                 "silent_ms",
-                targetTable.silenceMillis(key, now),
+                targetTable.silence(key, now).anywhereMillis(),
                 "config",
                 environment.configVersion());
         metrics.count("targets_silent");
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashingPromptPartSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashingPromptPartSimulation.java
@@ -39,6 +39,9 @@
     /** Time at which the first crashing call is sent, in milliseconds. */
     static final long CRASHING_FROM_MILLIS = 12_000;
 
+    /** Interval between the events of a stream, in milliseconds. */
+    private static final long EVENT_MILLIS = 100;
+
     private static final int GROUPS = 14;
     private static final int SLOTS = 18;
     private static final long REPAIR_MILLIS = 8_000;
@@ -250,7 +253,7 @@
             boolean begun = up && call.crashing().isEmpty();
             observe(daemon, () -> {
                 if (begun) {
-                    scheduleAfter(random.nextLong(MAX_STREAM_MILLIS), () -> balancer.table.recordEnded(key));
+                    stream(balancer.table, key, now + random.nextLong(MAX_STREAM_MILLIS));
                     daemon.parts.recordAnswered(call.parts(), now);
                     share.filter(counted -> attempt == 1).ifPresent(counted -> counted.begun++);
                 } else {
@@ -262,6 +265,16 @@
         });
     }
 
+    /** Delivers the events of a stream, without which the group would seem to be silent. */
+    private void stream(TargetTable table, TargetKey key, long endMillis) {
+        table.recordProgress(key, now);
+        if (now >= endMillis) {
+            table.recordEnded(key);
+        } else {
+            scheduleAfter(Math.min(EVENT_MILLIS, endMillis - now), () -> stream(table, key, endMillis));
+        }
+    }
+
     private void retry(Daemon daemon, Call call, int attempt) {
         boolean refused = daemon.parts.verdict(call.parts(), now) instanceof PromptPartVerdict.Refused;
         if (attempt < ATTEMPTS && !refused) {
