Keep answers open while their target is silent

What callers saw: where engines were silent for one second and went on, streams were broken off in the middle although their engines finished them, and sound calls gained crashes, which leads to refusals.

Cause: ForwardedCall.onStalled ended the attempt at a silent target before it was known whether another one could begin, and counted a crash.

Silence no longer ends an attempt. While the target is silent, an idempotent call begins a second attempt beside the first if the route's number of attempts (open ones count), the crash history, the retry budget and a usable target allow it; otherwise it waits and is asked again at each check. Before the response has begun, the first verified head or complete response wins, afterwards the first new event. The winner alone feeds the caller; an attempt that has lost is never used again. It stays open only while its target is silent, for 2 s at most, because its next event is the sign that the target goes on, and is cancelled at once when the caller leaves. A failure or refusal of one attempt ends only that attempt while another is open. Calls may begin at silent targets if all targets are silent and the call may be repeated.

Crashes are counted when a target is lost, an attempt fails, or the target stops serving. A call that has completed at another target since is not counted. At the deadline, attempts at silent targets stay open until the target is lost, since the upstream stops by itself then.

ForwardedCall is split: CallAttempt is one attempt, CallAttempts decides which of them feeds the caller, SilenceWatch finds silent targets. New log lines: second-attempt (replaces moved), attempt-won, attempt-ended, silence-ended, lost.

EntryProcessTest, CrashingRequestTest, CrashingPromptPartTest, UnboundedResponsesTest and UpstreamStatusHeadersTest pass unchanged.

Ruled out: ending the only attempt at a lost target, because the engine, the caller or the deadline ends it; and using a superseded attempt again after the winner fails, because pieces of two runs would alternate.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
@@ -15,6 +15,8 @@
     /** Whether the call finds out if a refused part of its prompt still crashes its target. */
     private final boolean trial;
 
+    private boolean completed;
+
     /**
      * Creates the records of an admitted call.
      *
@@ -49,11 +51,15 @@
     }
 
     /**
-     * Records that a target crashed while it ran an attempt.
+     * Records that a target crashed while it ran an attempt. A call that has completed at another target since is not the
+     * cause.
      *
      * @param answerBegun whether an event was received, so that no part of the prompt can be the cause
      */
     void recordCrash(Target target, long sentAtMillis, boolean answerBegun) {
+        if (completed) {
+            return;
+        }
         environment.crashHistory().recordCrash(request, target.key(), sentAtMillis, now());
         log.crashCounted(target, request, environment.crashHistory().crashCount(request, now()));
         if (!answerBegun) {
@@ -67,6 +73,9 @@
      * @param answerBegun whether an event was received
      */
     void recordCancelled(Target target, long sentAtMillis, boolean answerBegun) {
+        if (completed) {
+            return;
+        }
         environment.recordCancelledAttempt(
                 request, answerBegun ? ImmutableList.of() : parts, target.key(), sentAtMillis);
     }
@@ -78,6 +87,7 @@
 
     /** Records that the call ran to its end. */
     void recordCompleted() {
+        completed = true;
         environment.crashHistory().recordCompleted(request, now());
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -12,10 +12,13 @@
 import io.sesamehead.coordination.dispatch.CrashHistory;
 import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.Dispatcher;
+import io.sesamehead.coordination.dispatch.EvidencePolicy;
+import io.sesamehead.coordination.dispatch.EvidenceReaction;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.SharedRetryBudget;
 import io.sesamehead.coordination.dispatch.Target;
+import io.sesamehead.coordination.dispatch.TargetEvidence;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.replica.UpstreamEntry;
@@ -28,6 +31,7 @@
 import io.sesamehead.state.InstanceId;
 import io.sesamehead.state.ServiceName;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -68,6 +72,8 @@
     private final Map<ServiceName, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, Long> maxRemainingMillisByRoute = new HashMap<>();
     private final Set<ForwardedCall> openCalls = new LinkedHashSet<>();
+    /** Superseded attempts of calls that have ended. */
+    private final List<CallAttempt> supersededAttempts = new ArrayList<>();
 
     CallEnvironment(
             EntrySettings settings,
@@ -251,8 +257,14 @@
         }
     }
 
-    /** Records the loss of a target as a crash of the requests whose attempts there were cancelled shortly before. */
-    void onTargetEnded(TargetKey key) {
+    /** Acts on evidence against a target: a crash also counts for attempts there that were cancelled shortly before. */
+    void onTargetEvidence(TargetKey key, TargetEvidence evidence) {
+        if (EvidencePolicy.justifies(evidence, EvidenceReaction.COUNT_CRASH)) {
+            countCancelledAttempts(key);
+        }
+    }
+
+    private void countCancelledAttempts(TargetKey key) {
         long now = clocks.steadyMillis();
         for (CancelledAttempts.CancelledAttempt attempt : cancelledAttempts.take(key, now)) {
             crashHistory.recordCrash(attempt.request(), key, attempt.sentAtMillis(), now);
@@ -273,7 +285,7 @@
 
     void recordUnreachable(Target target) {
         targetTable.recordUnreachable(target.key(), clocks.steadyMillis());
-        onTargetEnded(target.key());
+        onTargetEvidence(target.key(), new TargetEvidence.ConnectFailed());
         log.write(
                 EventLog.Component.GROUP,
                 "unreachable",
@@ -303,14 +315,36 @@
         return openCalls.size();
     }
 
-    /** Moves the calls in flight at a stalled target. */
-    void onStalled(TargetKey key) {
-        onTargetEnded(key);
+    /** Returns whether this daemon's calls make no progress at a target. */
+    boolean isSilent(TargetKey key) {
+        return EvidencePolicy.justifies(
+                targetTable.silence(key, clocks.steadyMillis()), EvidenceReaction.SECOND_ATTEMPT);
+    }
+
+    /** Acts on the silence of a target at which calls of this daemon are in flight. */
+    void onSilence(TargetKey key, TargetEvidence.Silence silence) {
+        onTargetEvidence(key, silence);
         for (ForwardedCall call : List.copyOf(openCalls)) {
-            call.onStalled(key);
+            if (EvidencePolicy.justifies(silence, EvidenceReaction.COUNT_CRASH)) {
+                call.onLost(key);
+            }
+            if (EvidencePolicy.justifies(silence, EvidenceReaction.SECOND_ATTEMPT)) {
+                call.onSilent(key);
+            }
         }
     }
 
+    /** Adds attempts that outlive their call until their targets go on or are lost. */
+    void addSuperseded(List<CallAttempt> attempts) {
+        supersededAttempts.addAll(attempts);
+    }
+
+    /** Closes superseded attempts whose targets are no longer silent. */
+    void checkSuperseded() {
+        supersededAttempts.removeIf(attempt -> !attempt.checkSuperseded());
+        openCalls.forEach(ForwardedCall::checkSuperseded);
+    }
+
     /** Ends the calls that wait for an answer although a part of their prompt has been refused since. */
     void endRefusedCalls() {
         for (ForwardedCall call : List.copyOf(openCalls)) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -43,8 +43,16 @@
                 environment.registryAgeMillis());
     }
 
-    void moved(TargetKey from, Optional<String> lastEventId) {
-        write("moved", "target", from, "after", lastEventId.orElse("-"));
+    void secondAttempt(TargetKey silent, Optional<String> lastEventId) {
+        write("second-attempt", "target", silent, "after", lastEventId.orElse("-"));
+    }
+
+    void attemptWon(Target target, Optional<String> lastEventId) {
+        write("attempt-won", "target", target.key(), "after", lastEventId.orElse("-"));
+    }
+
+    void attemptEnded(Target target, int status) {
+        write("attempt-ended", "target", target.key(), "status", status);
     }
 
     void attemptLost(Target target, boolean sent, boolean begun, int events, String reason) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -12,6 +12,7 @@
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
+import io.sesamehead.coordination.dispatch.TargetEvidence;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.lease.LeaseHolder;
@@ -26,7 +27,6 @@
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -88,6 +88,7 @@
     private final CrashRecorder crashRecorder;
     private final LeaseTask lease;
     private final CallEnvironment environment;
+    private final SilenceWatch silenceWatch;
     private final CallerServer callerServer;
     private final ConfigWatch configWatch;
     private final RegistryWatch registryWatch;
@@ -185,6 +186,7 @@
                 log);
         this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashHistory, log);
         this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
+        this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
     }
 
@@ -320,8 +322,7 @@
         if (registry.expire(now)) {
             onFleetChange();
         }
-        List<TargetKey> stalled = targetTable.findStalled(now);
-        stalled.forEach(this::onStalled);
+        silenceWatch.check();
         clients.closeExpired();
         crashRecorder.writeIfChanged();
         environment.endRefusedCalls();
@@ -332,31 +333,6 @@
         logReadinessChange();
     }
 
-    private void onStalled(TargetKey key) {
-        long now = clocks.steadyMillis();
-        boolean everywhere = targetTable.isSuspected(key, now);
-        log.write(
-                EventLog.Component.GROUP,
-                "silent",
-                "target",
-                key,
-                "everywhere",
-                everywhere,
-                "own_calls",
-                targetTable.ownInFlight(key),
-                "own_silent_ms",
-                targetTable.silence(key, now).ownMillis(),
-                "silent_ms",
-                targetTable.silence(key, now).anywhereMillis(),
-                "config",
-                environment.configVersion());
-        metrics.count("targets_silent");
-        if (everywhere) {
-            peerReporter.reportStalled(key);
-        }
-        environment.onStalled(key);
-    }
-
     private void runController() {
         OptionalLong epoch = stopStartedAtMillis >= 0 ? OptionalLong.empty() : lease.epoch();
         Optional<RouteTable> config = activeConfig.table();
@@ -397,7 +373,7 @@
         Sets.difference(now, before).forEach(key -> logTarget("serving", key, now.size()));
         Sets.difference(before, now).forEach(key -> {
             logTarget("not-serving", key, now.size());
-            environment.onTargetEnded(key);
+            environment.onTargetEvidence(key, new TargetEvidence.NotServing());
         });
         targetTable.retainTargets(fleet::exists);
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -21,11 +21,8 @@
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.AttemptMetadata;
 import io.sesamehead.entry.port.CallMetadata;
-import io.sesamehead.entry.port.ResponseMetadata;
 import io.sesamehead.entry.protocol.EventScanner;
-import io.sesamehead.entry.transport.HttpConnectionPool;
 import io.sesamehead.state.ServiceName;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -34,9 +31,10 @@
 
 /**
  * One admitted call: sends it to a target, retries or resumes it at another target where that is allowed, and completes
- * it with exactly one response. Confined to the event loop.
+ * it with exactly one response. While its target is silent, a second attempt may run beside the first; the first of
+ * them that goes on feeds the caller. Confined to the event loop.
  */
-final class ForwardedCall {
+final class ForwardedCall implements CallAttempt.Owner {
     /** Maximum number of retries after attempts that did not run; the route's own maximum counts only the others. */
     private static final int MAX_NOT_RUN_RETRIES = 2;
     /** Time after the call's deadline in which the upstream's own response is still accepted, in milliseconds. */
@@ -56,12 +54,9 @@
     private final ResponseWriter responseWriter;
     private final CallLog log;
     private final long deadlineMillis;
-    private final List<TargetKey> triedTargets = new ArrayList<>();
+    private final CallAttempts attempts = new CallAttempts();
 
     private ScheduledFuture<?> deadlineTimer;
-    private Attempt attempt;
-    private int attemptsRun;
-    private int attemptsNotRun;
     private boolean responseBegun;
 
     private boolean finished;
@@ -107,84 +102,120 @@
             return;
         }
         environment.metrics().count("calls_left_by_caller");
+        attempts.cancelAll();
         finish();
     }
 
     /**
-     * Moves an idempotent call away from a stalled target. A call that must not run twice keeps waiting there; the stall
-     * counts as a crash of its attempt.
+     * Begins a second attempt of an idempotent call whose attempts all wait at silent targets, if the route, the crash
+     * history, the other targets and the retry budget allow it. Otherwise the call goes on waiting.
      */
-    void onStalled(TargetKey key) {
-        if (finished || attempt == null || !attempt.target.key().equals(key)) {
+    void onSilent(TargetKey key) {
+        boolean concerned = attempts.waiting().anyMatch(attempt -> attempt.key().equals(key));
+        boolean allSilent = attempts.waiting().allMatch(attempt -> environment.isSilent(attempt.key()));
+        if (finished || !concerned || !allSilent || !mayRunAgain()) {
             return;
         }
-        if (!route.idempotent()) {
-            attempt.recordCrash();
-            return;
+        List<Target> candidates = untriedTargets();
+        Optional<DispatchDecision.Send> decision =
+                switch (environment.dispatcher().decide(dispatchRequest(), candidates, now())) {
+                    case DispatchDecision.Send send -> Optional.of(send);
+                    case DispatchDecision.Refuse refuse ->
+                        leastLoadedIfBegun(candidates).map(target -> new DispatchDecision.Send(target, 0));
+                };
+        if (decision.isPresent() && environment.tryRetry(service, now())) {
+            environment.metrics().count("calls_sent_again");
+            log.secondAttempt(key, lastEventId);
+            send(decision.get().target(), decision.get().expectedMillis());
         }
-        log.moved(key, lastEventId);
-        attempt.onFailure(true, "target is silent");
+    }
+
+    /** Counts a crash of the attempts that wait at a lost target. */
+    void onLost(TargetKey key) {
+        attempts.recordCrash(key);
+    }
+
+    /** Closes attempts that lost against another one and whose targets are no longer silent. */
+    void checkSuperseded() {
+        attempts.checkSuperseded();
     }
 
     /** Ends the call if a part of its prompt has been refused since it was sent and may still crash the target. */
     void endIfPartRefused() {
-        boolean waiting = !finished && attempt != null && !attempt.answerBegun();
+        boolean waiting =
+                !finished && attempts.anyWaiting() && attempts.waiting().noneMatch(CallAttempt::answerBegun);
         if (waiting && crashes.isPartNewlyRefused()) {
-            attemptsRun++;
             giveUp(ErrorResponse.CRASHED_BEFORE, 0, "part of the prompt crashed upstreams");
         }
     }
 
-    /** Resumes or pauses reading from the upstream as the caller's connection becomes writable or not. */
+    /** Resumes or pauses reading from the upstreams as the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
-        if (attempt != null && attempt.exchange != null) {
-            attempt.exchange.setAutoRead(writable);
-        }
+        attempts.setAutoRead(writable);
     }
 
     private void dispatch() {
-        List<Target> candidates = new ArrayList<>();
-        for (Target target : environment.fleet().targets(service, facts.model())) {
-            if (!triedTargets.contains(target.key())) {
-                candidates.add(target);
-            }
+        List<Target> candidates = untriedTargets();
+        DispatchRequest dispatchRequest = dispatchRequest();
+        switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
+            case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
+            case DispatchDecision.Refuse refuse -> queueOrRefuse(dispatchRequest, refuse, candidates);
         }
-        DispatchRequest dispatchRequest = new DispatchRequest(
+    }
+
+    private DispatchRequest dispatchRequest() {
+        return new DispatchRequest(
                 facts.promptTokens(),
                 route.objectiveMillis(),
                 deadlineMillis - now(),
                 environment.estimateElapsedMillis(route, facts) + now() - request.arrivedAtMillis(),
                 crashes.suspectedPart());
-        switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
-            case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
-            case DispatchDecision.Refuse refuse -> queueOrRefuse(refuse, candidates);
-        }
+    }
+
+    private List<Target> untriedTargets() {
+        return environment.fleet().targets(service, facts.model()).stream()
+                .filter(target -> !attempts.tried(target.key()))
+                .toList();
     }
 
     /**
      * Refuses the call. If its response has begun, queues it at the least loaded target instead, even without a free
-     * slot.
+     * slot. If all targets are silent and the call may be repeated, sends it to one of them.
      */
-    private void queueOrRefuse(DispatchDecision.Refuse refuse, List<Target> candidates) {
-        Optional<Target> leastLoaded =
-                responseBegun ? environment.dispatcher().leastLoaded(candidates, now()) : Optional.empty();
+    private void queueOrRefuse(
+            DispatchRequest dispatchRequest, DispatchDecision.Refuse refuse, List<Target> candidates) {
+        Optional<Target> leastLoaded = leastLoadedIfBegun(candidates);
         if (leastLoaded.isPresent()) {
             send(leastLoaded.get(), 0);
             return;
         }
-        if (refuse.reason() == DispatchDecision.Reason.NO_PLACE) {
+        boolean noPlace = refuse.reason() == DispatchDecision.Reason.NO_PLACE;
+        Optional<DispatchDecision.Send> silent = noPlace || !route.idempotent()
+                ? Optional.empty()
+                : environment.dispatcher().decideAmongSilent(dispatchRequest, candidates, now());
+        if (silent.isPresent()) {
+            send(silent.get().target(), silent.get().expectedMillis());
+            return;
+        }
+        if (noPlace) {
             facts.model().ifPresent(model -> environment.modelLoads().recordLocalRefusal(model, now()));
         }
-        ErrorResponse error =
-                refuse.reason() == DispatchDecision.Reason.NO_PLACE ? ErrorResponse.NO_PLACE : ErrorResponse.NO_TARGET;
+        ErrorResponse error = noPlace ? ErrorResponse.NO_PLACE : ErrorResponse.NO_TARGET;
         giveUp(error, refuse.retryAfterMillis(), "no target available, candidates: " + candidates.size());
     }
 
+    private Optional<Target> leastLoadedIfBegun(List<Target> candidates) {
+        return responseBegun ? environment.dispatcher().leastLoaded(candidates, now()) : Optional.empty();
+    }
+
     private void send(Target target, long expectedMillis) {
-        triedTargets.add(target.key());
-        log.sent(triedTargets.size(), target, expectedMillis, lastEventId);
-        attempt = new Attempt(target, expectedMillis);
-        attempt.start();
+        CallAttempt attempt = new CallAttempt(environment, crashes, this, target, expectedMillis);
+        attempts.add(attempt);
+        log.sent(attempts.size(), target, expectedMillis, lastEventId);
+        attempt.start(
+                encodeRequest(target),
+                route.idempotent(),
+                new ResponseReader(environment.translator(), facts.requestId(), route.kind(), attempt));
     }
 
     private FullHttpRequest encodeRequest(Target target) {
@@ -212,17 +243,22 @@
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders());
     }
 
+    /** Returns whether an attempt that may run is still allowed by the route, the deadline and the crash history. */
+    private boolean mayRunAgain() {
+        return route.idempotent() && attempts.ran() < route.maxAttempts() && mayRetry();
+    }
+
+    private boolean mayRetry() {
+        return attempts.notRun() <= MAX_NOT_RUN_RETRIES && now() < deadlineMillis && !crashes.isRefused();
+    }
+
     /** Retries the call if its route, deadline and crash history, the targets and the retry budget allow it. */
     private boolean tryRetry(boolean mayHaveRun) {
-        if (mayHaveRun && (!route.idempotent() || attemptsRun >= route.maxAttempts())) {
-            return false;
-        }
-        if (attemptsNotRun > MAX_NOT_RUN_RETRIES || now() >= deadlineMillis || crashes.isRefused()) {
+        if (mayHaveRun ? !mayRunAgain() : !mayRetry()) {
             return false;
         }
-        boolean anyTarget = environment.fleet().targets(service, facts.model()).stream()
-                .anyMatch(target -> !triedTargets.contains(target.key())
-                        && environment.dispatcher().isUsable(target, now()));
+        boolean anyTarget = untriedTargets().stream()
+                .anyMatch(target -> environment.dispatcher().isUsable(target, now()));
         if (!anyTarget || !environment.tryRetry(service, now())) {
             return false;
         }
@@ -235,9 +271,12 @@
         if (finished) {
             return;
         }
+        // The upstreams stop by themselves at the deadline; until then silent ones are still watched for a crash.
+        boolean mayHaveRun = attempts.ran() > 0;
+        attempts.supersedeAll();
         if (responseBegun) {
             abort("expired");
-        } else if (attempt != null || attemptsRun > 0) {
+        } else if (mayHaveRun) {
             fail(ErrorResponse.EXPIRED, 0, "deadline exceeded");
         } else {
             fail(ErrorResponse.EXPIRED_UNSENT, NOT_RUN_RETRY_AFTER_MILLIS, "deadline exceeded");
@@ -248,7 +287,7 @@
     private void giveUp(ErrorResponse notRunError, long retryAfterMillis, String reason) {
         if (responseBegun) {
             abort(reason);
-        } else if (attemptsRun > 0) {
+        } else if (attempts.ran() > 0) {
             fail(ErrorResponse.MAY_HAVE_RUN, 0, reason);
         } else {
             fail(notRunError, retryAfterMillis, reason);
@@ -256,19 +295,19 @@
     }
 
     private void fail(ErrorResponse error, long retryAfterMillis, String reason) {
-        log.failed(error.type(), reason, triedTargets, attemptsRun);
+        log.failed(error.type(), reason, attempts.targets(), attempts.ran());
         environment.sendError(responseWriter, error, retryAfterMillis);
         finish();
     }
 
     private void abort(String reason) {
-        log.failed("broken-off", reason, triedTargets, attemptsRun);
+        log.failed("broken-off", reason, attempts.targets(), attempts.ran());
         responseWriter.abort();
         finish();
     }
 
     private void complete(int status) {
-        log.ended(status, triedTargets.size());
+        log.ended(status, attempts.size());
         finish();
     }
 
@@ -277,223 +316,100 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        if (attempt != null) {
-            attempt.cancelUnanswered();
-            attempt = null;
-        }
+        environment.addSuperseded(attempts.checkSuperseded());
+        attempts.cancelWaiting();
         environment.removeCall(this);
     }
 
+    /** Lets one attempt alone feed the caller from now on. */
+    private void select(CallAttempt attempt) {
+        if (attempts.select(attempt)) {
+            log.attemptWon(attempt.target(), lastEventId);
+        }
+    }
+
     private long now() {
         return environment.clocks().steadyMillis();
     }
 
-    /** One attempt to run the call at one target. */
-    private final class Attempt implements AttemptListener {
-        private final Target target;
-        private final long sentAtMillis = now();
-        private final long expectedMillis;
-        private final EventScanner eventScanner = new EventScanner();
-        private final ResponseReader reader;
-        private HttpConnectionPool.Exchange exchange;
-        private boolean ended;
-        private boolean crashRecorded;
-        private int eventsReceived;
-
-        Attempt(Target target, long expectedMillis) {
-            this.target = target;
-            this.expectedMillis = expectedMillis;
-            this.reader = new ResponseReader(environment.translator(), facts.requestId(), route.kind(), this);
-        }
-
-        void start() {
-            environment.targetTable().recordSent(target.key(), sentAtMillis);
-            exchange = environment.send(target, encodeRequest(target), route.idempotent(), reader);
-            if (ended) {
-                exchange.cancel();
-            }
-        }
-
-        void cancelUnanswered() {
-            if (!ended) {
-                crashes.recordCancelled(target, sentAtMillis, answerBegun());
-                cancel();
-            }
-        }
-
-        private boolean answerBegun() {
-            return eventsReceived > 0;
-        }
-
-        /** Counts a crash once per attempt, although a stalled target is reported at every check. */
-        void recordCrash() {
-            if (crashRecorded) {
-                return;
-            }
-            crashRecorded = true;
-            crashes.recordCrash(target, sentAtMillis, answerBegun());
+    @Override
+    public void onStreamStart(CallAttempt attempt, HttpResponse head) {
+        if (!responseBegun) {
+            responseBegun = true;
+            select(attempt);
+            responseWriter.begin(head.status(), EndToEndHeaders.copyOf(head.headers()));
         }
+    }
 
-        /** Cancels the attempt; anything that the upstream still sends is ignored. */
-        void cancel() {
-            if (ended) {
-                return;
-            }
-            markEnded();
-            if (exchange != null) {
-                exchange.cancel();
-            }
+    @Override
+    public void onEvent(CallAttempt attempt, EventScanner.Event event) {
+        OptionalLong number = event.numericId();
+        boolean repeated =
+                number.isPresent() && lastEventNumber.isPresent() && number.getAsLong() <= lastEventNumber.getAsLong();
+        if (repeated) {
+            return;
         }
-
-        private void markEnded() {
-            ended = true;
-            environment.targetTable().recordEnded(target.key());
+        select(attempt);
+        if (event.id().isPresent()) {
+            lastEventId = event.id();
+            lastEventNumber = number;
         }
-
-        @Override
-        public void onResponseHead(HttpResponse head, ResponseMetadata facts) {
-            if (facts.leaving()) {
-                environment.recordLeaving(target.upstream());
-            }
-            if (head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                    && head.headers().contains(HttpHeaderNames.RETRY_AFTER)) {
-                environment.recordBusy(target.upstream().id(), head.headers());
-            }
+        if (!responseWriter.write(event.bytes())) {
+            attempts.setAutoRead(false);
         }
+    }
 
-        @Override
-        public boolean onStreamStart(HttpResponse head) {
-            if (ended) {
-                return false;
-            }
-            environment.targetTable().recordProgress(target.key(), now());
-            if (!responseBegun) {
-                responseBegun = true;
-                HttpHeaders headers = EndToEndHeaders.copyOf(head.headers());
-                responseWriter.begin(head.status(), headers);
-            }
-            return true;
+    @Override
+    public void onStreamEnd(CallAttempt attempt, boolean framed) {
+        select(attempt);
+        responseWriter.end();
+        if (framed) {
+            crashes.recordCompleted();
         }
+        complete(HttpResponseStatus.OK.code());
+    }
 
-        @Override
-        public void onStreamData(byte[] bytes) {
-            if (ended) {
-                return;
-            }
-            if (!eventScanner.feed(bytes, this::onEvent)) {
-                onFailure(true, "event exceeds the maximum size");
-            }
+    @Override
+    public void onResponse(CallAttempt attempt, HttpResponse head, byte[] body) {
+        int status = head.status().code();
+        boolean failure = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        if (attempts.anyWaiting() && (failure || responseBegun)) {
+            log.attemptEnded(attempt.target(), status);
+            return;
         }
-
-        /** Counts only whole events as progress, because a failing target may keep sending single bytes. */
-        private void onEvent(EventScanner.Event event) {
-            environment.targetTable().recordProgress(target.key(), now());
-            eventsReceived++;
-            if (eventsReceived == 1) {
-                recordFirstEvent();
-            }
-            OptionalLong number = event.numericId();
-            boolean repeated = number.isPresent()
-                    && lastEventNumber.isPresent()
-                    && number.getAsLong() <= lastEventNumber.getAsLong();
-            if (repeated) {
+        if (failure) {
+            if (route.kind() == CallKind.SAFE && tryRetry(true)) {
                 return;
             }
-            if (event.id().isPresent()) {
-                lastEventId = event.id();
-                lastEventNumber = number;
-            }
-            if (!responseWriter.write(event.bytes())) {
-                exchange.setAutoRead(false);
-            }
-        }
-
-        private void recordFirstEvent() {
+        } else {
+            crashes.recordCompleted();
             crashes.recordAnswered();
-            long tookMillis = now() - sentAtMillis;
-            environment.metrics().time("first_event_ms", tookMillis);
-            environment.metrics().time("first_event_late_ms", tookMillis - expectedMillis);
         }
-
-        @Override
-        public void onStreamEnd(boolean framed) {
-            if (ended) {
-                return;
-            }
-            if (eventScanner.hasPartialEvent()) {
-                onFailure(true, "response ended in the middle of an event");
-                return;
-            }
-            markEnded();
-            environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
-            responseWriter.end();
-            if (framed) {
-                crashes.recordCompleted();
-            }
-            complete(HttpResponseStatus.OK.code());
-        }
-
-        @Override
-        public void onResponse(HttpResponse head, byte[] body) {
-            if (ended) {
-                return;
-            }
-            environment.targetTable().recordProgress(target.key(), now());
-            markEnded();
-            environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
-            boolean failure = head.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-            if (failure) {
-                attemptsRun++;
-                if (route.kind() == CallKind.SAFE && tryRetry(true)) {
-                    return;
-                }
-            } else {
-                crashes.recordCompleted();
-                crashes.recordAnswered();
-            }
-            if (responseBegun) {
-                abort("resumed stream ended with status " + head.status().code());
-                return;
-            }
-            responseWriter.send(head.status(), EndToEndHeaders.copyOf(head.headers()), body);
-            complete(head.status().code());
+        if (responseBegun) {
+            abort("resumed stream ended with status " + status);
+            return;
         }
+        select(attempt);
+        responseWriter.send(head.status(), EndToEndHeaders.copyOf(head.headers()), body);
+        complete(status);
+    }
 
-        @Override
-        public void onNotRun(HttpResponse head) {
-            if (ended) {
-                return;
-            }
-            environment.targetTable().recordProgress(target.key(), now());
-            markEnded();
-            attemptsNotRun++;
-            log.attemptRefused(target, head.status().code());
-            if (!tryRetry(false)) {
-                giveUp(
-                        ErrorResponse.NO_PLACE,
-                        NOT_RUN_RETRY_AFTER_MILLIS,
-                        "upstream refused with status " + head.status().code());
-            }
+    @Override
+    public void onNotRun(CallAttempt attempt, HttpResponse head) {
+        int status = head.status().code();
+        log.attemptRefused(attempt.target(), status);
+        if (!attempts.anyWaiting() && !tryRetry(false)) {
+            giveUp(ErrorResponse.NO_PLACE, NOT_RUN_RETRY_AFTER_MILLIS, "upstream refused with status " + status);
         }
+    }
 
-        @Override
-        public void onFailure(boolean sent, String reason) {
-            if (ended) {
-                return;
-            }
-            cancel();
-            log.attemptLost(target, sent, responseBegun, eventsReceived, reason);
-            if (sent) {
-                attemptsRun++;
-                recordCrash();
-                environment.onTargetEnded(target.key());
-            } else {
-                attemptsNotRun++;
-                environment.recordUnreachable(target);
-            }
-            if (!tryRetry(sent)) {
-                giveUp(ErrorResponse.NO_TARGET, NOT_RUN_RETRY_AFTER_MILLIS, reason);
-            }
+    @Override
+    public void onFailure(CallAttempt attempt, boolean sent, String reason) {
+        log.attemptLost(attempt.target(), sent, responseBegun, attempt.eventsReceived(), reason);
+        attempt.recordFailure();
+        boolean open = !finished && !attempt.isSuperseded() && !attempts.anyWaiting();
+        if (open && !tryRetry(sent)) {
+            giveUp(ErrorResponse.NO_TARGET, NOT_RUN_RETRY_AFTER_MILLIS, reason);
         }
     }
 }
