Guard groups against being dissolved for a silence of 1.5 s

keepsGroupsThatAreSilentForOneAndAHalfSeconds (one group, and all groups of a model): no leave order, no join, the same groups afterwards.

The group is now silent for 1 s at all daemons; the bound of one report interval for all to know is unchanged.

--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -9,6 +9,8 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against groups that form late, are incomplete, or share a member with a group that still serves. */
 final class FleetPlannerTest {
@@ -132,6 +134,28 @@
                 .count();
     }
 
+    /** Guards against dissolving sound groups, one or all of them, for a silence that ends. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, Integer.MAX_VALUE})
+    void keepsGroupsThatAreSilentForOneAndAHalfSeconds(int maxGroups) {
+        start();
+        engines.run(planner, 3_000);
+        List<Replica> before = engines.serving(FakeEngines.BIG);
+        engines.orders.clear();
+
+        before.stream()
+                .limit(maxGroups)
+                .flatMap(replica -> replica.members().stream())
+                .forEach(member -> engines.silence(member.id(), 1_500));
+        engines.run(planner, 5_000);
+
+        assertThat(engines.orders).noneMatch(order -> order instanceof ReplicaAction.Leave);
+        assertThat(engines.orders).noneMatch(order -> order instanceof ReplicaAction.Join);
+        assertThat(engines.serving(FakeEngines.BIG).stream().map(Replica::key))
+                .containsExactlyInAnyOrderElementsOf(
+                        before.stream().map(Replica::key).toList());
+    }
+
     /** Guards against a replacement that waits until the registry no longer lists the lost head. */
     @Test
     void startsReplacementOfLostGroupAtOnce() {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
@@ -56,6 +56,8 @@
     private static final TargetKey LOST_GROUP = TargetKey.of(ReplicaKey.of("big", 8));
     /** Report interval with relays, in milliseconds. */
     private static final long REPORT_MILLIS = 180;
+    /** Silence after which a group is suspected also with relays, in milliseconds. */
+    private static final long SILENCE_MILLIS = 1_000;
     /** Several times the two intervals of a report and its sum, in milliseconds. */
     private static final long CONVERGENCE_TIMEOUT_MILLIS = 3_000;
 
@@ -213,8 +215,9 @@
         startAll(DAEMONS);
         await(() -> allCount(DAEMONS));
         Daemon first = daemons.get(0);
+        Thread.sleep(SILENCE_MILLIS);
         onLoop(() -> {
-            assertThat(first.table().findStalled(clocks.steadyMillis() + 2_000)).containsExactly(GROUP);
+            assertThat(first.table().findStalled(clocks.steadyMillis())).containsExactly(GROUP);
             first.reporter().reportStalled(GROUP);
             return null;
         });
