Answer requests and continue tasks after an exception on the event loop

An exception while a request was routed left its connection marked as responding: the request and all later ones on the connection were never answered, and no line was logged. An exception in a periodic task (the daemon's tick, the timeouts of connections, the steps of a stop) ended the task for good. One in a callback of the store ended the watch of the configuration or of the registry, the lease, the listing of daemons or the record of crashes, because nothing sent the next request.

EventLoopTasks runs all of them: it logs `task-failed` with the cause and its place, repeats periodic tasks, and lets the owner of a callback continue as after a failed request. A call that fails before it is sent is answered 503 `internal-failure` (not run), one that fails in its start 502 `may-have-run`. An exception in a connection's handler rejects its input in turn instead of closing at once; a failed socket still closes. A response that has ended ignores further parts, so that a call which failed halfway cannot write into the next response.

Lease, peer directory and crash recorder have no test with an exception of their own. The call that fails in its start (`may-have-run`) is not tested either.

Ruled out: catching in the store client; it cannot know what continues the watch.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -24,15 +24,37 @@
     private static final long CRASHED_RETRY_AFTER_MILLIS = 5_000;
 
     private final CallEnvironment environment;
+    private final EventLoopTasks tasks;
     private final RandomGenerator random;
 
     CallRouter(CallEnvironment environment, RandomGenerator random) {
         this.environment = environment;
+        this.tasks = new EventLoopTasks(environment.loop(), environment.log());
         this.random = random;
     }
 
-    /** Starts a call, or refuses it at once. Returns the call if it was started. */
+    /**
+     * Starts a call, or refuses it at once. A call whose start fails is answered as well. Returns the call if it was
+     * started.
+     */
     Optional<ForwardedCall> route(CallRequest request, ResponseWriter responseWriter) {
+        Optional<ForwardedCall> call;
+        try {
+            call = admit(request, responseWriter);
+        } catch (RuntimeException e) {
+            tasks.recordFailure("admit-call", e);
+            environment.sendError(responseWriter, ErrorResponse.INTERNAL_FAILURE, CONFIG_RETRY_AFTER_MILLIS);
+            return Optional.empty();
+        }
+        call.ifPresent(admitted -> tasks.run("start-call", admitted::start, () -> {
+            // The failure may have occurred after the call was sent.
+            environment.sendError(responseWriter, ErrorResponse.MAY_HAVE_RUN, 0);
+            admitted.cancel();
+        }));
+        return call;
+    }
+
+    private Optional<ForwardedCall> admit(CallRequest request, ResponseWriter responseWriter) {
         CallMetadata facts = environment.translator().readCall(request.headers());
         long bootMillis = environment.clocks().bootMillis();
         Optional<RouteTable> table = environment.activeConfig().table();
@@ -68,7 +90,7 @@
             return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
         }
         environment.peerReporter().recordTraffic();
-        ForwardedCall call = new ForwardedCall(
+        return Optional.of(new ForwardedCall(
                 environment,
                 request,
                 subject,
@@ -77,9 +99,7 @@
                 route.get(),
                 tenant,
                 chooseService(route.get()),
-                responseWriter);
-        call.start();
-        return Optional.of(call);
+                responseWriter));
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -27,6 +27,7 @@
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.IdlePeriod;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -194,7 +195,11 @@
         // The caller may have closed the connection after the request. The event loop reads the socket until it is
         // empty
         // before it runs tasks, so startNext sees the close.
-        channel.eventLoop().execute(this::startNext);
+        scheduleNext();
+    }
+
+    private void scheduleNext() {
+        server.tasks().execute("next-request", this::startNext, channel::close);
     }
 
     private void startNext() {
@@ -263,7 +268,7 @@
         head = null;
         body = null;
         rejection = Optional.of(error);
-        channel.eventLoop().execute(this::startNext);
+        scheduleNext();
     }
 
     /** Rejects an incomplete request that stopped arriving. */
@@ -320,7 +325,12 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         server.onConnectionFailure(cause);
-        context.close();
+        boolean connectionLost = cause instanceof IOException;
+        if (connectionLost || inputEnded) {
+            context.close();
+        } else {
+            reject(ErrorResponse.INTERNAL_FAILURE);
+        }
     }
 
     private void onResponseEnded(boolean keepAlive) {
@@ -329,13 +339,14 @@
         lastActivityMillis = server.nowMillis();
         if (keepAlive) {
             // A call that is answered immediately ends inside the loop of startNext, which then continues by itself.
-            channel.eventLoop().execute(this::startNext);
+            scheduleNext();
         }
     }
 
     /** Writes the response to one request. */
     private final class Response implements ResponseWriter {
         private boolean keepAlive;
+        private boolean begun;
         private boolean ended;
         /** Limit for the idle period after the response, in milliseconds. */
         private long idleMillis;
@@ -346,6 +357,9 @@
 
         @Override
         public void send(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
+            if (begun) {
+                abort();
+            }
             if (ended) {
                 return;
             }
@@ -362,6 +376,10 @@
 
         @Override
         public void begin(HttpResponseStatus status, HttpHeaders headers) {
+            if (ended) {
+                return;
+            }
+            begun = true;
             setConnectionHeader(headers);
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             channel.writeAndFlush(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
@@ -369,7 +387,9 @@
 
         @Override
         public boolean write(byte[] bytes) {
-            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            if (!ended) {
+                channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            }
             return channel.isWritable();
         }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -21,7 +21,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /** Accepts the callers' connections and closes those that time out. */
 final class CallerServer {
@@ -42,6 +41,7 @@
     private static final int MAX_READS_PER_LOOP = 16;
 
     private final CallEnvironment environment;
+    private final EventLoopTasks tasks;
     private final CallRouter router;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Optional<Channel> listener = Optional.empty();
@@ -51,6 +51,7 @@
 
     CallerServer(CallEnvironment environment, CallRouter router) {
         this.environment = environment;
+        this.tasks = new EventLoopTasks(environment.loop(), environment.log());
         this.router = router;
     }
 
@@ -70,11 +71,7 @@
                 .bind(endpoint.host(), endpoint.port())
                 .sync()
                 .channel());
-        loop.scheduleWithFixedDelay(
-                this::closeTimedOut,
-                TIMEOUT_CHECK_INTERVAL_MILLIS,
-                TIMEOUT_CHECK_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        tasks.repeat("connection-timeouts", this::closeTimedOut, TIMEOUT_CHECK_INTERVAL_MILLIS);
     }
 
     /** Reads until the socket is empty, so that a close right after a request is seen together with it. */
@@ -82,7 +79,8 @@
         return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP);
     }
 
-    private void accept(Channel channel) {
+    /** Adds the handlers of a new connection. */
+    void accept(Channel channel) {
         if (connections.size() >= environment.settings().maxConnections()) {
             environment.metrics().count("connections_refused");
             channel.close();
@@ -136,6 +134,10 @@
         return stopping;
     }
 
+    EventLoopTasks tasks() {
+        return tasks;
+    }
+
     CallRouter router() {
         return router;
     }
@@ -209,7 +211,7 @@
                 .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
                 .toList();
         if (!idle.isEmpty()) {
-            environment.loop().schedule(() -> closeStillIdle(idle), IDLE_CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            tasks.schedule("close-idle", () -> closeStillIdle(idle), IDLE_CLOSE_DELAY_MILLIS, () -> {});
         }
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -9,7 +9,6 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Keeps the active configuration up to date. Each response from the store, including an empty one, renews the daemon's
@@ -36,7 +35,9 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final EventLoop loop;
+    private static final String TASK = "config-watch";
+
+    private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final ObjectStore store;
     private final ActiveConfig activeConfig;
@@ -55,7 +56,7 @@
             long convergeMillis,
             EventLog log,
             Runnable onChange) {
-        this.loop = loop;
+        this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.store = store;
         this.activeConfig = activeConfig;
@@ -66,7 +67,7 @@
     }
 
     void start() {
-        list();
+        tasks.run(TASK, this::list, this::scheduleRetry);
     }
 
     /**
@@ -90,7 +91,7 @@
     /** Sends no requests to the store until the relay stops reporting or reports a newer version. */
     private void followRelay() {
         if (confirmedByRelay()) {
-            loop.schedule(this::followRelay, RELAY_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            tasks.schedule(TASK, this::followRelay, RELAY_CHECK_INTERVAL_MILLIS, this::scheduleRetry);
         } else {
             list();
         }
@@ -102,7 +103,10 @@
 
     private void list() {
         long requestedAtMillis = clocks.bootMillis();
-        store.list(ObjectKind.CONFIGURATION, false, answer -> onListing(answer, requestedAtMillis));
+        store.list(
+                ObjectKind.CONFIGURATION,
+                false,
+                tasks.callback(TASK, answer -> onListing(answer, requestedAtMillis), this::scheduleRetry));
     }
 
     private void onListing(StoreResult<Listing<ServingConfig>> answer, long requestedAtMillis) {
@@ -126,7 +130,7 @@
                 ObjectKind.CONFIGURATION,
                 revision,
                 WATCH_TIMEOUT_MILLIS,
-                answer -> onChanges(answer, requestedAtMillis));
+                tasks.callback(TASK, answer -> onChanges(answer, requestedAtMillis), this::scheduleRetry));
     }
 
     private void onChanges(StoreResult<ChangeBatch<ServingConfig>> answer, long requestedAtMillis) {
@@ -182,8 +186,12 @@
                     "age_ms",
                     activeConfig.ageMillis(clocks.bootMillis()));
         }
+        scheduleRetry();
+    }
+
+    private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        loop.schedule(this::followRelay, delayMillis, TimeUnit.MILLISECONDS);
+        tasks.schedule(TASK, this::followRelay, delayMillis, this::scheduleRetry);
     }
 
     private void recordStoreReachable() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -12,7 +12,6 @@
 import io.sesamehead.entry.port.StoredObject;
 import java.time.InstantSource;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Persists the requests that are refused because of their crashes in one object of the store, so that they survive a
@@ -28,7 +27,10 @@
     /** Delay before a failed store call is retried, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 1_000;
 
-    private final EventLoop loop;
+    private static final String READ_TASK = "crashes-read";
+    private static final String WRITE_TASK = "crashes-write";
+
+    private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final InstantSource wallClock;
     private final ObjectStore store;
@@ -45,7 +47,7 @@
             ObjectStore store,
             CrashHistory crashHistory,
             EventLog log) {
-        this.loop = loop;
+        this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.wallClock = wallClock;
         this.store = store;
@@ -55,9 +57,9 @@
 
     /** Schedules the reads. */
     void start() {
-        loop.execute(this::read);
-        loop.schedule(this::read, SECOND_READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(this::read, READ_INTERVAL_MILLIS, READ_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        tasks.execute(READ_TASK, this::read, this::scheduleRead);
+        tasks.schedule(READ_TASK, this::read, SECOND_READ_DELAY_MILLIS, this::scheduleRead);
+        tasks.repeat(READ_TASK, this::read, READ_INTERVAL_MILLIS);
     }
 
     /** Writes what is refused if that has changed because of crashes at this daemon. */
@@ -66,17 +68,31 @@
         if (writePending && !writeInFlight && clocks.steadyMillis() >= nextWriteAtMillis) {
             writePending = false;
             writeInFlight = true;
-            store.list(ObjectKind.CRASHES, false, this::write);
+            tasks.run(WRITE_TASK, this::listAndWrite, this::onWriteTaskFailed);
         }
     }
 
+    private void listAndWrite() {
+        store.list(ObjectKind.CRASHES, false, tasks.callback(WRITE_TASK, this::write, this::onWriteTaskFailed));
+    }
+
+    private void onWriteTaskFailed() {
+        retry("failed");
+    }
+
     private void read() {
-        store.list(ObjectKind.CRASHES, true, answer -> {
-            mergeListing(answer);
-            if (!(answer instanceof StoreResult.Ok<Listing<CrashRecord>>)) {
-                loop.schedule(this::read, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-            }
-        });
+        store.list(ObjectKind.CRASHES, true, tasks.callback(READ_TASK, this::onListing, this::scheduleRead));
+    }
+
+    private void onListing(StoreResult<Listing<CrashRecord>> answer) {
+        mergeListing(answer);
+        if (!(answer instanceof StoreResult.Ok<Listing<CrashRecord>>)) {
+            scheduleRead();
+        }
+    }
+
+    private void scheduleRead() {
+        tasks.schedule(READ_TASK, this::read, RETRY_DELAY_MILLIS, this::scheduleRead);
     }
 
     private OptionalLong mergeListing(StoreResult<Listing<CrashRecord>> answer) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -31,7 +31,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /** An entry daemon: runs all its components on one event loop, from start to graceful stop. */
@@ -76,6 +75,7 @@
     private final EventLoop loop;
     private final Clocks clocks;
     private final EventLog log;
+    private final EventLoopTasks tasks;
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final ActiveConfig activeConfig;
     private final UpstreamRegistry registry = new UpstreamRegistry();
@@ -139,6 +139,7 @@
         this.clocks = clocks;
         this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         this.log = new EventLog(clocks);
+        this.tasks = new EventLoopTasks(loop, log);
         this.activeConfig = new ActiveConfig(settings.keyRevocationMillis() - MAX_WATCH_SILENCE_MILLIS);
         this.clients = new HttpConnectionPool(loop, clocks);
         ControlClient control = new ControlClient(clients);
@@ -250,12 +251,8 @@
             registryWatch.start();
             lease.start();
         });
-        loop.scheduleWithFixedDelay(
-                store::logCalls,
-                STORE_CALLS_LOG_INTERVAL_MILLIS,
-                STORE_CALLS_LOG_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        tasks.repeat("log-store-calls", store::logCalls, STORE_CALLS_LOG_INTERVAL_MILLIS);
+        tasks.repeat("tick", this::tick, TICK_INTERVAL_MILLIS);
     }
 
     /** Begins a graceful stop; the process exits when all caller connections are closed or the stop timeout is near. */
@@ -278,8 +275,7 @@
         stopStartedAtMillis = clocks.steadyMillis();
         log.write(EventLog.Component.DAEMON, "stopping", "open_calls", environment.openCalls());
         callerServer.beginStop();
-        loop.scheduleWithFixedDelay(
-                this::continueStop, STOP_CHECK_INTERVAL_MILLIS, STOP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        tasks.repeat("stop", this::continueStop, STOP_CHECK_INTERVAL_MILLIS);
     }
 
     private void continueStop() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ErrorResponse.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ErrorResponse.java
@@ -28,6 +28,8 @@
     EXPIRED_UNSENT(HttpResponseStatus.SERVICE_UNAVAILABLE, "expired-unsent", true),
     /** The daemon is stopping and might exit before the call completes; the call has not run. */
     STOPPING(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping", true),
+    /** The daemon failed before the call was sent; the call has not run. */
+    INTERNAL_FAILURE(HttpResponseStatus.SERVICE_UNAVAILABLE, "internal-failure", true),
     /** The upstream was lost during the call; the call may have run. */
     MAY_HAVE_RUN(HttpResponseStatus.BAD_GATEWAY, "may-have-run", false),
     /** The deadline passed while an upstream had the call; it may have run. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -13,7 +13,6 @@
 import io.sesamehead.state.Incarnation;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 /**
@@ -41,7 +40,9 @@
     /** Delay after a failed request, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
-    private final EventLoop loop;
+    private static final String TASK = "lease";
+
+    private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final ObjectStore store;
     private final LeaseHolder holder;
@@ -61,7 +62,7 @@
             long ttlMillis,
             EventLog log,
             RandomGenerator random) {
-        this.loop = loop;
+        this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.store = store;
         this.holder = holder;
@@ -125,7 +126,7 @@
             schedulePoll(POLL_INTERVAL_MILLIS);
             return;
         }
-        store.list(ObjectKind.CONTROLLER_LEASE, false, this::onListing);
+        store.list(ObjectKind.CONTROLLER_LEASE, false, tasks.callback(TASK, this::onListing, this::readAgain));
     }
 
     private void onListing(StoreResult<Listing<Lease>> answer) {
@@ -168,7 +169,7 @@
                 LEASE_NAME,
                 expected,
                 write.lease(),
-                answer -> onWritten(write.kind(), answer));
+                tasks.callback(TASK, answer -> onWritten(write.kind(), answer), this::readAgain));
     }
 
     private void onWritten(LeaseDecision.Kind kind, StoreResult<StoredObject<Lease>> answer) {
@@ -194,10 +195,8 @@
             case StoreResult.Refused<StoredObject<Lease>> refused -> schedulePoll(RETRY_DELAY_MILLIS);
             case StoreResult.HistoryExpired<StoredObject<Lease>> gone -> schedulePoll(RETRY_DELAY_MILLIS);
             case StoreResult.NoResponse<StoredObject<Lease>> none -> {
-                // The write may have taken effect, so read the object back with full consistency.
                 log.write(EventLog.Component.LEASE, "no-answer", "kind", kind, "reason", none.reason());
-                stored = Optional.empty();
-                schedulePoll(RETRY_DELAY_MILLIS);
+                readAgain();
             }
         }
     }
@@ -207,6 +206,12 @@
     }
 
     private void schedule(Runnable task, long millis) {
-        loop.schedule(task, Math.max(1, millis), TimeUnit.MILLISECONDS);
+        tasks.schedule(TASK, task, Math.max(1, millis), this::readAgain);
+    }
+
+    /** Reads the lease with full consistency after a request whose effect is unknown. */
+    private void readAgain() {
+        stored = Optional.empty();
+        schedulePoll(RETRY_DELAY_MILLIS);
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -18,7 +18,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /** Registers this daemon's report address in the store and tracks the addresses of the other daemons. */
 final class PeerDirectory {
@@ -36,7 +35,9 @@
     /** Maximum number of other daemons at which the list interval stays at its initial value. */
     private static final int FEW_PEERS = 2;
 
-    private final EventLoop loop;
+    private static final String TASK = "peer-listing";
+
+    private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final EntrySettings settings;
     private final ObjectStore store;
@@ -55,7 +56,7 @@
             ObjectStore store,
             ReportTopology topology,
             EventLog log) {
-        this.loop = loop;
+        this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.nextListing = loop.newSucceededFuture(null);
         this.settings = settings;
@@ -65,7 +66,7 @@
     }
 
     void start() {
-        loop.execute(this::list);
+        tasks.execute(TASK, this::list, this::scheduleRetry);
     }
 
     /** Returns the report addresses of all other daemons. */
@@ -102,12 +103,12 @@
 
     private void list() {
         listedAtMillis = clocks.steadyMillis();
-        store.list(ObjectKind.DAEMONS, true, this::onListing);
+        store.list(ObjectKind.DAEMONS, true, tasks.callback(TASK, this::onListing, this::scheduleRetry));
     }
 
     private void onListing(StoreResult<Listing<DaemonEndpoint>> answer) {
         if (!(answer instanceof StoreResult.Ok<Listing<DaemonEndpoint>>(Listing<DaemonEndpoint> listing))) {
-            scheduleListing(RETRY_DELAY_MILLIS);
+            scheduleRetry();
             return;
         }
         DaemonEndpoint own = new DaemonEndpoint(settings.peerEndpoint(), settings.failureDomain());
@@ -138,7 +139,11 @@
 
     private void scheduleListing(long millis) {
         nextListing.cancel(false);
-        nextListing = loop.schedule(this::list, millis, TimeUnit.MILLISECONDS);
+        nextListing = tasks.schedule(TASK, this::list, millis, this::scheduleRetry);
+    }
+
+    private void scheduleRetry() {
+        scheduleListing(RETRY_DELAY_MILLIS);
     }
 
     private void register(DaemonEndpoint own, OptionalLong expected) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -8,8 +8,8 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /** Keeps the registry of upstreams up to date from the store, or from a relay while the relay is current. */
 final class RegistryWatch {
@@ -48,7 +48,10 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final EventLoop loop;
+    private static final String TASK = "registry-watch";
+    private static final String REFRESH_TASK = "registry-refresh";
+
+    private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final ObjectStore store;
     private final UpstreamRegistry registry;
@@ -72,7 +75,7 @@
             EventLog log,
             Runnable onChange,
             BooleanSupplier isController) {
-        this.loop = loop;
+        this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.store = store;
         this.registry = registry;
@@ -86,7 +89,7 @@
      * watch then returns the changes since that listing.
      */
     void start() {
-        list(true);
+        tasks.run(TASK, () -> list(true), this::scheduleRetry);
     }
 
     /** Returns the revision up to which changes are known, or 0 before the first response. */
@@ -141,14 +144,23 @@
             return;
         }
         refreshing = true;
+        tasks.run(REFRESH_TASK, this::requestChanges, () -> refreshing = false);
+    }
+
+    private void requestChanges() {
         long requestedAtMillis = clocks.steadyMillis();
         long since = revision;
-        store.watch(ObjectKind.UPSTREAMS, since, REFRESH_TIMEOUT_MILLIS, answer -> {
+        Consumer<StoreResult<ChangeBatch<UpstreamEntry>>> onAnswer = answer -> {
             refreshing = false;
             if (answer instanceof StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes)) {
                 onRefreshAnswer(since, requestedAtMillis, changes);
             }
-        });
+        };
+        store.watch(
+                ObjectKind.UPSTREAMS,
+                since,
+                REFRESH_TIMEOUT_MILLIS,
+                tasks.callback(REFRESH_TASK, onAnswer, () -> refreshing = false));
     }
 
     /** Changes that another response has overtaken are discarded; the next refresh requests them again. */
@@ -191,7 +203,10 @@
 
     private void list(boolean mayBeOld) {
         long requestedAtMillis = clocks.steadyMillis();
-        store.list(ObjectKind.UPSTREAMS, mayBeOld, answer -> onListing(answer, mayBeOld, requestedAtMillis));
+        store.list(
+                ObjectKind.UPSTREAMS,
+                mayBeOld,
+                tasks.callback(TASK, answer -> onListing(answer, mayBeOld, requestedAtMillis), this::scheduleRetry));
     }
 
     private void onListing(StoreResult<Listing<UpstreamEntry>> answer, boolean mayBeOld, long requestedAtMillis) {
@@ -224,7 +239,7 @@
     /** Watches the store, or waits while a relay reports all changes. */
     private void watch() {
         if (!isController.getAsBoolean() && relayIsCurrent()) {
-            loop.schedule(this::watch, RELAY_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            tasks.schedule(TASK, this::watch, RELAY_CHECK_INTERVAL_MILLIS, this::scheduleRetry);
             return;
         }
         long since = revision;
@@ -233,7 +248,7 @@
                 ObjectKind.UPSTREAMS,
                 since,
                 WATCH_TIMEOUT_MILLIS,
-                answer -> onChanges(since, requestedAtMillis, answer));
+                tasks.callback(TASK, answer -> onChanges(since, requestedAtMillis, answer), this::scheduleRetry));
     }
 
     private void onChanges(long since, long requestedAtMillis, StoreResult<ChangeBatch<UpstreamEntry>> answer) {
@@ -253,7 +268,7 @@
             return;
         }
         long delayMillis = isController.getAsBoolean() ? CONTROLLER_BATCH_DELAY_MILLIS : BATCH_DELAY_MILLIS;
-        loop.schedule(this::watch, delayMillis, TimeUnit.MILLISECONDS);
+        tasks.schedule(TASK, this::watch, delayMillis, this::scheduleRetry);
     }
 
     private void applyBatch(long since, ChangeBatch<UpstreamEntry> changes) {
@@ -280,8 +295,15 @@
             failingSinceMillis = clocks.steadyMillis();
             log.write(EventLog.Component.REGISTRY, "store-lost", "answer", answer);
         }
+        if (historyGone) {
+            tasks.execute(TASK, () -> list(false), this::scheduleRetry);
+        } else {
+            scheduleRetry();
+        }
+    }
+
+    private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        loop.schedule(
-                historyGone ? () -> list(false) : this::resume, historyGone ? 0 : delayMillis, TimeUnit.MILLISECONDS);
+        tasks.schedule(TASK, this::resume, delayMillis, this::scheduleRetry);
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
@@ -3,9 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
-/** Writes the response of one call to its caller. Methods that end the response do nothing once it has ended. */
+/** Writes the response of one call to its caller. Methods do nothing once the response has ended. */
 interface ResponseWriter {
-    /** Sends a complete response. */
+    /** Sends a complete response. Aborts the response instead if another one has begun. */
     void send(HttpResponseStatus status, HttpHeaders headers, byte[] body);
 
     /** Begins a response whose body follows in chunks. */
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -0,0 +1,124 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.sesamehead.coordination.catalog.ActiveConfig;
+import io.sesamehead.coordination.dispatch.BusyUpstreams;
+import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.Dispatcher;
+import io.sesamehead.coordination.dispatch.PromptPartCrashes;
+import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
+import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.entry.port.AttemptMetadata;
+import io.sesamehead.entry.port.CallMetadata;
+import io.sesamehead.entry.port.CallTranslator;
+import io.sesamehead.entry.port.EntrySettings;
+import io.sesamehead.entry.port.ResponseMetadata;
+import io.sesamehead.entry.transport.HttpConnectionPool;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are never answered because an exception occurred while they were routed. */
+final class CallerConnectionFailureTest {
+    private static final Endpoint ENDPOINT = new Endpoint("127.0.0.1", 1);
+    private static final FailureDomain DOMAIN = new FailureDomain("a");
+
+    private final FakeClocks clocks = new FakeClocks(1_000_000);
+    private final EventLog log = new EventLog(clocks);
+
+    @Test
+    void answersRequestsWhoseRoutingFails() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        CallerServer server = server(channel);
+        channel.pipeline().addLast(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel accepted) {
+                server.accept(accepted);
+            }
+        });
+        channel.pipeline().fireChannelActive();
+        String request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+        channel.writeInbound(Unpooled.copiedBuffer(request + request, StandardCharsets.US_ASCII));
+        channel.runPendingTasks();
+
+        assertThat(output(channel))
+                .containsPattern("(?s)HTTP/1.1 503.*internal-failure.*HTTP/1.1 503.*internal-failure");
+        assertThat(channel.isOpen()).isTrue();
+    }
+
+    private static String output(EmbeddedChannel channel) {
+        StringBuilder output = new StringBuilder();
+        for (ByteBuf bytes = channel.readOutbound(); bytes != null; bytes = channel.readOutbound()) {
+            output.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+        return output.toString();
+    }
+
+    private CallerServer server(EmbeddedChannel channel) {
+        EntrySettings settings = new EntrySettings(
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1);
+        TargetTable targetTable = new TargetTable();
+        BusyUpstreams busyUpstreams = new BusyUpstreams();
+        ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
+        SplittableRandom random = new SplittableRandom(1);
+        CrashHistory crashHistory = new CrashHistory();
+        UpstreamRegistry registry = new UpstreamRegistry();
+        CallEnvironment environment = new CallEnvironment(
+                settings,
+                channel.eventLoop(),
+                clocks,
+                new FailingTranslator(),
+                new ActiveConfig(1_000),
+                registry,
+                new Fleet(),
+                targetTable,
+                serviceTimes,
+                busyUpstreams,
+                new Dispatcher(DOMAIN, targetTable, busyUpstreams, serviceTimes, random),
+                crashHistory,
+                new PromptPartCrashes(crashHistory, new DaemonId("d")),
+                new LeavingRecorder(clocks, registry, log, () -> {}),
+                null,
+                new ModelLoads(),
+                new HttpConnectionPool(channel.eventLoop(), clocks),
+                log,
+                new DaemonMetrics());
+        return new CallerServer(environment, new CallRouter(environment, random));
+    }
+
+    private static final class FailingTranslator implements CallTranslator {
+        @Override
+        public CallMetadata readCall(HttpHeaders headers) {
+            throw new IllegalStateException("failure of the test");
+        }
+
+        @Override
+        public void writeAttempt(HttpHeaders headers, AttemptMetadata attempt) {
+            throw new UnsupportedOperationException("this test sends no attempt");
+        }
+
+        @Override
+        public ResponseMetadata readResponse(HttpResponse response) {
+            throw new UnsupportedOperationException("this test receives no response");
+        }
+
+        @Override
+        public String readinessPath() {
+            return "/ready";
+        }
+    }
+}
