Resume a stream only with an event stream, and only if it has events

Callers got the text of an error in the middle of their stream, or a stream that looked complete although events were missing: the stream had broken off, and the next upstream answered with something else.

Cause: each sealed 2xx response on a stream route was taken for an event stream, whatever its status and type, and one that ended without any event completed the stream when a length or chunks framed it.

A stream begins only with status 200 and text/event-stream; other responses are read as a whole, and ForwardedCall breaks a begun stream off for them as it does for an error. A first attempt may omit the type. A resumed stream that ends without an event is a lost attempt, which may be resumed once more: it cannot be told from one whose last events are missing.

Not checked: gaps in event ids.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -303,7 +303,8 @@
         Attempt(Target target, long expectedMillis) {
             this.target = target;
             this.expectedMillis = expectedMillis;
-            this.reader = new ResponseReader(environment.translator(), facts.requestId(), route.kind(), this);
+            this.reader =
+                    new ResponseReader(environment.translator(), facts.requestId(), route.kind(), responseBegun, this);
         }
 
         void start() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -25,6 +26,7 @@
     private final CallTranslator translator;
     private final String requestId;
     private final CallKind kind;
+    private final boolean resumed;
     private final AttemptListener listener;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpResponse head;
@@ -32,10 +34,21 @@
     private boolean streaming;
     private boolean streamDataSeen;
 
-    ResponseReader(CallTranslator translator, String requestId, CallKind kind, AttemptListener listener) {
+    /**
+     * Creates a reader for one attempt.
+     *
+     * @param translator reads the upstream's headers
+     * @param requestId the call's id, empty if its caller stated none
+     * @param kind kind of the call
+     * @param resumed whether the attempt continues a stream that the caller has already begun to receive
+     * @param listener receives the outcome
+     */
+    ResponseReader(
+            CallTranslator translator, String requestId, CallKind kind, boolean resumed, AttemptListener listener) {
         this.translator = translator;
         this.requestId = requestId;
         this.kind = kind;
+        this.resumed = resumed;
         this.listener = listener;
     }
 
@@ -64,7 +77,7 @@
         head = response;
         facts = translator.readResponse(response);
         boolean verifiedSuccess = successful() && verified();
-        if (kind == CallKind.STREAM && verifiedSuccess) {
+        if (kind == CallKind.STREAM && verifiedSuccess && isEventStream()) {
             streaming = listener.onStreamStart(response);
         }
     }
@@ -97,16 +110,27 @@
         }
     }
 
-    /** A connection that closes right after the head, without any framing, is that of an upstream that has failed. */
+    /**
+     * Ends a stream, or fails the attempt if its end without an event proves nothing: a connection that closes right
+     * after a head without framing may be that of an upstream that has failed, and a stream that was broken off may have
+     * further events.
+     */
     private void endStream() {
         boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        if (framed || streamDataSeen) {
+        if (streamDataSeen || (framed && !resumed)) {
             listener.onStreamEnd(framed);
         } else {
-            listener.onFailure(true, "connection closed before the first event");
+            listener.onFailure(true, "stream ended before the first event");
         }
     }
 
+    /** Whether the body consists of events. Those of a resumed stream are joined to earlier ones, so it must say so. */
+    private boolean isEventStream() {
+        CharSequence type = HttpUtil.getMimeType(head);
+        boolean stated = type == null ? !resumed : HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
+        return stated && head.status().equals(HttpResponseStatus.OK);
+    }
+
     @Override
     public void onFailure(boolean sent, String reason) {
         listener.onFailure(sent, reason);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -28,7 +28,11 @@
     private final RecordingListener listener = new RecordingListener();
 
     private ResponseReader reader(CallKind kind) {
-        return new ResponseReader(new TestTranslator(), REQUEST_ID, kind, listener);
+        return new ResponseReader(new TestTranslator(), REQUEST_ID, kind, false, listener);
+    }
+
+    private ResponseReader resumedStreamReader() {
+        return new ResponseReader(new TestTranslator(), REQUEST_ID, CallKind.STREAM, true, listener);
     }
 
     private static HttpResponse response(int status, String... headers) {
@@ -140,8 +144,40 @@
         reader.onHead(response(200, "id", REQUEST_ID, "seal", "s"));
         reader.onEnd();
 
-        assertThat(listener.events)
-                .containsExactly("streaming", "failed true connection closed before the first event");
+        assertThat(listener.events).containsExactly("streaming", "failed true stream ended before the first event");
+    }
+
+    @Test
+    void treatsResumedStreamWithoutEventsAsLost() {
+        ResponseReader reader = resumedStreamReader();
+        reader.onHead(response(
+                200, "id", REQUEST_ID, "seal", "s", "content-type", "text/event-stream", "content-length", "0"));
+        reader.onEnd();
+
+        assertThat(listener.events).containsExactly("streaming", "failed true stream ended before the first event");
+    }
+
+    @Test
+    void doesNotResumeStreamWithAnotherKindOfResponse() {
+        deliver(resumedStreamReader(), response(200, "id", REQUEST_ID, "seal", "s"), "id: 3\n\n");
+        deliver(
+                resumedStreamReader(),
+                response(200, "id", REQUEST_ID, "seal", "s", "content-type", "application/json"),
+                "id: 3\n\n");
+        deliver(
+                resumedStreamReader(),
+                response(206, "id", REQUEST_ID, "seal", "s", "content-type", "text/event-stream"),
+                "id: 3\n\n");
+
+        assertThat(listener.events).hasSize(3).allMatch(event -> event.startsWith("answered "));
+
+        listener.events.clear();
+        deliver(
+                resumedStreamReader(),
+                response(200, "id", REQUEST_ID, "seal", "s", "content-type", "text/event-stream; charset=utf-8"),
+                "id: 3\n\n");
+
+        assertThat(listener.events).contains("streaming", "data id: 3\n\n");
     }
 
     @Test
