--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -215,7 +215,8 @@
         attempt.start(
                 encodeRequest(target),
                 route.idempotent(),
-                new ResponseReader(environment.translator(), facts.requestId(), route.kind(), attempt));
+                new ResponseReader(
+                        environment.translator(), facts.requestId(), route.kind(), responseBegun, attempt));
     }
 
     private FullHttpRequest encodeRequest(Target target) {
