--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -94,7 +94,7 @@
                 new LeavingRecorder(clocks, registry, log, () -> {}),
                 null,
                 new ModelLoads(),
-                new HttpConnectionPool(channel.eventLoop(), clocks),
+                new HttpConnectionPool(channel.eventLoop(), clocks, peer -> {}),
                 log,
                 new DaemonMetrics());
         return new CallerServer(environment, new CallRouter(environment, random));
