Do not take a slow caller for a silent target

What callers would see: a group whose only calls have callers that read slowly is avoided after 400 ms, and is dissolved and its calls gain a crash after 2 s, although it is sound.

Cause: the daemon stops reading from the upstream while the caller's connection is not writable, and the missing events counted as silence.

A paused call is now no evidence: TargetTable.recordPaused and recordResumed exclude it from silence and from the rows for peers. It still counts as load of this daemon.

Evidence: pausedCallIsNoEvidenceOfSilence tests a new function, so that it did not run before. The fault was found by reading; no end-to-end run shows it. TargetTableTest, DispatcherTest, SilentUpstreamTest and EntryProcessTest#resumesStream* pass.

Remaining: the rows for peers leave paused calls out of the load.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -28,10 +28,9 @@
     private static final long MAX_UNREACHABLE_MILLIS = 4_000;
     /** Time for which progress is reported after the last call ended, in milliseconds: two reports. */
     private static final long RECENT_PROGRESS_MILLIS = 400;
-    /** Weight of the newest event interval in the moving average. */
-    private static final double INTERVAL_WEIGHT = 0.2;
 
-    private final Map<TargetKey, LocalState> local = new HashMap<>();
+    private final Map<TargetKey, LocalCalls> local = new HashMap<>();
+    private final Map<TargetKey, Unreachable> unreachable = new HashMap<>();
     private final Map<String, PeerReport> peerReports = new HashMap<>();
     private final Map<TargetKey, Integer> peerInFlight = new HashMap<>();
     private final Map<TargetKey, Long> peerLastProgressMillis = new HashMap<>();
@@ -43,23 +42,8 @@
     private final Map<TargetKey, Long> lostUntil = new HashMap<>();
     private boolean aggregated;
 
-    private static final class LocalState {
-        private int inFlight;
-        private long inFlightSinceMillis;
-        private long lastProgressMillis = Long.MIN_VALUE / 2;
-        private double intervalMillis;
-        private long suspectedUntil = Long.MIN_VALUE;
-        private long unreachableUntil = Long.MIN_VALUE;
-        private long unreachableMillis;
-
-        private boolean suspected(long nowMillis) {
-            return nowMillis < suspectedUntil;
-        }
-
-        private long silentSinceMillis() {
-            return Math.max(inFlightSinceMillis, lastProgressMillis);
-        }
-    }
+    /** Time until which this daemon does not connect to a target, and the length of that backoff. */
+    private record Unreachable(long untilMillis, long backoffMillis) {}
 
     private record PeerReport(long receivedAt, int daemons, List<TargetReport> rows) {}
 
@@ -70,11 +54,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordSent(TargetKey key, long nowMillis) {
-        LocalState state = local.computeIfAbsent(key, name -> new LocalState());
-        if (state.inFlight == 0) {
-            state.inFlightSinceMillis = nowMillis;
-        }
-        state.inFlight++;
+        local.computeIfAbsent(key, name -> new LocalCalls()).recordSent(nowMillis);
     }
 
     /**
@@ -84,16 +64,12 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordProgress(TargetKey key, long nowMillis) {
-        LocalState state = local.get(key);
+        LocalCalls state = local.get(key);
         if (state == null) {
             return;
         }
-        double interval = nowMillis - state.silentSinceMillis();
-        state.intervalMillis += (interval - state.intervalMillis) * INTERVAL_WEIGHT;
-        state.lastProgressMillis = nowMillis;
-        state.suspectedUntil = Long.MIN_VALUE;
-        state.unreachableUntil = Long.MIN_VALUE;
-        state.unreachableMillis = 0;
+        state.recordProgress(nowMillis);
+        unreachable.remove(key);
         lostUntil.remove(key);
     }
 
@@ -104,14 +80,36 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordUnreachable(TargetKey key, long nowMillis) {
-        LocalState state = local.get(key);
-        if (state == null) {
-            return;
+        Unreachable before = unreachable.get(key);
+        long backoff =
+                before == null ? MIN_UNREACHABLE_MILLIS : Math.min(MAX_UNREACHABLE_MILLIS, 2 * before.backoffMillis());
+        unreachable.put(key, new Unreachable(nowMillis + backoff, backoff));
+    }
+
+    /**
+     * Records that this daemon does not read the response of a call for now, because its caller reads slowly. Until it
+     * resumes, the call is no evidence of silence.
+     *
+     * @param key the target
+     */
+    public void recordPaused(TargetKey key) {
+        LocalCalls state = local.get(key);
+        if (state != null && state.waiting() > 0) {
+            state.recordPaused();
+        }
+    }
+
+    /**
+     * Records that this daemon reads the response of a paused call again.
+     *
+     * @param key the target
+     * @param nowMillis current monotonic time, in milliseconds
+     */
+    public void recordResumed(TargetKey key, long nowMillis) {
+        LocalCalls state = local.get(key);
+        if (state != null) {
+            state.recordResumed(nowMillis);
         }
-        state.unreachableMillis = state.unreachableMillis == 0
-                ? MIN_UNREACHABLE_MILLIS
-                : Math.min(MAX_UNREACHABLE_MILLIS, 2 * state.unreachableMillis);
-        state.unreachableUntil = nowMillis + state.unreachableMillis;
     }
 
     /**
@@ -120,9 +118,9 @@
      * @param key the target
      */
     public void recordEnded(TargetKey key) {
-        LocalState state = local.get(key);
-        if (state != null && state.inFlight > 0) {
-            state.inFlight--;
+        LocalCalls state = local.get(key);
+        if (state != null) {
+            state.recordEnded();
         }
     }
 
@@ -165,9 +163,9 @@
     /** Ends this daemon's suspicion because a peer has seen progress. */
     private void endSuspicion(TargetKey key) {
         lostUntil.remove(key);
-        LocalState state = local.get(key);
+        LocalCalls state = local.get(key);
         if (state != null) {
-            state.suspectedUntil = Long.MIN_VALUE;
+            state.endSuspicion();
         }
     }
 
@@ -178,8 +176,8 @@
      * @return the count
      */
     public int inFlight(TargetKey key) {
-        LocalState state = local.get(key);
-        return (state == null ? 0 : state.inFlight) + peerInFlight.getOrDefault(key, 0);
+        LocalCalls state = local.get(key);
+        return (state == null ? 0 : state.inFlight()) + peerInFlight.getOrDefault(key, 0);
     }
 
     /**
@@ -189,8 +187,8 @@
      * @return the count
      */
     public int ownInFlight(TargetKey key) {
-        LocalState state = local.get(key);
-        return state == null ? 0 : state.inFlight;
+        LocalCalls state = local.get(key);
+        return state == null ? 0 : state.inFlight();
     }
 
     /**
@@ -202,7 +200,7 @@
      * @return true while the target is suspected by this daemon or another one
      */
     public boolean isSuspected(TargetKey key, long nowMillis) {
-        LocalState state = local.get(key);
+        LocalCalls state = local.get(key);
         return (state != null && state.suspected(nowMillis)) || isSuspectedByPeer(key);
     }
 
@@ -253,8 +251,8 @@
     }
 
     private boolean isReachable(TargetKey key, long nowMillis) {
-        LocalState state = local.get(key);
-        return state == null || nowMillis >= state.unreachableUntil;
+        Unreachable backoff = unreachable.get(key);
+        return backoff == null || nowMillis >= backoff.untilMillis();
     }
 
     /**
@@ -268,12 +266,12 @@
         recordInFlight(nowMillis);
         List<TargetKey> stalled = new ArrayList<>();
         local.forEach((key, state) -> {
-            if (state.inFlight == 0) {
+            if (state.waiting() == 0) {
                 return;
             }
             Set<EvidenceReaction> reactions = EvidencePolicy.reactions(silence(key, nowMillis));
             if (reactions.contains(EvidenceReaction.PREFER_OTHERS)) {
-                state.suspectedUntil = nowMillis + SUSPICION_MILLIS;
+                state.suspectUntil(nowMillis + SUSPICION_MILLIS);
             }
             if (reactions.contains(EvidenceReaction.SECOND_ATTEMPT)) {
                 stalled.add(key);
@@ -282,12 +280,17 @@
         return stalled;
     }
 
+    private int waiting(TargetKey key) {
+        LocalCalls state = local.get(key);
+        return (state == null ? 0 : state.waiting()) + peerInFlight.getOrDefault(key, 0);
+    }
+
     /** Updates since when calls have been in flight, and remembers which targets are lost. */
     private void recordInFlight(long nowMillis) {
-        inFlightSince.keySet().removeIf(key -> inFlight(key) == 0);
+        inFlightSince.keySet().removeIf(key -> waiting(key) == 0);
         for (Set<TargetKey> keys : List.of(local.keySet(), peerInFlight.keySet())) {
             for (TargetKey key : keys) {
-                if (inFlight(key) > 0) {
+                if (waiting(key) > 0) {
                     inFlightSince.putIfAbsent(key, nowMillis);
                 }
             }
@@ -308,25 +311,25 @@
      * @return the time without progress while calls were in flight
      */
     public TargetEvidence.Silence silence(TargetKey key, long nowMillis) {
-        LocalState state = local.get(key);
-        boolean own = state != null && state.inFlight > 0;
+        LocalCalls state = local.get(key);
+        boolean own = state != null && state.waiting() > 0;
         long sinceMillis =
-                Math.min(inFlightSince.getOrDefault(key, nowMillis), own ? state.inFlightSinceMillis : nowMillis);
+                Math.min(inFlightSince.getOrDefault(key, nowMillis), own ? state.inFlightSinceMillis() : nowMillis);
         long anywhereMillis = nowMillis - Math.max(sinceMillis, lastProgressMillis(key));
         long ownMillis = own ? nowMillis - state.silentSinceMillis() : 0;
         return new TargetEvidence.Silence(ownMillis, anywhereMillis, limits(key));
     }
 
     private SilenceLimits limits(TargetKey key) {
-        LocalState state = local.get(key);
+        LocalCalls state = local.get(key);
         return SilenceLimits.of(
                 key.replica().model().isPresent(),
-                state == null ? 0 : state.intervalMillis,
+                state == null ? 0 : state.intervalMillis(),
                 aggregated ? AGGREGATE_LAG_MILLIS : 0);
     }
 
     /**
-     * Returns this daemon's rows for its report to peers.
+     * Returns this daemon's rows for its report to peers. Paused calls are left out.
      *
      * @param nowMillis current monotonic time, in milliseconds
      * @return one row for each target that has calls in flight, is suspected or has just made progress
@@ -335,9 +338,9 @@
         List<TargetReport> rows = new ArrayList<>();
         local.forEach((key, state) -> {
             boolean suspected = state.suspected(nowMillis);
-            long silentMillis = Math.min(TargetReport.NO_PROGRESS_MILLIS, nowMillis - state.lastProgressMillis);
-            if (state.inFlight > 0 || suspected || silentMillis <= RECENT_PROGRESS_MILLIS) {
-                rows.add(new TargetReport(key, state.inFlight, silentMillis, suspected));
+            long silentMillis = Math.min(TargetReport.NO_PROGRESS_MILLIS, nowMillis - state.lastProgressMillis());
+            if (state.waiting() > 0 || suspected || silentMillis <= RECENT_PROGRESS_MILLIS) {
+                rows.add(new TargetReport(key, state.waiting(), silentMillis, suspected));
             }
         });
         return rows;
@@ -408,9 +411,10 @@
      * @param known selects the targets that are still listed
      */
     public void retainTargets(Predicate<TargetKey> known) {
-        local.entrySet().removeIf(entry -> entry.getValue().inFlight == 0 && !known.test(entry.getKey()));
+        local.entrySet().removeIf(entry -> entry.getValue().inFlight() == 0 && !known.test(entry.getKey()));
         peerLastProgressMillis.keySet().removeIf(key -> !known.test(key));
         lostUntil.keySet().removeIf(key -> !known.test(key));
+        unreachable.keySet().removeIf(key -> !known.test(key));
     }
 
     /**
@@ -420,10 +424,7 @@
      * @param pauseMillis length of the pause, in milliseconds
      */
     public void compensatePause(long pauseMillis) {
-        local.values().forEach(state -> {
-            state.inFlightSinceMillis += pauseMillis;
-            state.lastProgressMillis += pauseMillis;
-        });
+        local.values().forEach(state -> state.compensatePause(pauseMillis));
         inFlightSince.replaceAll((key, at) -> at + pauseMillis);
         peerLastProgressMillis.replaceAll((key, at) -> at + pauseMillis);
     }
@@ -444,8 +445,8 @@
      * @return a monotonic time in milliseconds, far in the past if there was no progress
      */
     public long lastProgressMillis(TargetKey key) {
-        LocalState state = local.get(key);
-        long own = state == null ? Long.MIN_VALUE / 2 : state.lastProgressMillis;
+        LocalCalls state = local.get(key);
+        long own = state == null ? Long.MIN_VALUE / 2 : state.lastProgressMillis();
         return Math.max(own, peerLastProgressMillis.getOrDefault(key, Long.MIN_VALUE / 2));
     }
 
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetTableTest.java
@@ -281,6 +281,26 @@
         assertThat(table.isSuspected(GROUP, end)).isFalse();
     }
 
+    /** Guards against giving up a sound group because the only caller of its calls reads slowly. */
+    @Test
+    void pausedCallIsNoEvidenceOfSilence() {
+        table.recordSent(GROUP, 0);
+        table.recordProgress(GROUP, 100);
+        table.recordPaused(GROUP);
+        for (long now = 100; now <= 5_000; now += CHECK_MILLIS) {
+            assertThat(table.findStalled(now)).isEmpty();
+            assertThat(table.isLost(GROUP, now)).isFalse();
+        }
+        assertThat(table.inFlight(GROUP)).isEqualTo(1);
+        assertThat(table.localReports(5_000)).isEmpty();
+
+        table.recordResumed(GROUP, 5_000);
+        checkUntil(5_000, 5_300);
+        assertThat(table.isSuspected(GROUP, 5_300)).isFalse();
+        checkUntil(5_300, 5_500);
+        assertThat(table.isSuspected(GROUP, 5_500)).isTrue();
+    }
+
     private void checkUntil(long fromMillis, long untilMillis) {
         for (long now = fromMillis; now <= untilMillis; now += CHECK_MILLIS) {
             table.findStalled(now);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -29,6 +29,7 @@
     private HttpConnectionPool.Exchange exchange;
     private boolean ended;
     private boolean notRun;
+    private boolean paused;
     private boolean superseded;
     private long supersededAtMillis;
     private boolean crashRecorded;
@@ -112,8 +113,22 @@
     }
 
     void setAutoRead(boolean autoRead) {
-        if (!ended && exchange != null) {
-            exchange.setAutoRead(autoRead);
+        if (ended || exchange == null) {
+            return;
+        }
+        exchange.setAutoRead(autoRead);
+        if (autoRead) {
+            recordResumed();
+        } else if (!paused) {
+            paused = true;
+            environment.targetTable().recordPaused(target.key());
+        }
+    }
+
+    private void recordResumed() {
+        if (paused) {
+            paused = false;
+            environment.targetTable().recordResumed(target.key(), now());
         }
     }
 
@@ -180,6 +195,7 @@
 
     private void markEnded() {
         ended = true;
+        recordResumed();
         environment.targetTable().recordEnded(target.key());
     }
 
