--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -326,7 +326,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         server.onConnectionFailure(cause);
         boolean connectionLost = cause instanceof IOException;
-        if (connectionLost || inputEnded) {
+        if (connectionLost || inputEnded || channel == null) {
             context.close();
         } else {
             reject(ErrorResponse.INTERNAL_FAILURE);
