Fail an attempt whose response has an unknown transfer coding

A response of an engine with a damaged Transfer-Encoding line was forwarded as a 200 whose body held the bytes of the chunk framing.

Cause: the decoder knows no coding but chunked and takes a body in any other one for a body without framing, which ends with its connection.

Content-Length is checked by the decoder. A response without any framing header is still forwarded, as the protocol allows.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -13,6 +13,7 @@
 import io.sesamehead.entry.port.ResponseMetadata;
 import io.sesamehead.entry.transport.ExchangeListener;
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -141,10 +142,13 @@
     }
 
     /**
-     * Whether the response can be trusted: a success must be sealed, carry the call's request id and no content
-     * encoding; any other status must not imply that the call did not run.
+     * Whether the response can be trusted: its framing must be known; a success must be sealed, carry the call's request
+     * id and no content encoding; any other status must not imply that the call did not run.
      */
     private boolean verified() {
+        if (!isFramingKnown()) {
+            return false;
+        }
         if (!successful()) {
             return !impliesNotRun(head.status());
         }
@@ -153,6 +157,12 @@
                 && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
     }
 
+    /** Whether the only transfer coding is chunked. The decoder takes a body in any other coding for one without framing. */
+    private boolean isFramingKnown() {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.stream().allMatch(HttpHeaderValues.CHUNKED::contentEqualsIgnoreCase);
+    }
+
     /**
      * Whether a status implies that the call has not run, which only an explicit statement of the upstream confirms.
      */
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -107,6 +107,18 @@
         assertThat(listener.events).hasSize(2).allMatch(event -> event.startsWith("failed true"));
     }
 
+    @Test
+    void failsOnUnknownTransferCoding() {
+        for (String coding : List.of("chunk", "gzip, chunked", "")) {
+            deliver(
+                    reader(CallKind.SAFE),
+                    response(200, "id", REQUEST_ID, "seal", "s", "transfer-encoding", coding),
+                    "x");
+        }
+
+        assertThat(listener.events).hasSize(3).allMatch(event -> event.startsWith("failed true"));
+    }
+
     @Test
     void reportsNotRunOnlyWhenUpstreamStatesIt() {
         deliver(reader(CallKind.UNSAFE), response(503, "id", REQUEST_ID, "not-run", "1"), "");
