Report again after a report has failed

Load, crashes and refusals of the daemon disappeared for the others.

The report runs as a guarded task, like the watches since; a failure is logged as task-failed and the next report is sent. From reading; the guard itself is tested in EventLoopTasksTest, PeerReporterTest is green.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -71,6 +71,7 @@
     private final LeaseTask lease;
     private final StoreViewExchange storeViews;
     private final EventLog log;
+    private final EventLoopTasks tasks;
     private final Map<DaemonId, Long> lastTimestamps = new HashMap<>();
     private final Map<String, Long> lastSequences = new HashMap<>();
     private final RelayAccumulator relayAccumulator = new RelayAccumulator();
@@ -113,6 +114,7 @@
         this.lease = lease;
         this.storeViews = storeViews;
         this.log = log;
+        this.tasks = new EventLoopTasks(loop, log);
     }
 
     /** Opens the port and starts reporting. */
@@ -198,7 +200,7 @@
         if (channel == null) {
             return;
         }
-        send();
+        tasks.run("peer-report", this::send, () -> {});
         long next = topology.mesh() ? REPORT_INTERVAL_MILLIS : RELAYED_REPORT_INTERVAL_MILLIS;
         loop.schedule(this::sendPeriodically, next, TimeUnit.MILLISECONDS);
     }
