Answer a call whose end at the deadline has failed

An exception in ForwardedCall.onDeadline left the call open for ever: its caller got neither an answer nor a refusal.

From reading and review; not shown in a run.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -68,6 +68,7 @@
     private final ModelLoads modelLoads;
     private final HttpConnectionPool clients;
     private final EventLog log;
+    private final EventLoopTasks tasks;
     private final DaemonMetrics metrics;
     private final Map<ServiceName, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, Long> maxRemainingMillisByRoute = new HashMap<>();
@@ -114,6 +115,7 @@
         this.modelLoads = modelLoads;
         this.clients = clients;
         this.log = log;
+        this.tasks = new EventLoopTasks(loop, log);
         this.metrics = metrics;
     }
 
@@ -125,6 +127,10 @@
         return loop;
     }
 
+    EventLoopTasks tasks() {
+        return tasks;
+    }
+
     Clocks clocks() {
         return clocks;
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.ScheduledFuture;
+import io.netty.util.concurrent.Future;
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.catalog.Tenant;
@@ -27,7 +27,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One admitted call: sends it to a target, retries or resumes it at another target where that is allowed, and completes
@@ -56,7 +55,7 @@
     private final long deadlineMillis;
     private final CallAttempts attempts = new CallAttempts();
 
-    private ScheduledFuture<?> deadlineTimer;
+    private Future<?> deadlineTimer;
     private boolean responseBegun;
 
     private boolean finished;
@@ -91,7 +90,8 @@
     void start() {
         environment.retryBudget(service).recordCall(now());
         long timeoutMillis = Math.max(1, deadlineMillis - now() + DEADLINE_GRACE_MILLIS);
-        deadlineTimer = environment.loop().schedule(this::onDeadline, timeoutMillis, TimeUnit.MILLISECONDS);
+        deadlineTimer =
+                environment.tasks().schedule("deadline", this::onDeadline, timeoutMillis, this::endAfterFailure);
         environment.addCall(this);
         dispatch();
     }
@@ -215,8 +215,7 @@
         attempt.start(
                 encodeRequest(target),
                 route.idempotent(),
-                new ResponseReader(
-                        environment.translator(), facts.requestId(), route.kind(), responseBegun, attempt));
+                new ResponseReader(environment.translator(), facts.requestId(), route.kind(), responseBegun, attempt));
     }
 
     private FullHttpRequest encodeRequest(Target target) {
@@ -311,6 +310,14 @@
         log.ended(status, attempts.size());
         finish();
     }
+    /** Ends a call whose end at the deadline has failed; no other timer would. */
+    private void endAfterFailure() {
+        finished = true;
+        environment.removeCall(this);
+        environment.sendError(responseWriter, ErrorResponse.MAY_HAVE_RUN, 0);
+        attempts.cancelAll();
+    }
+
 
     private void finish() {
         finished = true;
@@ -335,7 +342,7 @@
 
     @Override
     public void onStreamStart(CallAttempt attempt, HttpResponse head) {
-        if (!responseBegun) {
+        if (!responseBegun && !finished) {
             responseBegun = true;
             select(attempt);
             responseWriter.begin(head.status(), EndToEndHeaders.copyOf(head.headers()));
@@ -348,6 +355,9 @@
         boolean repeated =
                 number.isPresent() && lastEventNumber.isPresent() && number.getAsLong() <= lastEventNumber.getAsLong();
         if (repeated) {
+        if (finished) {
+            return;
+        }
             return;
         }
         select(attempt);
@@ -366,6 +376,9 @@
         responseWriter.end();
         if (framed) {
             crashes.recordCompleted();
+        if (finished) {
+            return;
+        }
         }
         complete(HttpResponseStatus.OK.code());
     }
@@ -376,6 +389,9 @@
         boolean failure = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         if (attempts.anyWaiting() && (failure || responseBegun)) {
             log.attemptEnded(attempt.target(), status);
+        if (finished) {
+            return;
+        }
             return;
         }
         if (failure) {
@@ -401,6 +417,9 @@
         log.attemptRefused(attempt.target(), status);
         if (!attempts.anyWaiting() && !tryRetry(false)) {
             giveUp(ErrorResponse.NO_PLACE, NOT_RUN_RETRY_AFTER_MILLIS, "upstream refused with status " + status);
+        if (finished) {
+            return;
+        }
         }
     }
 
