Move streams from a crashed engine to engines that are only silent

Callers lost a stream whose engine crashed while all others were silent for a moment: a retry needed a target that is not suspected, so the answer was broken off although the others go on within a second.

A call that may be repeated is now retried at a silent target, as new calls are; a response that has begun may also wait there for a slot.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -99,18 +99,19 @@
 
     /**
      * Chooses a target for a call that may be repeated while every target is suspected. A silent target usually goes on
-     * before a refused caller would return. One that is lost, or that has no free slot, gets no call.
+     * before a refused caller would return. One that is lost gets no call.
      *
      * @param request the call
      * @param targets targets that serve the call and have not been tried
+     * @param mayQueue whether the call may wait for a slot, because its response has begun
      * @param nowMillis current monotonic time, in milliseconds
      * @return the decision, or empty if no target is likely to answer within the call's remaining time
      */
     public Optional<DispatchDecision.Send> decideAmongSilent(
-            DispatchRequest request, List<Target> targets, long nowMillis) {
+            DispatchRequest request, List<Target> targets, boolean mayQueue, long nowMillis) {
         List<Target> silent = targets.stream()
                 .filter(target -> table.isOnlySilent(target.key(), nowMillis))
-                .filter(target -> table.inFlight(target.key()) < availableSlots(target, nowMillis))
+                .filter(target -> mayQueue || table.inFlight(target.key()) < availableSlots(target, nowMillis))
                 .filter(target -> millisUntilFirstEvent(request, target, nowMillis) <= request.remainingMillis())
                 .toList();
         return lowestScore(silent, nowMillis)
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -192,7 +192,7 @@
         boolean noPlace = refuse.reason() == DispatchDecision.Reason.NO_PLACE;
         Optional<DispatchDecision.Send> silent = noPlace || !route.idempotent()
                 ? Optional.empty()
-                : environment.dispatcher().decideAmongSilent(dispatchRequest, candidates, now());
+                : environment.dispatcher().decideAmongSilent(dispatchRequest, candidates, responseBegun, now());
         if (silent.isPresent()) {
             send(silent.get().target(), silent.get().expectedMillis());
             return;
@@ -257,9 +257,7 @@
         if (mayHaveRun ? !mayRunAgain() : !mayRetry()) {
             return false;
         }
-        boolean anyTarget = untriedTargets().stream()
-                .anyMatch(target -> environment.dispatcher().isUsable(target, now()));
-        if (!anyTarget || !environment.tryRetry(service, now())) {
+        if (untriedTargets().stream().noneMatch(this::mayBeSentTo) || !environment.tryRetry(service, now())) {
             return false;
         }
         environment.metrics().count("calls_sent_again");
@@ -267,6 +265,12 @@
         return true;
     }
 
+    /** Returns whether a retry may be sent to a target. A silent target may only run calls that can be repeated. */
+    private boolean mayBeSentTo(Target target) {
+        boolean onlySilent = environment.targetTable().isOnlySilent(target.key(), now());
+        return environment.dispatcher().isUsable(target, now()) || (route.idempotent() && onlySilent);
+    }
+
     private void onDeadline() {
         if (finished) {
             return;
@@ -306,10 +310,6 @@
         finish();
     }
 
-    private void complete(int status) {
-        log.ended(status, attempts.size());
-        finish();
-    }
     /** Ends a call whose end at the deadline has failed; no other timer would. */
     private void endAfterFailure() {
         finished = true;
@@ -318,6 +318,10 @@
         attempts.cancelAll();
     }
 
+    private void complete(int status) {
+        log.ended(status, attempts.size());
+        finish();
+    }
 
     private void finish() {
         finished = true;
@@ -351,13 +355,13 @@
 
     @Override
     public void onEvent(CallAttempt attempt, EventScanner.Event event) {
+        if (finished) {
+            return;
+        }
         OptionalLong number = event.numericId();
         boolean repeated =
                 number.isPresent() && lastEventNumber.isPresent() && number.getAsLong() <= lastEventNumber.getAsLong();
         if (repeated) {
-        if (finished) {
-            return;
-        }
             return;
         }
         select(attempt);
@@ -372,26 +376,26 @@
 
     @Override
     public void onStreamEnd(CallAttempt attempt, boolean framed) {
+        if (finished) {
+            return;
+        }
         select(attempt);
         responseWriter.end();
         if (framed) {
             crashes.recordCompleted();
-        if (finished) {
-            return;
-        }
         }
         complete(HttpResponseStatus.OK.code());
     }
 
     @Override
     public void onResponse(CallAttempt attempt, HttpResponse head, byte[] body) {
+        if (finished) {
+            return;
+        }
         int status = head.status().code();
         boolean failure = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         if (attempts.anyWaiting() && (failure || responseBegun)) {
             log.attemptEnded(attempt.target(), status);
-        if (finished) {
-            return;
-        }
             return;
         }
         if (failure) {
@@ -413,13 +417,13 @@
 
     @Override
     public void onNotRun(CallAttempt attempt, HttpResponse head) {
+        if (finished) {
+            return;
+        }
         int status = head.status().code();
         log.attemptRefused(attempt.target(), status);
         if (!attempts.anyWaiting() && !tryRetry(false)) {
             giveUp(ErrorResponse.NO_PLACE, NOT_RUN_RETRY_AFTER_MILLIS, "upstream refused with status " + status);
-        if (finished) {
-            return;
-        }
         }
     }
 
