Answer the requests that are open when a planned stop ends

Callers saw: in a planned stop, a request that was taken before the daemon left the rotation and that its upstream did not finish within the grace ended with a closed connection and no byte of an answer, 0.4 s before the forced kill. A request that was pipelined behind it, read whole and never passed on, ended in the same way although a refusal would have been true.

Cause: continueStop halted the process with whatever was open; no code gave a last answer.

Evidence: PlannedStopTest runs the real program with a grace of 4 s and sends, 1 s after SIGTERM, an unsafe call with a second one pipelined behind it, a safe call and a stream to an upstream that holds them, and a request whose body never ends. Before: no response on any of the four connections (statuses [[], [], [], []]). After: 502 may-have-run and then 503 on the first, 502, 502, and 503 for the incomplete request; the pipelined and the incomplete one do not reach the upstream. A stream that has begun is cut without its last chunk, before and after.

Why it works: StopSchedule, in core, divides the grace into accepting, refusing, answering and exiting. In the answering phase each open call ends with what is known of it (refused, may have run, or broken off), which lets the requests behind it be refused, and incomplete requests are rejected. A stop ends sooner as before when all connections are closed. The exit at the end of the grace is not delayed.

Ruled out by the same test's other assertions and by reading: a request whose head comes before 2.3 s and whose body ends later is refused when it is whole, since the refusal is decided at the end of the request; so is a pipelined one whose turn comes after 2.3 s.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -283,6 +283,14 @@
         }
     }
 
+    /** Rejects an incomplete request because the daemon is about to exit. */
+    void rejectIncomplete() {
+        boolean incomplete = head != null || partialSinceMillis >= 0;
+        if (!inputEnded && incomplete) {
+            reject(ErrorResponse.STOPPING);
+        }
+    }
+
     /**
      * Returns whether the connection has been idle for too long.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -122,6 +122,12 @@
         closeTimedOut();
     }
 
+    /** Ends each open request: a call with what is known of it, an incomplete request with a refusal. */
+    void answerOpenRequests() {
+        environment.endCallsForStop();
+        List.copyOf(connections).forEach(CallerConnection::rejectIncomplete);
+    }
+
     boolean rejecting() {
         return rejecting;
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -17,6 +17,7 @@
 import io.sesamehead.coordination.dispatch.TargetEvidence;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.drain.StopSchedule;
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.membership.ReportTopology;
@@ -61,14 +62,10 @@
      * second before its connection is closed.
      */
     private static final long MAX_WATCH_SILENCE_MILLIS = 1_400;
-    /** Time in which the platform takes a stopping daemon out of rotation, in milliseconds: two readiness probes. */
-    private static final long ROTATION_DELAY_MILLIS = 2_300;
     /**
      * Idle time after which a stopping daemon closes a connection, in milliseconds: no request is in flight by then.
      */
     private static final long STOPPING_IDLE_MILLIS = 400;
-    /** Time reserved at the end of the stop for writing the last responses, in milliseconds. */
-    private static final long STOP_MARGIN_MILLIS = 400;
 
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
     /** Interval of the log line with the counts of store calls, in milliseconds. */
@@ -263,7 +260,7 @@
         tasks.repeat("tick", this::tick, TICK_INTERVAL_MILLIS);
     }
 
-    /** Begins a graceful stop; the process exits when all caller connections are closed or the stop timeout is near. */
+    /** Begins a graceful stop; the process exits when all caller connections are closed or {@link StopSchedule} ends. */
     public void stop() {
         loop.execute(this::beginStop);
     }
@@ -283,36 +280,42 @@
         stopStartedAtMillis = clocks.steadyMillis();
         log.write(EventLog.Component.DAEMON, "stopping", "open_calls", environment.openCalls());
         callerServer.beginStop();
-        tasks.repeat("stop", this::continueStop, STOP_CHECK_INTERVAL_MILLIS);
+        StopSchedule schedule = new StopSchedule(stopStartedAtMillis, settings.shutdownGraceMillis());
+        tasks.repeat("stop", () -> continueStop(schedule), STOP_CHECK_INTERVAL_MILLIS);
     }
 
-    private void continueStop() {
-        long elapsedMillis = clocks.steadyMillis() - stopStartedAtMillis;
+    private void continueStop(StopSchedule schedule) {
         boolean ordersAnswered = term.map(ControllerTerm::ordersInFlight).orElse(0) == 0;
         if (ordersAnswered && !leaseReleased) {
             // Otherwise a successor could send an upstream an order that conflicts with one still in flight.
             leaseReleased = true;
             lease.stop(0);
         }
-        if (elapsedMillis < ROTATION_DELAY_MILLIS) {
+        StopSchedule.Phase phase = schedule.phase(clocks.steadyMillis());
+        if (phase == StopSchedule.Phase.ACCEPTING) {
             return;
         }
         callerServer.stopAccepting(STOPPING_IDLE_MILLIS);
-        boolean done = callerServer.openConnections() == 0;
-        boolean overdue = elapsedMillis > settings.shutdownGraceMillis() - STOP_MARGIN_MILLIS;
-        if (done || overdue) {
-            log.write(
-                    EventLog.Component.DAEMON,
-                    "stopped",
-                    "took_ms",
-                    elapsedMillis,
-                    "open_calls",
-                    environment.openCalls());
-            log.flush();
-            Runtime.getRuntime().halt(0);
+        if (phase != StopSchedule.Phase.REFUSING) {
+            callerServer.answerOpenRequests();
+        }
+        if (callerServer.openConnections() == 0 || phase == StopSchedule.Phase.EXITING) {
+            exit();
         }
     }
 
+    private void exit() {
+        log.write(
+                EventLog.Component.DAEMON,
+                "stopped",
+                "took_ms",
+                clocks.steadyMillis() - stopStartedAtMillis,
+                "open_calls",
+                environment.openCalls());
+        log.flush();
+        Runtime.getRuntime().halt(0);
+    }
+
     private void tick() {
         long now = clocks.steadyMillis();
         long lateMillis = now - lastTickAtMillis - TICK_INTERVAL_MILLIS;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -149,6 +149,13 @@
         }
     }
 
+    /** Ends the call with what is known of it, because the daemon is about to exit. */
+    void endForStop() {
+        if (!finished) {
+            giveUp(ErrorResponse.STOPPING, NOT_RUN_RETRY_AFTER_MILLIS, "daemon stops");
+        }
+    }
+
     /** Resumes or pauses reading from the upstreams as the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
         attempts.setAutoRead(writable);
