Begin no attempt in a planned stop that cannot end before it

Callers saw: a daemon that stops took calls, and sent refused calls to a second upstream, although less time was left than such a call takes. They occupied a place at an upstream until the daemon exited and ended with 502 or a closed connection, where a refusal would have been true and would have let the caller go to another daemon at once; an unsafe call is lost in this way. A stream whose upstream broke off shortly before the exit was resumed and broken off again, instead of being left to its caller at once.

Cause: no place that chooses a target looked at the time that is left.

Evidence: PlannedStopTest with a grace of 4 s (last answers after 3.5 s). retriesOnlyWhatCanEndBeforeExit: a call refused by its upstream 3.3 s after SIGTERM was sent to a second one and ended with 502; now it ends with 503 and only one request arrives; a call refused after 2 s is still sent again and answered with 200. takesOnlyWhatCanEndBeforeExit: after a call that took 2 s, a call 1.8 s after SIGTERM ended with 502; now it is refused with 503 and reaches no upstream; one sent at SIGTERM is still answered with 200.

Why it works: targets at which the call cannot end before the last answers are no candidates of a stopping daemon. StopSchedule decides that, from the time left and the estimate of ServiceTimeEstimator: the wait for a place and the average run time of the service or model, or the time to the first event if that is longer; a stream that is resumed has used part of it. Without candidates a call ends with what is known of it: 503 while no attempt ran, 502, the upstream's own failure, or a broken stream. This holds for first attempts, retries, resumed streams and second attempts at silent targets.

The estimate knows no lengths of answers, so that a long generation of a model whose calls are short on average is still taken.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/ServiceTimeEstimator.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/ServiceTimeEstimator.java
@@ -61,6 +61,21 @@
         return wait + (long) ((prefillMillis + passMillis) * target.timeFactor());
     }
 
+    /**
+     * Estimates the time until the end of a call.
+     *
+     * @param target where the call would be sent
+     * @param load number of calls in flight at the target
+     * @param promptTokens number of prompt tokens, 0 for a plain call
+     * @param ranMillis time for which a stream that would be resumed has run, in milliseconds
+     * @return the time, in milliseconds, at least that until the first event
+     */
+    public long endMillis(Target target, int load, int promptTokens, long ranMillis) {
+        double run = runMillis.getOrDefault(averageKey(target), DEFAULT_RUN_MILLIS);
+        return Math.max(
+                firstEventMillis(target, load, promptTokens), waitMillis(target, load) + (long) run - ranMillis);
+    }
+
     private static String averageKey(Target target) {
         return target.key().replica().model().orElse(target.upstream().service().value());
     }
--- a/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
+++ b/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
@@ -67,12 +67,13 @@
     }
 
     /**
-     * Returns whether new calls are refused.
+     * Returns whether an attempt that begins now can end before the last answers.
      *
      * @param nowMillis current time
-     * @return true from the end of the time in which the platform may send connections
+     * @param expectedMillis estimated time until the end of the attempt, in milliseconds
+     * @return true if the attempt may begin
      */
-    public boolean isRefusing(long nowMillis) {
-        return nowMillis >= refuseAtMillis;
+    public boolean allowsAttempt(long nowMillis, long expectedMillis) {
+        return nowMillis < lastAnswersAtMillis && expectedMillis <= lastAnswersAtMillis - nowMillis;
     }
 }
--- a/core/src/test/java/io/sesamehead/coordination/drain/StopScheduleTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/drain/StopScheduleTest.java
@@ -29,4 +29,13 @@
             assertThat(schedule.phase(grace)).isEqualTo(StopSchedule.Phase.EXITING);
         }
     }
+
+    @Test
+    void allowsOnlyAttemptsThatCanEndBeforeLastAnswers() {
+        assertThat(stop.allowsAttempt(BEGAN_MILLIS, 7_400)).isTrue();
+        assertThat(stop.allowsAttempt(BEGAN_MILLIS, 7_401)).isFalse();
+        assertThat(stop.allowsAttempt(BEGAN_MILLIS + 7_000, 400)).isTrue();
+        assertThat(stop.allowsAttempt(BEGAN_MILLIS + 7_001, 400)).isFalse();
+        assertThat(stop.allowsAttempt(BEGAN_MILLIS + 7_400, 0)).isFalse();
+    }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -21,6 +21,7 @@
 import io.sesamehead.coordination.dispatch.TargetEvidence;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.drain.StopSchedule;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.CallMetadata;
 import io.sesamehead.entry.port.CallTranslator;
@@ -36,6 +37,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -75,6 +77,8 @@
     private final Set<ForwardedCall> openCalls = new LinkedHashSet<>();
     /** Superseded attempts of calls that have ended. */
     private final List<CallAttempt> supersededAttempts = new ArrayList<>();
+    /** Times of the planned stop, empty until it begins. */
+    private Optional<StopSchedule> stop = Optional.empty();
 
     CallEnvironment(
             EntrySettings settings,
@@ -358,6 +362,29 @@
         }
     }
 
+    /** Sets the times of a planned stop. */
+    void beginStop(StopSchedule schedule) {
+        stop = Optional.of(schedule);
+    }
+
+    boolean isStopping() {
+        return stop.isPresent();
+    }
+
+    /**
+     * Returns whether an attempt can end before a stopping daemon gives its last answers.
+     *
+     * @param promptTokens number of prompt tokens, 0 for a plain call
+     * @param ranMillis time for which a stream that would be resumed has run, in milliseconds
+     */
+    boolean mayEndBeforeExit(Target target, int promptTokens, long ranMillis) {
+        return stop.stream().allMatch(schedule -> {
+            int load = targetTable.inFlight(target.key());
+            return schedule.allowsAttempt(
+                    clocks.steadyMillis(), serviceTimes.endMillis(target, load, promptTokens, ranMillis));
+        });
+    }
+
     /** Ends all open calls because the daemon is about to exit. */
     void endCallsForStop() {
         for (ForwardedCall call : List.copyOf(openCalls)) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -281,6 +281,7 @@
         log.write(EventLog.Component.DAEMON, "stopping", "open_calls", environment.openCalls());
         callerServer.beginStop();
         StopSchedule schedule = new StopSchedule(stopStartedAtMillis, settings.shutdownGraceMillis());
+        environment.beginStop(schedule);
         tasks.repeat("stop", () -> continueStop(schedule), STOP_CHECK_INTERVAL_MILLIS);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -179,9 +179,12 @@
                 crashes.suspectedPart());
     }
 
+    /** Returns the targets that have not been tried and at which the call can end before a stopping daemon exits. */
     private List<Target> untriedTargets() {
+        long ranMillis = responseBegun ? now() - request.arrivedAtMillis() : 0;
         return environment.fleet().targets(service, facts.model()).stream()
                 .filter(target -> !attempts.tried(target.key()))
+                .filter(target -> environment.mayEndBeforeExit(target, facts.promptTokens(), ranMillis))
                 .toList();
     }
 
@@ -196,6 +199,10 @@
             send(leastLoaded.get(), 0);
             return;
         }
+        if (candidates.isEmpty() && environment.isStopping()) {
+            giveUp(ErrorResponse.STOPPING, NOT_RUN_RETRY_AFTER_MILLIS, "daemon stops");
+            return;
+        }
         boolean noPlace = refuse.reason() == DispatchDecision.Reason.NO_PLACE;
         Optional<DispatchDecision.Send> silent = noPlace || !route.idempotent()
                 ? Optional.empty()
