State the time that a stopping daemon has left to its upstreams

Callers saw: an unsafe call that was taken in a planned stop and waited at its upstream until the end without running got 502, which promises nothing, so that its caller may not repeat it. The upstream was told the caller's whole deadline and went on for nobody after the daemon had exited.

Cause: Sesamehead-Deadline-Remaining was computed from the call's deadline alone.

Why it works: a call that a stopping daemon passes on states the time until 0.1 s before the last answers if that is shorter. The upstream then ends it itself, with its own 504 or its statement that the call has not run, and that answer still reaches the caller. Calls sent before SIGTERM keep what they were told.

Streams keep their own deadline: an upstream that breaks a begun stream off at the stated one would count as crashed under it. The daemon closes their connections with the last answers, which ends the work there.

--- a/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
+++ b/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
@@ -19,6 +19,8 @@
     private static final long LAST_ANSWER_MARGIN_MILLIS = 600;
 
     private static final long MIN_LAST_ANSWER_MARGINS_PER_GRACE = 8;
+    /** Time in which an upstream's answer at its deadline arrives, in milliseconds. */
+    private static final long UPSTREAM_ANSWER_MILLIS = 100;
 
     private final long refuseAtMillis;
     private final long lastAnswersAtMillis;
@@ -76,4 +78,14 @@
     public boolean allowsAttempt(long nowMillis, long expectedMillis) {
         return nowMillis < lastAnswersAtMillis && expectedMillis <= lastAnswersAtMillis - nowMillis;
     }
+
+    /**
+     * Returns the deadline to state to an upstream, so that its own answer arrives before the last answers.
+     *
+     * @param deadlineMillis deadline of the call
+     * @return the deadline, or an earlier one
+     */
+    public long upstreamDeadlineMillis(long deadlineMillis) {
+        return Math.min(deadlineMillis, lastAnswersAtMillis - UPSTREAM_ANSWER_MILLIS);
+    }
 }
--- a/core/src/test/java/io/sesamehead/coordination/drain/StopScheduleTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/drain/StopScheduleTest.java
@@ -38,4 +38,10 @@
         assertThat(stop.allowsAttempt(BEGAN_MILLIS + 7_001, 400)).isFalse();
         assertThat(stop.allowsAttempt(BEGAN_MILLIS + 7_400, 0)).isFalse();
     }
+
+    @Test
+    void upstreamsEndBeforeLastAnswers() {
+        assertThat(stop.upstreamDeadlineMillis(BEGAN_MILLIS + 7_299)).isEqualTo(BEGAN_MILLIS + 7_299);
+        assertThat(stop.upstreamDeadlineMillis(BEGAN_MILLIS + 20_000)).isEqualTo(BEGAN_MILLIS + 7_300);
+    }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.sesamehead.coordination.catalog.ActiveConfig;
+import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CancelledAttempts;
@@ -385,6 +386,17 @@
         });
     }
 
+    /**
+     * Returns the deadline to state to an upstream. A stream keeps its own, because an upstream that breaks it off at an
+     * earlier one would count as crashed.
+     */
+    long upstreamDeadlineMillis(Route route, long deadlineMillis) {
+        return route.kind() == CallKind.STREAM
+                ? deadlineMillis
+                : stop.map(schedule -> schedule.upstreamDeadlineMillis(deadlineMillis))
+                        .orElse(deadlineMillis);
+    }
+
     /** Ends all open calls because the daemon is about to exit. */
     void endCallsForStop() {
         for (ForwardedCall call : List.copyOf(openCalls)) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -241,7 +241,7 @@
                         headers,
                         new AttemptMetadata(
                                 target.upstream().id(),
-                                Math.max(1, deadlineMillis - now()),
+                                Math.max(1, environment.upstreamDeadlineMillis(route, deadlineMillis) - now()),
                                 tenant.map(Tenant::account),
                                 Math.min(MAX_URGENCY, priority),
                                 lastEventId));
