--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -149,6 +149,13 @@
         }
     }
 
+    /** Ends the call with what is known of it, because the daemon is about to exit. */
+    void endForStop() {
+        if (!finished) {
+            giveUp(ErrorResponse.STOPPING, NOT_RUN_RETRY_AFTER_MILLIS, "daemon stops");
+        }
+    }
+
     /** Resumes or pauses reading from the upstreams as the caller's connection becomes writable or not. */
     void onWritabilityChanged(boolean writable) {
         attempts.setAutoRead(writable);
@@ -172,9 +179,12 @@
                 crashes.suspectedPart());
     }
 
+    /** Returns the targets that have not been tried and at which the call can end before a stopping daemon exits. */
     private List<Target> untriedTargets() {
+        long ranMillis = responseBegun ? now() - request.arrivedAtMillis() : 0;
         return environment.fleet().targets(service, facts.model()).stream()
                 .filter(target -> !attempts.tried(target.key()))
+                .filter(target -> environment.mayEndBeforeExit(target, facts.promptTokens(), ranMillis))
                 .toList();
     }
 
@@ -189,6 +199,10 @@
             send(leastLoaded.get(), 0);
             return;
         }
+        if (candidates.isEmpty() && environment.isStopping()) {
+            giveUp(ErrorResponse.STOPPING, NOT_RUN_RETRY_AFTER_MILLIS, "daemon stops");
+            return;
+        }
         boolean noPlace = refuse.reason() == DispatchDecision.Reason.NO_PLACE;
         Optional<DispatchDecision.Send> silent = noPlace || !route.idempotent()
                 ? Optional.empty()
@@ -227,7 +241,7 @@
                         headers,
                         new AttemptMetadata(
                                 target.upstream().id(),
-                                Math.max(1, deadlineMillis - now()),
+                                Math.max(1, environment.upstreamDeadlineMillis(route, deadlineMillis) - now()),
                                 tenant.map(Tenant::account),
                                 Math.min(MAX_URGENCY, priority),
                                 lastEventId));
