Do not take a late response to a call for the answer to an order

Callers would see refusals and lost calls later: a controller that believes that a group was opened, left or refused to join acts on it. An engine may write a second copy of a response late, where the next one is expected; its id tells it from others. Orders use the connections of calls, and an order's exchange took whatever response came first.

Store calls have connections of their own and take any response as before.

Ruled out as the fix: connections for orders alone. They cost connections at engines that limit them, and reset orders while calls fill the limit. A copy of an order's answer has no id; it is not told from the answer to the next order on the connection.

--- a/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Sends small requests to the store and to upstreams and buffers the whole response. Confined to the event loop. */
 public final class ControlClient {
@@ -67,7 +68,19 @@
      * @param done receives the result
      */
     public void send(Endpoint peer, Request request, Consumer<Result> done) {
-        Collector collector = new Collector(done);
+        send(peer, request, head -> true, done);
+    }
+
+    /**
+     * Sends a request to a peer that may write a late response to an earlier request before its own.
+     *
+     * @param peer the peer
+     * @param request the request
+     * @param belongs whether a response on a connection that has carried other requests may belong to this one
+     * @param done receives the result
+     */
+    public void send(Endpoint peer, Request request, Predicate<HttpResponse> belongs, Consumer<Result> done) {
+        Collector collector = new Collector(belongs, done);
         collector.exchange = clients.send(peer, encode(peer, request), HttpConnectionPool.Freshness.ANY, collector);
         collector.exchange.failAfter(request.timeoutMillis());
     }
@@ -85,13 +98,15 @@
     }
 
     private static final class Collector implements ExchangeListener {
+        private final Predicate<HttpResponse> belongs;
         private final Consumer<Result> done;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private HttpConnectionPool.Exchange exchange;
         private int status;
         private boolean ended;
 
-        Collector(Consumer<Result> done) {
+        Collector(Predicate<HttpResponse> belongs, Consumer<Result> done) {
+            this.belongs = belongs;
             this.done = done;
         }
 
@@ -102,7 +117,7 @@
 
         @Override
         public boolean accepts(HttpResponse head, boolean onlyRequest) {
-            return true;
+            return onlyRequest || belongs.test(head);
         }
 
         @Override
