Do not complete a resumed stream that brought no new event

Callers would take a broken stream for a whole one: after an engine had broken a stream off, the next one could answer with a comment or with events that the caller has, and end. ResponseReader asked only whether any data had come.

Whether an event advances the stream is known where repeated events are left out, so ForwardedCall tells it and CallAttempt fails an attempt that never advanced. A framed end counts no more than an unframed one here, as for a resumed stream without any data. An event without an id is no sign either: a comment looks like one.

Crash history was not affected: only framed ends clear it.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -25,6 +25,9 @@
     private final Target target;
     private final long sentAtMillis;
     private final long expectedMillis;
+    /** Whether the attempt continues a stream that the caller has already begun to receive. */
+    private final boolean resumed;
+
     private final EventScanner eventScanner = new EventScanner();
     private HttpConnectionPool.Exchange exchange;
     private boolean ended;
@@ -34,14 +37,19 @@
     private long supersededAtMillis;
     private boolean crashRecorded;
     private int eventsReceived;
+    private boolean advanced;
 
     /** The call of an attempt. Apart from failures, it is told of nothing that a superseded attempt receives. */
     interface Owner {
         /** Called when a verified event stream begins. */
         void onStreamStart(CallAttempt attempt, HttpResponse head);
 
-        /** Receives a whole event. */
-        void onEvent(CallAttempt attempt, EventScanner.Event event);
+        /**
+         * Receives a whole event.
+         *
+         * @return whether the event advances the stream
+         */
+        boolean onEvent(CallAttempt attempt, EventScanner.Event event);
 
         /**
          * Called when the stream has ended after a whole event.
@@ -65,13 +73,20 @@
         void onFailure(CallAttempt attempt, boolean sent, String reason);
     }
 
-    CallAttempt(CallEnvironment environment, CallCrashes crashes, Owner owner, Target target, long expectedMillis) {
+    CallAttempt(
+            CallEnvironment environment,
+            CallCrashes crashes,
+            Owner owner,
+            Target target,
+            long expectedMillis,
+            boolean resumed) {
         this.environment = environment;
         this.crashes = crashes;
         this.owner = owner;
         this.target = target;
         this.sentAtMillis = now();
         this.expectedMillis = expectedMillis;
+        this.resumed = resumed;
     }
 
     void start(FullHttpRequest request, boolean idempotent, ResponseReader reader) {
@@ -249,7 +264,7 @@
         if (eventsReceived == 1) {
             recordFirstEvent();
         }
-        owner.onEvent(this, event);
+        advanced |= owner.onEvent(this, event);
     }
 
     private void recordFirstEvent() {
@@ -268,6 +283,10 @@
             onFailure(true, "response ended in the middle of an event");
             return;
         }
+        if (resumed && !superseded && !advanced) {
+            onFailure(true, "resumed stream ended without a new event");
+            return;
+        }
         markEnded();
         if (!superseded) {
             environment.serviceTimes().recordRunTime(target, now() - sentAtMillis);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -209,7 +209,7 @@
     }
 
     private void send(Target target, long expectedMillis) {
-        CallAttempt attempt = new CallAttempt(environment, crashes, this, target, expectedMillis);
+        CallAttempt attempt = new CallAttempt(environment, crashes, this, target, expectedMillis, responseBegun);
         attempts.add(attempt);
         log.sent(attempts.size(), target, expectedMillis, lastEventId);
         attempt.start(
@@ -354,15 +354,15 @@
     }
 
     @Override
-    public void onEvent(CallAttempt attempt, EventScanner.Event event) {
+    public boolean onEvent(CallAttempt attempt, EventScanner.Event event) {
         if (finished) {
-            return;
+            return false;
         }
         OptionalLong number = event.numericId();
         boolean repeated =
                 number.isPresent() && lastEventNumber.isPresent() && number.getAsLong() <= lastEventNumber.getAsLong();
         if (repeated) {
-            return;
+            return false;
         }
         select(attempt);
         if (event.id().isPresent()) {
@@ -372,6 +372,8 @@
         if (!responseWriter.write(event.bytes())) {
             attempts.setAutoRead(false);
         }
+        // Events are joined to earlier ones by their ids; a block without one may be a comment.
+        return event.id().isPresent();
     }
 
     @Override
