Continue a watch after any failure of its callback

What callers would see: a daemon whose list of engines or configuration stops at some moment, while it goes on serving from what it knew. EventLoopTasks held a RuntimeException of a task or callback, but not a StackOverflowError, another Error or a checked exception that Netty throws unchecked. What is thrown past it ends in Netty's future or pipeline without a line in the log, and the watch schedules no further request.

Evidence: EventLoopTasksTest throws a StackOverflowError, an AssertionError, a NoClassDefFoundError and an IOException from the first callback of a registry watch. All four failed before (the registry was not confirmed again within 5 s of simulated time) and pass now. An OutOfMemoryError was thrown on without a line and without a retry.

Now every failure is logged and its owner goes on. Errors of the virtual machine other than a stack overflow are never held: they are logged, the retry is scheduled, and they are thrown on. A stack overflow is caused by the input and has released the stack when it is caught. Ruled out: ending the process on a stack overflow, since the same input would end each daemon that reads it.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/EventLoopTasks.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EventLoopTasks.java
@@ -18,13 +18,19 @@
         this.log = log;
     }
 
-    /** Runs a task now, and another one if it fails. */
+    /**
+     * Runs a task now, and another one if it fails. A stack overflow is a failure like any other: its cause is the input
+     * of the task, and the stack is free again. Other errors of the virtual machine are thrown on after both.
+     */
     void run(String name, Runnable task, Runnable onFailure) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             recordFailure(name, e);
             onFailure.run();
+            if (e instanceof VirtualMachineError error && !(e instanceof StackOverflowError)) {
+                throw error;
+            }
         }
     }
 
@@ -64,7 +70,7 @@
     }
 
     /** Logs the failure of a task with the place where it occurred. */
-    void recordFailure(String name, RuntimeException cause) {
+    void recordFailure(String name, Throwable cause) {
         StackTraceElement[] trace = cause.getStackTrace();
         log.write(
                 EventLog.Component.DAEMON,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.runtime;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.sesamehead.coordination.catalog.ActiveConfig;
@@ -12,6 +13,7 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +22,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against an exception that silently ends a periodic task or a watch. */
 final class EventLoopTasksTest {
@@ -29,6 +33,7 @@
     private final FakeClocks clocks = new FakeClocks(1_000_000);
     private final EventLog log = new EventLog(clocks);
     private final FakeStore store = new FakeStore();
+    private Throwable failure = new IllegalStateException("failure of the test");
     private int failuresLeft;
     private int calls;
 
@@ -49,10 +54,16 @@
         calls++;
         if (failuresLeft > 0) {
             failuresLeft--;
-            throw new IllegalStateException("failure of the test");
+            throw EventLoopTasksTest.<RuntimeException>unchecked(failure);
         }
     }
 
+    /** Lets a callback throw anything, as generated code and Netty do. */
+    @SuppressWarnings("unchecked")
+    private static <E extends Throwable> E unchecked(Throwable failure) throws E {
+        throw (E) failure;
+    }
+
     @Test
     void repeatsTaskThatFailedAndLogsFailure() {
         failuresLeft = 2;
@@ -103,6 +114,39 @@
         assertThat(clocks.now - registry.answeredAtMillis()).isLessThan(2_000);
     }
 
+    @ParameterizedTest
+    @MethodSource("errors")
+    void watchContinuesAfterError(Throwable error) {
+        UpstreamRegistry registry = new UpstreamRegistry();
+        RegistryWatch watch =
+                new RegistryWatch(channel.eventLoop(), clocks, store, registry, log, this::failAtFirst, () -> false);
+        failure = error;
+        failuresLeft = 1;
+
+        watch.start();
+        run(5_000);
+
+        assertThat(clocks.now - registry.answeredAtMillis()).isLessThan(2_000);
+    }
+
+    private static List<Throwable> errors() {
+        return List.of(new StackOverflowError(), new AssertionError(), new NoClassDefFoundError(), new IOException());
+    }
+
+    @Test
+    void throwsOutOfMemoryErrorOnAfterSchedulingRetry() {
+        failure = new OutOfMemoryError("test");
+        failuresLeft = 1;
+        int[] retries = {0};
+
+        assertThatThrownBy(() ->
+                        new EventLoopTasks(channel.eventLoop(), log).run("test", this::failAtFirst, () -> retries[0]++))
+                .isSameAs(failure);
+
+        assertThat(retries[0]).isEqualTo(1);
+        assertThat(log.queuedLines()).isEqualTo(1);
+    }
+
     /** A store with one configuration, in which nothing changes. Watches end after their full wait. */
     private final class FakeStore implements ObjectStore {
         private Runnable beforeCall = () -> {};
