Reject objects with values out of range instead of throwing

What callers would see: after another writer left one odd entry among those of the engines, daemons no longer followed the list, or sent calls to an entry that is no engine. Math.toIntExact, the constructors of the ids, Endpoint.parse and Incarnation.parse threw out of the decoders for numbers beyond an int, blank names and malformed addresses, and the exception took the whole page with it. Slots of 0 or -1, a negative rank or epoch, fractions, infinite numbers and values of another type were taken as a sound engine or replaced by a default.

--- a/core/src/main/java/io/sesamehead/coordination/replica/Membership.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/Membership.java
@@ -8,6 +8,13 @@
  * @param state state of the upstream in the group
  */
 public record Membership(ReplicaKey replica, int rank, MemberState state) {
+    /** Rejects negative ranks and epochs. */
+    public Membership {
+        if (rank < 0 || replica.epoch() < 0) {
+            throw new IllegalArgumentException("expected a rank and an epoch of at least 0");
+        }
+    }
+
     /**
      * Returns whether the upstream is the head, which receives the group's calls.
      *
--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -16,7 +16,7 @@
  * @param service the service it runs
  * @param endpoint the address it listens on
  * @param failureDomain its failure domain
- * @param slots maximum number of concurrent calls
+ * @param slots maximum number of concurrent calls, at least 1
  * @param leaving whether it has announced that it is shutting down
  * @param fabricDomain its fabric domain, empty for a plain service
  * @param staged models whose weights are on its host
@@ -36,8 +36,11 @@
         List<String> staged,
         List<String> loaded,
         Optional<Membership> membership) {
-    /** Copies the lists. */
+    /** Copies the lists and rejects numbers out of range. */
     public UpstreamEntry {
+        if (startedAtEpochMillis < 0 || ordersBegun < 0 || slots < 1) {
+            throw new IllegalArgumentException("expected a start time, a number of orders and at least one slot");
+        }
         staged = List.copyOf(staged);
         loaded = List.copyOf(loaded);
     }
