Carry the store's era with each revision

A store that is restored from a copy assigns its revisions again, so that a number alone does not identify a state. Revisions become a value of era and number, StoreRevision, in the store's port: Listing, ChangeBatch, StoredObject, the start of a watch and the condition of a write.

Behaviour is unchanged: all callers still compare the numbers, and EntryDaemon ignores the listener.

--- a/entry/src/main/java/io/sesamehead/entry/port/ChangeBatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/ChangeBatch.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.port;
 
+import io.sesamehead.state.StoreRevision;
 import java.util.List;
 
 /**
@@ -9,7 +10,7 @@
  * @param revision store revision from which the next watch continues
  * @param <T> content type
  */
-public record ChangeBatch<T>(List<Change<T>> changes, long revision) {
+public record ChangeBatch<T>(List<Change<T>> changes, StoreRevision revision) {
     /**
      * A change to an object.
      *
--- a/entry/src/main/java/io/sesamehead/entry/port/Listing.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/Listing.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.port;
 
+import io.sesamehead.state.StoreRevision;
 import java.util.List;
 
 /**
@@ -9,4 +10,4 @@
  * @param revision store revision from which a watch continues
  * @param <T> content type
  */
-public record Listing<T>(List<StoredObject<T>> objects, long revision) {}
+public record Listing<T>(List<StoredObject<T>> objects, StoreRevision revision) {}
--- a/entry/src/main/java/io/sesamehead/entry/port/ObjectStore.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/ObjectStore.java
@@ -1,6 +1,7 @@
 package io.sesamehead.entry.port;
 
-import java.util.OptionalLong;
+import io.sesamehead.state.StoreRevision;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** The platform's store. Calls are asynchronous: results, including errors, are delivered on the event loop. */
@@ -19,12 +20,13 @@
      * Waits for changes.
      *
      * @param kind the kind
-     * @param revision revision after which changes are returned
+     * @param since revision after which changes are returned
      * @param waitMillis maximum wait in milliseconds
      * @param done receives the result
      * @param <T> content type
      */
-    <T> void watch(ObjectKind<T> kind, long revision, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done);
+    <T> void watch(
+            ObjectKind<T> kind, StoreRevision since, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done);
 
     /**
      * Creates an object, or replaces it if its revision is unchanged.
@@ -39,7 +41,7 @@
     <T> void write(
             ObjectKind<T> kind,
             String name,
-            OptionalLong expected,
+            Optional<StoreRevision> expected,
             T content,
             Consumer<StoreResult<StoredObject<T>>> done);
 }
--- a/entry/src/main/java/io/sesamehead/entry/port/StoredObject.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/StoredObject.java
@@ -1,5 +1,6 @@
 package io.sesamehead.entry.port;
 
+import io.sesamehead.state.StoreRevision;
 import java.util.Optional;
 
 /**
@@ -10,4 +11,4 @@
  * @param content decoded content, or empty if it is invalid
  * @param <T> content type
  */
-public record StoredObject<T>(String name, long revision, Optional<T> content) {}
+public record StoredObject<T>(String name, StoreRevision revision, Optional<T> content) {}
--- a/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -13,6 +13,7 @@
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.InstanceId;
 import io.sesamehead.state.ServiceName;
+import io.sesamehead.state.StoreRevision;
 import java.util.Optional;
 
 /** Encodes and decodes changes of the upstream registry that relays forward. */
@@ -28,7 +29,7 @@
     public static UpstreamChange encode(ChangeBatch.Change<UpstreamEntry> change) {
         UpstreamChange.Builder message = UpstreamChange.newBuilder()
                 .setName(change.object().name())
-                .setRevision(change.object().revision())
+                .setRevision(change.object().revision().number())
                 .setDeleted(change.deleted());
         change.object().content().ifPresent(entry -> message.setUpstream(record(entry)));
         return message.build();
@@ -45,7 +46,8 @@
         Optional<UpstreamEntry> entry =
                 message.hasUpstream() ? Optional.of(entry(message.getName(), message.getUpstream())) : Optional.empty();
         return new ChangeBatch.Change<>(
-                new StoredObject<>(message.getName(), message.getRevision(), entry), message.getDeleted());
+                new StoredObject<>(message.getName(), new StoreRevision(0, message.getRevision()), entry),
+                message.getDeleted());
     }
 
     private static UpstreamRecord record(UpstreamEntry entry) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -9,6 +9,7 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.StoreRevision;
 
 /**
  * Keeps the active configuration up to date. Each response from the store, including an empty one, renews the daemon's
@@ -120,7 +121,7 @@
         watch(listing.revision());
     }
 
-    private void watch(long revision) {
+    private void watch(StoreRevision since) {
         if (confirmedByRelay()) {
             followRelay();
             return;
@@ -128,7 +129,7 @@
         long requestedAtMillis = clocks.bootMillis();
         store.watch(
                 ObjectKind.CONFIGURATION,
-                revision,
+                since,
                 WATCH_TIMEOUT_MILLIS,
                 tasks.callback(TASK, answer -> onChanges(answer, requestedAtMillis), this::scheduleRetry));
     }
@@ -155,7 +156,13 @@
 
     private void apply(StoredObject<ServingConfig> object, long requestedAtMillis) {
         if (object.content().isEmpty()) {
-            log.write(EventLog.Component.CONFIG, "unreadable", "object", object.name(), "revision", object.revision());
+            log.write(
+                    EventLog.Component.CONFIG,
+                    "unreadable",
+                    "object",
+                    object.name(),
+                    "revision",
+                    object.revision().number());
             return;
         }
         ServingConfig config = object.content().get();
@@ -170,7 +177,7 @@
                     "keys",
                     config.tenantsByKey().size(),
                     "revision",
-                    object.revision());
+                    object.revision().number());
             onChange.run();
         }
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -10,8 +10,9 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.StoreRevision;
 import java.time.InstantSource;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /**
  * Persists the requests that are refused because of their crashes in one object of the store, so that they survive a
@@ -95,11 +96,11 @@
         tasks.schedule(READ_TASK, this::read, RETRY_DELAY_MILLIS, this::scheduleRead);
     }
 
-    private OptionalLong mergeListing(StoreResult<Listing<CrashRecord>> answer) {
-        OptionalLong revision = OptionalLong.empty();
+    private Optional<StoreRevision> mergeListing(StoreResult<Listing<CrashRecord>> answer) {
+        Optional<StoreRevision> revision = Optional.empty();
         if (answer instanceof StoreResult.Ok<Listing<CrashRecord>>(Listing<CrashRecord> listing)) {
             for (StoredObject<CrashRecord> object : listing.objects()) {
-                revision = OptionalLong.of(object.revision());
+                revision = Optional.of(object.revision());
                 object.content().ifPresent(this::merge);
             }
         }
@@ -119,7 +120,7 @@
     }
 
     private void write(StoreResult<Listing<CrashRecord>> listed) {
-        OptionalLong revision = mergeListing(listed);
+        Optional<StoreRevision> revision = mergeListing(listed);
         if (!(listed instanceof StoreResult.Ok<Listing<CrashRecord>>)) {
             retry("list");
             return;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -34,6 +34,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 /** An entry daemon: runs all its components on one event loop, from start to graceful stop. */
@@ -111,9 +112,10 @@
          * Creates the client of the platform's store.
          *
          * @param client HTTP client of the daemon
+         * @param onEra receives the era that each response of the store states, before the result of the call
          * @return the store
          */
-        ObjectStore store(ControlClient client);
+        ObjectStore store(ControlClient client, LongConsumer onEra);
 
         /**
          * Creates the sender of orders to upstreams.
@@ -149,7 +151,7 @@
         this.refusedConnections = new RefusedConnections(new DaemonId(settings.daemon()));
         this.clients = new HttpConnectionPool(loop, clocks, this::onConnectionRefused);
         ControlClient control = new ControlClient(clients);
-        this.store = new MeteredStore(platform.store(control), metrics, log);
+        this.store = new MeteredStore(platform.store(control, era -> {}), metrics, log);
         this.orders = platform.orders(control);
         this.translator = platform.translator();
         long incarnation = random.nextLong();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -11,6 +11,7 @@
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.StoreRevision;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
@@ -113,7 +114,7 @@
         if (last.isPresent() && stored.isPresent()) {
             log.write(
                     EventLog.Component.LEASE, "given-back", "epoch", last.get().epoch());
-            OptionalLong expected = OptionalLong.of(stored.get().revision());
+            Optional<StoreRevision> expected = Optional.of(stored.get().revision());
             store.write(ObjectKind.CONTROLLER_LEASE, LEASE_NAME, expected, last.get(), answer -> {});
         }
     }
@@ -142,7 +143,7 @@
                 .findFirst();
         boolean older = read.isPresent()
                 && stored.isPresent()
-                && read.get().revision() < stored.get().revision();
+                && read.get().revision().number() < stored.get().revision().number();
         if (!older) {
             stored = read;
         }
@@ -162,8 +163,7 @@
     }
 
     private void write(LeaseDecision.Write write) {
-        OptionalLong expected =
-                stored.isPresent() ? OptionalLong.of(stored.get().revision()) : OptionalLong.empty();
+        Optional<StoreRevision> expected = stored.map(StoredObject::revision);
         store.write(
                 ObjectKind.CONTROLLER_LEASE,
                 LEASE_NAME,
@@ -182,7 +182,13 @@
                 Lease lease = object.content().orElseThrow();
                 holder.accepted(clocks.bootMillis(), lease);
                 if (kind == LeaseDecision.Kind.ACQUIRE) {
-                    log.write(EventLog.Component.LEASE, "taken", "epoch", lease.epoch(), "revision", object.revision());
+                    log.write(
+                            EventLog.Component.LEASE,
+                            "taken",
+                            "epoch",
+                            lease.epoch(),
+                            "revision",
+                            object.revision().number());
                 }
                 schedule(this::decide, RENEWAL_INTERVAL_MILLIS);
             }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/MeteredStore.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/MeteredStore.java
@@ -6,8 +6,9 @@
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.StoreRevision;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -36,15 +37,15 @@
 
     @Override
     public <T> void watch(
-            ObjectKind<T> kind, long revision, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done) {
-        store.watch(kind, revision, waitMillis, counted("watch", kind, done));
+            ObjectKind<T> kind, StoreRevision since, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done) {
+        store.watch(kind, since, waitMillis, counted("watch", kind, done));
     }
 
     @Override
     public <T> void write(
             ObjectKind<T> kind,
             String name,
-            OptionalLong expected,
+            Optional<StoreRevision> expected,
             T content,
             Consumer<StoreResult<StoredObject<T>>> done) {
         store.write(kind, name, expected, content, counted("write", kind, done));
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -12,11 +12,12 @@
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.StoreRevision;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.Future;
 
 /** Registers this daemon's report address in the store and tracks the addresses of the other daemons. */
@@ -112,13 +113,13 @@
             return;
         }
         DaemonEndpoint own = new DaemonEndpoint(settings.peerEndpoint(), settings.failureDomain());
-        OptionalLong ownRevision = OptionalLong.empty();
+        Optional<StoreRevision> ownRevision = Optional.empty();
         boolean current = false;
         Map<DaemonId, FailureDomain> listed = new HashMap<>();
         addresses.clear();
         for (StoredObject<DaemonEndpoint> object : listing.objects()) {
             if (object.name().equals(settings.daemon())) {
-                ownRevision = OptionalLong.of(object.revision());
+                ownRevision = Optional.of(object.revision());
                 current = object.content().filter(own::equals).isPresent();
             } else if (object.content().isPresent()) {
                 DaemonId id = new DaemonId(object.name());
@@ -146,7 +147,7 @@
         scheduleListing(RETRY_DELAY_MILLIS);
     }
 
-    private void register(DaemonEndpoint own, OptionalLong expected) {
+    private void register(DaemonEndpoint own, Optional<StoreRevision> expected) {
         store.write(ObjectKind.DAEMONS, settings.daemon(), expected, own, answer -> {
             registered = answer instanceof StoreResult.Ok<StoredObject<DaemonEndpoint>>;
             log.write(EventLog.Component.PEER, "registered", "endpoint", own.reportsTo(), "done", registered);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RecentChanges.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RecentChanges.java
@@ -46,7 +46,7 @@
                                 change.object().content()),
                         change.deleted()))
                 .toList();
-        batches.addLast(new Batch(since, changes.revision(), marked, nowMillis));
+        batches.addLast(new Batch(since, changes.revision().number(), marked, nowMillis));
         batches.removeIf(batch -> nowMillis - batch.receivedAtMillis() > REPEAT_DURATION_MILLIS);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -7,6 +7,7 @@
 import io.sesamehead.entry.port.ObjectKind;
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
+import io.sesamehead.state.StoreRevision;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -117,7 +118,7 @@
         relayReportReceived = true;
         if (relayRevision > revision && changes.sinceRevision() <= revision) {
             List<ChangeBatch.Change<UpstreamEntry>> unknown = changes.changes().stream()
-                    .filter(change -> change.object().revision() > revision)
+                    .filter(change -> change.object().revision().number() > revision)
                     .toList();
             revision = relayRevision;
             apply(unknown, now);
@@ -158,7 +159,7 @@
         };
         store.watch(
                 ObjectKind.UPSTREAMS,
-                since,
+                new StoreRevision(0, since),
                 REFRESH_TIMEOUT_MILLIS,
                 tasks.callback(REFRESH_TASK, onAnswer, () -> refreshing = false));
     }
@@ -168,7 +169,7 @@
         if (since == revision) {
             applyBatch(since, changes);
         }
-        if (changes.revision() <= revision) {
+        if (changes.revision().number() <= revision) {
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
     }
@@ -219,7 +220,7 @@
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
         recent.clear();
-        revision = listing.revision();
+        revision = listing.revision().number();
         List<String> unreadable = registry.replaceAll(listing.objects(), clocks.steadyMillis());
         unreadable.forEach(name -> log.write(EventLog.Component.REGISTRY, "unreadable", "entry", name));
         log.write(
@@ -228,7 +229,7 @@
                 "entries",
                 listing.objects().size(),
                 "revision",
-                listing.revision());
+                revision);
         onChange.run();
         if (mayBeOld) {
             refresh();
@@ -246,7 +247,7 @@
         long requestedAtMillis = clocks.steadyMillis();
         store.watch(
                 ObjectKind.UPSTREAMS,
-                since,
+                new StoreRevision(0, since),
                 WATCH_TIMEOUT_MILLIS,
                 tasks.callback(TASK, answer -> onChanges(since, requestedAtMillis, answer), this::scheduleRetry));
     }
@@ -256,7 +257,7 @@
             retry(answer);
             return;
         }
-        if (changes.revision() < revision) {
+        if (changes.revision().number() < revision) {
             recordAnswer(clocks.steadyMillis());
             watch();
             return;
@@ -275,7 +276,7 @@
         long now = clocks.steadyMillis();
         recordAnswer(now);
         recent.add(since, changes, now);
-        revision = changes.revision();
+        revision = changes.revision().number();
         apply(changes.changes(), now);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ControlClient.java
@@ -4,8 +4,10 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,9 +36,10 @@
          * A complete response.
          *
          * @param status HTTP status
+         * @param headers response headers
          * @param body response body
          */
-        record Response(int status, byte[] body) implements Result {}
+        record Response(int status, HttpHeaders headers, byte[] body) implements Result {}
 
         /**
          * No complete response was received.
@@ -89,6 +92,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private HttpConnectionPool.Exchange exchange;
         private int status;
+        private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private boolean ended;
 
         Collector(Consumer<Result> done) {
@@ -108,6 +112,7 @@
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
+            headers = head.headers();
         }
 
         @Override
@@ -118,7 +123,7 @@
 
         @Override
         public void onEnd() {
-            end(new Result.Response(status, body.toByteArray()));
+            end(new Result.Response(status, headers, body.toByteArray()));
         }
 
         @Override
