Let a store that lacks a known version confirm nothing

Each listing and each empty watch renewed the age of the active configuration and the lease on keys, whatever version the store held. After a restore the store may hold an older version than a daemon or its peers have read: callers with a key that a change had removed could be served for as long as the old copy answered, and unknown routes and keys were denied under a version that had been replaced.

ActiveConfig now keeps the version that the store held when it was last read in its present era, and the highest one that another daemon has reported. An answer confirms the active version only if the store's is below neither. The age of a daemon that has the newest version grows as with an unreachable store. A daemon that reads the old copy after another has reported a newer version knows that its own is superseded: its keys end at once, and unknown routes and keys get 503 instead of 404 and 401. A report alone is no such proof, since the store usually has the version, and the next read gets it. Other daemons confirm only what the store itself held in the present era.

--- a/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
+++ b/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
@@ -4,14 +4,21 @@
 
 /**
  * The active configuration of one daemon and the time of its last confirmation by the store. A configuration is never
- * replaced by an older one. A confirmation counts from the time at which the request was sent to the store, on a clock
- * that includes suspension: an answer that arrives after a suspension says nothing about changes after its request. Not
- * thread-safe.
+ * replaced by an older version. A confirmation counts from the time at which the request was sent to the store, on a
+ * clock that includes suspension: an answer that arrives after a suspension says nothing about changes after its
+ * request.
+ *
+ * <p>A store that was restored from a copy can hold an older version than this daemon or another one has read from it.
+ * Such a store confirms nothing until its operators have written again what it lost. Not thread-safe.
  */
 public final class ActiveConfig {
     private final long leaseMillis;
     private Optional<RouteTable> table = Optional.empty();
     private long confirmedAtMillis;
+    private long storedVersion;
+    private long reportedVersion;
+    private long reportedAtMillis;
+    private boolean superseded;
 
     /**
      * Creates an instance without a configuration.
@@ -40,26 +47,79 @@
      * @return true if it replaces the active configuration
      */
     public boolean offer(ServingConfig config, long requestedAtMillis) {
-        if (table.isPresent() && config.version() < table.get().config().version()) {
-            return false;
-        }
-        boolean newer =
-                table.isEmpty() || config.version() > table.get().config().version();
-        if (newer) {
+        storedVersion = config.version();
+        boolean replaces = table.isEmpty() || config.version() > version();
+        if (replaces) {
             table = Optional.of(new RouteTable(config));
         }
+        superseded &= version() < reportedVersion;
         confirm(requestedAtMillis);
-        return newer;
+        return replaces;
     }
 
     /**
-     * Records that the store had no newer configuration.
+     * Records that the store had no newer configuration than the one last read from it. This confirms the active one
+     * unless the store's is older, or older than a version reported by another daemon. If only another daemon has the
+     * newer version, the active one is known to be superseded.
      *
      * @param requestedAtMillis time at which the request was sent, in milliseconds on the clock that includes
      *     suspension
      */
     public void confirm(long requestedAtMillis) {
-        confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
+        if (isStoreCurrent()) {
+            confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
+        } else if (version() < reportedVersion && requestedAtMillis >= reportedAtMillis) {
+            superseded = true;
+        }
+    }
+
+    /**
+     * Returns whether the store held the newest known version when it was last read in its present era. Only then does
+     * an answer without changes, from the store or through another daemon, confirm the active configuration.
+     *
+     * @return true if the version read from the store is neither below the active nor below a reported one
+     */
+    public boolean isStoreCurrent() {
+        return storedVersion >= version() && storedVersion >= reportedVersion;
+    }
+
+    /**
+     * Records a version that another daemon has read from the store.
+     *
+     * @param version the version
+     * @param nowMillis current time on the clock that includes suspension, in milliseconds
+     * @return true if it is newer than all versions known before, so that the store should be read
+     */
+    public boolean recordReported(long version, long nowMillis) {
+        if (version <= version() || version <= reportedVersion) {
+            return false;
+        }
+        reportedVersion = version;
+        reportedAtMillis = nowMillis;
+        return true;
+    }
+
+    /** Records that the store was restored from a copy: what it holds now is unknown until it is read again. */
+    public void recordRestore() {
+        storedVersion = 0;
+    }
+
+    /**
+     * Returns the highest version that this daemon or one that reported to it has read from the store.
+     *
+     * @return the version, or 0 before the first
+     */
+    public long highestKnownVersion() {
+        return Math.max(version(), reportedVersion);
+    }
+
+    /**
+     * Returns the version of the active configuration.
+     *
+     * @return the version, or 0 before the first configuration
+     */
+    public long version() {
+        return table.map(active -> active.config().version()).orElse(0L);
     }
 
     /**
@@ -78,7 +138,19 @@
      * @return true if the last confirmation is not older than the lease time
      */
     public boolean fresh(long nowMillis) {
-        return table.isPresent() && ageMillis(nowMillis) <= leaseMillis;
+        return isConfirmedWithin(leaseMillis, nowMillis);
+    }
+
+    /**
+     * Returns whether the active configuration was the newest a given time ago. False if another daemon has read a newer
+     * version that the store has lost.
+     *
+     * @param maxAgeMillis the time, in milliseconds
+     * @param nowMillis current time on the clock that includes suspension, in milliseconds
+     * @return true if the last confirmation is not older than that
+     */
+    public boolean isConfirmedWithin(long maxAgeMillis, long nowMillis) {
+        return table.isPresent() && !superseded && ageMillis(nowMillis) <= maxAgeMillis;
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -108,8 +108,9 @@
      */
     private Optional<ForwardedCall> refuseUnknown(
             CallMetadata facts, ResponseWriter responseWriter, ErrorResponse error, long bootMillis) {
-        boolean recent = environment.activeConfig().ageMillis(bootMillis)
-                <= environment.settings().configConvergenceMillis();
+        boolean recent = environment
+                .activeConfig()
+                .isConfirmedWithin(environment.settings().configConvergenceMillis(), bootMillis);
         return recent
                 ? refuse(facts, responseWriter, error, 0)
                 : refuse(facts, responseWriter, ErrorResponse.NO_CONFIGURATION, CONFIG_RETRY_AFTER_MILLIS);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -13,7 +13,7 @@
 
 /**
  * Keeps the active configuration up to date. Each response from the store, including an empty one, renews the daemon's
- * lease on the API keys as of the time when the request was sent.
+ * lease on the API keys as of the time when the request was sent, unless the store is known to lack a newer version.
  */
 final class ConfigWatch {
     /**
@@ -71,6 +71,11 @@
         tasks.run(TASK, this::list, this::scheduleRetry);
     }
 
+    /** Handles a rise of the store's era: its content is unknown until it is read again. */
+    void onStoreRestored() {
+        activeConfig.recordRestore();
+    }
+
     /**
      * Handles a relay's confirmation of the active version.
      *
@@ -78,14 +83,12 @@
      * @param asOfMillis when the store was queried, on the clock of {@link Clocks#bootMillis()}
      */
     void onRelayedVersion(long version, long asOfMillis) {
-        long ownVersion =
-                activeConfig.table().map(table -> table.config().version()).orElse(0L);
-        if (version == ownVersion && ownVersion > 0) {
+        if (activeConfig.recordReported(version, clocks.bootMillis())) {
+            relayConfirmedAtMillis = NEVER;
+        } else if (version > 0 && version == activeConfig.version() && activeConfig.isStoreCurrent()) {
             relayReportReceived = true;
             relayConfirmedAtMillis = Math.max(relayConfirmedAtMillis, asOfMillis);
             activeConfig.confirm(asOfMillis);
-        } else if (version > ownVersion) {
-            relayConfirmedAtMillis = NEVER;
         }
     }
 
