Let content that is written later replace the same version

The operators of a restored store may assign a version again that they had assigned before, with other content. A daemon that had the lost one kept it for good, since only a higher version replaced it: a change that was acknowledged was not in force there, with the version number of one that was.

ActiveConfig keeps the store revision, era and number, at which the active version was written. The same version with other content replaces it if it was written later; in the same era the operators only raise versions, so that nothing changes there.

ActiveConfigTest#laterContentReplacesSameVersion needs the revision that is a parameter from here on.

--- a/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
+++ b/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
@@ -1,5 +1,6 @@
 package io.sesamehead.coordination.catalog;
 
+import io.sesamehead.state.StoreRevision;
 import java.util.Optional;
 
 /**
@@ -14,6 +15,7 @@
 public final class ActiveConfig {
     private final long leaseMillis;
     private Optional<RouteTable> table = Optional.empty();
+    private StoreRevision revision = StoreRevision.NONE;
     private long confirmedAtMillis;
     private long storedVersion;
     private long reportedVersion;
@@ -39,24 +41,38 @@
     }
 
     /**
-     * Offers a configuration read from the store.
+     * Offers a configuration read from the store. It replaces an older version, and the same version with other content
+     * if it was written later: the operators of a restored store can assign a version again.
      *
      * @param config the configuration
+     * @param writtenAt revision of the store at which it was written
      * @param requestedAtMillis time at which the request for it was sent, in milliseconds on the clock that includes
      *     suspension
      * @return true if it replaces the active configuration
      */
-    public boolean offer(ServingConfig config, long requestedAtMillis) {
+    public boolean offer(ServingConfig config, StoreRevision writtenAt, long requestedAtMillis) {
         storedVersion = config.version();
-        boolean replaces = table.isEmpty() || config.version() > version();
+        boolean replaces = replacesActive(config, writtenAt);
         if (replaces) {
             table = Optional.of(new RouteTable(config));
         }
+        if (config.version() == version()) {
+            revision = writtenAt;
+        }
         superseded &= version() < reportedVersion;
         confirm(requestedAtMillis);
         return replaces;
     }
 
+    private boolean replacesActive(ServingConfig config, StoreRevision writtenAt) {
+        if (table.isEmpty() || config.version() > version()) {
+            return true;
+        }
+        return config.version() == version()
+                && writtenAt.compareTo(revision) > 0
+                && !config.equals(table.get().config());
+    }
+
     /**
      * Records that the store had no newer configuration than the one last read from it. This confirms the active one
      * unless the store's is older, or older than a version reported by another daemon. If only another daemon has the
--- a/core/src/test/java/io/sesamehead/coordination/catalog/ActiveConfigTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/catalog/ActiveConfigTest.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sesamehead.state.ClientAccount;
+import io.sesamehead.state.StoreRevision;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
 /** Guards against stale configurations and API keys that stay in use, also after the store was restored from a copy. */
@@ -12,22 +16,30 @@
 
     private final ActiveConfig activeConfig = new ActiveConfig(LEASE_MILLIS);
 
-    private static ServingConfig config(long version) {
-        return new ServingConfig(version, List.of(), Map.of(), CallLimits.DEFAULT, true, Map.of());
+    private static ServingConfig config(long version, String... keys) {
+        Map<String, Tenant> tenants = new HashMap<>();
+        for (String key : keys) {
+            tenants.put(key, new Tenant(new ClientAccount("t1"), OptionalInt.empty()));
+        }
+        return new ServingConfig(version, List.of(), Map.of(), CallLimits.DEFAULT, true, tenants);
+    }
+
+    private static StoreRevision at(long era, long number) {
+        return new StoreRevision(era, number);
     }
 
     @Test
     void ignoresOlderConfiguration() {
-        activeConfig.offer(config(7), 100);
+        activeConfig.offer(config(7), at(1, 3), 100);
 
-        assertThat(activeConfig.offer(config(5), 200)).isFalse();
+        assertThat(activeConfig.offer(config(5), at(1, 2), 200)).isFalse();
         assertThat(activeConfig.table().orElseThrow().config().version()).isEqualTo(7);
         assertThat(activeConfig.ageMillis(200)).isEqualTo(100);
     }
 
     @Test
     void keysExpireUntilStoreAnswersAgain() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 3), 1_000);
 
         assertThat(activeConfig.fresh(1_000 + LEASE_MILLIS)).isTrue();
         assertThat(activeConfig.fresh(1_001 + LEASE_MILLIS)).isFalse();
@@ -37,7 +49,7 @@
 
     @Test
     void requestSentBeforeSuspensionDoesNotRenewLease() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 3), 1_000);
         long afterSuspension = 20_000;
 
         activeConfig.confirm(1_500);
@@ -55,10 +67,10 @@
     /** A copy that lacks the active version says nothing about changes that its operators have made since. */
     @Test
     void olderCopyConfirmsNothing() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 9), 1_000);
         activeConfig.recordRestore();
 
-        assertThat(activeConfig.offer(config(5), 2_000)).isFalse();
+        assertThat(activeConfig.offer(config(5), at(2, 3), 2_000)).isFalse();
         activeConfig.confirm(3_000);
 
         assertThat(activeConfig.version()).isEqualTo(7);
@@ -68,11 +80,11 @@
 
     @Test
     void versionThatIsWrittenAgainConfirms() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 9), 1_000);
         activeConfig.recordRestore();
-        activeConfig.offer(config(5), 2_000);
+        activeConfig.offer(config(5), at(2, 3), 2_000);
 
-        assertThat(activeConfig.offer(config(7), 3_000)).isFalse();
+        assertThat(activeConfig.offer(config(7), at(2, 6), 3_000)).isFalse();
 
         assertThat(activeConfig.ageMillis(4_000)).isEqualTo(1_000);
     }
@@ -80,18 +92,18 @@
     /** The operators may never write the lost version again, but a newer one. */
     @Test
     void newerVersionReplacesOneThatStaysLost() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 9), 1_000);
         activeConfig.recordRestore();
-        activeConfig.offer(config(5), 2_000);
+        activeConfig.offer(config(5), at(2, 3), 2_000);
 
-        assertThat(activeConfig.offer(config(8), 3_000)).isTrue();
+        assertThat(activeConfig.offer(config(8), at(2, 6), 3_000)).isTrue();
 
         assertThat(activeConfig.fresh(4_000)).isTrue();
     }
 
     @Test
     void unreadStoreConfirmsNothingAfterRestore() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 9), 1_000);
         activeConfig.recordRestore();
 
         activeConfig.confirm(3_000);
@@ -102,7 +114,7 @@
     /** A daemon that has started after the restore reads the old copy and does not know that it is one. */
     @Test
     void keysOfOldCopyEndWhenNewerVersionIsReported() {
-        activeConfig.offer(config(5), 1_000);
+        activeConfig.offer(config(5), at(2, 3), 1_000);
 
         assertThat(activeConfig.recordReported(7, 1_200)).isTrue();
         assertThat(activeConfig.fresh(1_200))
@@ -114,16 +126,29 @@
 
         assertThat(activeConfig.fresh(1_300)).isFalse();
         assertThat(activeConfig.isConfirmedWithin(2_000, 1_300)).isFalse();
-        activeConfig.offer(config(7), 1_400);
+        activeConfig.offer(config(7), at(2, 6), 1_400);
         assertThat(activeConfig.fresh(1_500)).isTrue();
     }
 
     @Test
     void reportedVersionIsReadOnce() {
-        activeConfig.offer(config(7), 1_000);
+        activeConfig.offer(config(7), at(1, 9), 1_000);
 
         assertThat(activeConfig.recordReported(7, 1_100)).isFalse();
         assertThat(activeConfig.recordReported(8, 1_200)).isTrue();
         assertThat(activeConfig.recordReported(8, 1_300)).isFalse();
     }
+
+    /** The operators of a restored store may assign the lost version again with other content. */
+    @Test
+    void laterContentReplacesSameVersion() {
+        activeConfig.offer(config(7, "lost"), at(1, 9), 1_000);
+        activeConfig.recordRestore();
+
+        assertThat(activeConfig.offer(config(7, "lost"), at(2, 4), 2_000)).isFalse();
+        assertThat(activeConfig.offer(config(7, "new"), at(2, 5), 3_000)).isTrue();
+        assertThat(activeConfig.offer(config(7, "lost"), at(1, 9), 4_000)).isFalse();
+
+        assertThat(activeConfig.table().orElseThrow().config().tenantsByKey()).containsOnlyKeys("new");
+    }
 }
