Read the configuration again at once after a restore of the store

The watch of the configuration went on from a number of the older history. If the restored store had given the number out again, what lies between was never read; if not, the second writing of a lost version waited for the pending watch, up to 0.9 s, and for the relay's reports.

On a rise of the era, and on a report of a version that nobody knew before, ConfigWatch lists at once and watches on from that listing. A count of such listings marks the loop that is current: answers, delays and failures of an earlier one have no effect, so that there is one loop and no answer of the older history is used.

ConfigWatchTest#versionWrittenAgainIsActiveInTime failed before: the version written 100 ms after the restore was not active 100 ms later.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -10,6 +10,7 @@
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.state.StoreRevision;
+import java.util.function.Consumer;
 
 /**
  * Keeps the active configuration up to date. Each response from the store, including an empty one, renews the daemon's
@@ -48,6 +49,8 @@
     private boolean storeReachable;
     private boolean relayReportReceived;
     private long relayConfirmedAtMillis = NEVER;
+    /** Number of listings that were started out of turn. What an earlier one has led to is ignored. */
+    private long sequence;
 
     ConfigWatch(
             EventLoop loop,
@@ -74,6 +77,38 @@
     /** Handles a rise of the store's era: its content is unknown until it is read again. */
     void onStoreRestored() {
         activeConfig.recordRestore();
+        relayConfirmedAtMillis = NEVER;
+        listNow();
+    }
+
+    /** Reads the store now, instead of what is pending. */
+    private void listNow() {
+        sequence++;
+        tasks.run(TASK, this::list, this::scheduleRetry);
+    }
+
+    /** Returns a step that has no effect once the store is read out of turn. */
+    private Runnable inSequence(Runnable step) {
+        long started = sequence;
+        return () -> {
+            if (sequence == started) {
+                step.run();
+            }
+        };
+    }
+
+    private <T> Consumer<T> callback(Consumer<T> step) {
+        long started = sequence;
+        Consumer<T> current = answer -> {
+            if (sequence == started) {
+                step.accept(answer);
+            }
+        };
+        return tasks.callback(TASK, current, inSequence(this::scheduleRetry));
+    }
+
+    private void schedule(Runnable step, long delayMillis) {
+        tasks.schedule(TASK, inSequence(step), delayMillis, inSequence(this::scheduleRetry));
     }
 
     /**
@@ -85,6 +120,7 @@
     void onRelayedVersion(long version, long asOfMillis) {
         if (activeConfig.recordReported(version, clocks.bootMillis())) {
             relayConfirmedAtMillis = NEVER;
+            listNow();
         } else if (version > 0 && version == activeConfig.version() && activeConfig.isStoreCurrent()) {
             relayReportReceived = true;
             relayConfirmedAtMillis = Math.max(relayConfirmedAtMillis, asOfMillis);
@@ -95,7 +131,7 @@
     /** Sends no requests to the store until the relay stops reporting or reports a newer version. */
     private void followRelay() {
         if (confirmedByRelay()) {
-            tasks.schedule(TASK, this::followRelay, RELAY_CHECK_INTERVAL_MILLIS, this::scheduleRetry);
+            schedule(this::followRelay, RELAY_CHECK_INTERVAL_MILLIS);
         } else {
             list();
         }
@@ -110,7 +146,7 @@
         store.list(
                 ObjectKind.CONFIGURATION,
                 false,
-                tasks.callback(TASK, answer -> onListing(answer, requestedAtMillis), this::scheduleRetry));
+                callback((StoreResult<Listing<ServingConfig>> answer) -> onListing(answer, requestedAtMillis)));
     }
 
     private void onListing(StoreResult<Listing<ServingConfig>> answer, long requestedAtMillis) {
@@ -134,7 +170,7 @@
                 ObjectKind.CONFIGURATION,
                 since,
                 WATCH_TIMEOUT_MILLIS,
-                tasks.callback(TASK, answer -> onChanges(answer, requestedAtMillis), this::scheduleRetry));
+                callback((StoreResult<ChangeBatch<ServingConfig>> answer) -> onChanges(answer, requestedAtMillis)));
     }
 
     private void onChanges(StoreResult<ChangeBatch<ServingConfig>> answer, long requestedAtMillis) {
@@ -169,7 +205,7 @@
             return;
         }
         ServingConfig config = object.content().get();
-        if (activeConfig.offer(config, requestedAtMillis)) {
+        if (activeConfig.offer(config, object.revision(), requestedAtMillis)) {
             log.write(
                     EventLog.Component.CONFIG,
                     "in-force",
@@ -201,7 +237,7 @@
 
     private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        tasks.schedule(TASK, this::followRelay, delayMillis, this::scheduleRetry);
+        schedule(this::followRelay, delayMillis);
     }
 
     private void recordStoreReachable() {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ConfigWatchTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ConfigWatchTest.java
@@ -58,6 +58,10 @@
         return activeConfig.table().map(table -> table.config().version()).orElse(0L);
     }
 
+    private long idleTimeoutMillis() {
+        return activeConfig.table().orElseThrow().config().limits().idleTimeoutMillis();
+    }
+
     @Test
     void olderCopyDoesNotRenewKeys() {
         store.restore(1);
@@ -91,6 +95,46 @@
         assertThat(activeConfig.fresh(clocks.now)).isFalse();
     }
 
+    /** The number watched from is given out again, so that the watch sees no change, or lies above the store's. */
+    @Test
+    void versionWrittenAgainIsActiveInTime() {
+        store.restore(1);
+        watch.onStoreRestored();
+        run(100);
+        store.put(8, 2_000);
+        run(100);
+
+        assertThat(version()).isEqualTo(8);
+    }
+
+    @Test
+    void keepsOneWatchAfterRestores() {
+        for (int restore = 0; restore < 5; restore++) {
+            store.restore(2);
+            watch.onStoreRestored();
+            run(50);
+        }
+        run(2_000);
+        int before = store.lists + store.watchCalls;
+        run(9_000);
+
+        assertThat(store.watches).hasSize(1);
+        assertThat(store.lists + store.watchCalls - before).isBetween(9, 11);
+    }
+
+    /** The operators of a restored store may assign a version again; a relay's confirmation does not tell which it means. */
+    @Test
+    void otherContentOfSameVersionReplacesLostOne() {
+        store.restore(1);
+        watch.onStoreRestored();
+        run(500);
+        watch.onRelayedVersion(7, clocks.now - 10);
+        store.put(7, 3_000);
+        run(500);
+
+        assertThat(idleTimeoutMillis()).isEqualTo(3_000);
+    }
+
     /** Keeps the versions of one configuration; answers carry the era, and a rise is reported before the answer. */
     private final class FakeStore implements ObjectStore {
         private static final long ANSWER_MILLIS = 10;
@@ -99,6 +143,8 @@
         private final List<PendingWatch> watches = new ArrayList<>();
         private long era = 1;
         private long lastReportedEra = 1;
+        private int lists;
+        private int watchCalls;
 
         private record PendingWatch(
                 StoreRevision since, long untilMillis, Consumer<StoreResult<ChangeBatch<?>>> done) {}
@@ -160,6 +206,7 @@
         @Override
         @SuppressWarnings("unchecked")
         public <T> void list(ObjectKind<T> kind, boolean mayBeOld, Consumer<StoreResult<Listing<T>>> done) {
+            lists++;
             answer(done, () -> {
                 List<StoredObject<T>> last =
                         versions.isEmpty() ? List.of() : List.of((StoredObject<T>) versions.get(versions.size() - 1));
@@ -173,6 +220,7 @@
                 ObjectKind<T> kind, StoreRevision since, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done) {
             Consumer<StoreResult<ChangeBatch<?>>> untyped =
                     result -> done.accept((StoreResult<ChangeBatch<T>>) (StoreResult<?>) result);
+            watchCalls++;
             watches.add(new PendingWatch(since, clocks.now + waitMillis, untyped));
         }
 
