Withhold results of a history that a restore of the store has ended

A store that comes back from a copy assigns revisions again. A watch from a revision of before then gets the events of the new history from there on, without a 410, and a write whose condition names such a revision may replace another state than the one that was read.

StoreHistory (core) knows the newest era that any response has stated and decides whether a revision belongs to the present history and whether the era has risen. PresentHistoryStore applies it to all callers at one place: a listing of an older era, or with objects of two eras (pages before and after the restore), and a confirmation of an older era are no response; a watch that began under an older era ends as expired history, whatever its answer; a write with a condition of an older era is a conflict without being sent, and one that was sent before the rise has an unknown effect, unless the store refused it without effect. It sits outside MeteredStore, so that calls which are not sent are not counted.

On a rise EntryDaemon logs store: event=restored era=.. before=.. and tells LeaseTask, RegistryWatch, ConfigWatch, CrashRecorder and PeerDirectory by onStoreRestored(), which are still empty here.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -71,6 +71,9 @@
         tasks.run(TASK, this::list, this::scheduleRetry);
     }
 
+    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
+    void onStoreRestored() {}
+
     /**
      * Handles a relay's confirmation of the active version.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -63,6 +63,9 @@
         tasks.repeat(READ_TASK, this::read, READ_INTERVAL_MILLIS);
     }
 
+    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
+    void onStoreRestored() {}
+
     /** Writes what is refused if that has changed because of crashes at this daemon. */
     void writeIfChanged() {
         writePending |= crashHistory.takeRefusalsChanged(clocks.steadyMillis());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -20,6 +20,7 @@
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.membership.ReportTopology;
+import io.sesamehead.coordination.store.StoreHistory;
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.port.ObjectStore;
@@ -30,6 +31,7 @@
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.Incarnation;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -88,7 +90,9 @@
     private final RefusedConnections refusedConnections;
     private final ModelLoads modelLoads = new ModelLoads();
     private final HttpConnectionPool clients;
+    private final StoreHistory storeHistory = new StoreHistory();
     private final MeteredStore store;
+    private final PeerDirectory directory;
     private final PeerReporter peerReporter;
     private final CrashRecorder crashRecorder;
     private final LeaseTask lease;
@@ -151,7 +155,8 @@
         this.refusedConnections = new RefusedConnections(new DaemonId(settings.daemon()));
         this.clients = new HttpConnectionPool(loop, clocks, this::onConnectionRefused);
         ControlClient control = new ControlClient(clients);
-        this.store = new MeteredStore(platform.store(control, era -> {}), metrics, log);
+        this.store = new MeteredStore(platform.store(control, this::onStoreEra), metrics, log);
+        ObjectStore presentStore = new PresentHistoryStore(store, storeHistory, loop);
         this.orders = platform.orders(control);
         this.translator = platform.translator();
         long incarnation = random.nextLong();
@@ -161,15 +166,15 @@
                 new LeaseSettings(LEASE_TTL_MILLIS, MAX_CLOCK_DRIFT_MILLIS, MAX_ORDER_DELAY_MILLIS);
         LeaseHolder holder =
                 new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
-        this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_TTL_MILLIS, log, random);
+        this.lease = new LeaseTask(loop, clocks, presentStore, holder, LEASE_TTL_MILLIS, log, random);
         ReportTopology topology = new ReportTopology(new DaemonId(settings.daemon()), settings.failureDomain());
-        PeerDirectory directory = new PeerDirectory(loop, clocks, settings, store, topology, log);
+        this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
-                loop, clocks, store, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
+                loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
         this.registryWatch = new RegistryWatch(
                 loop,
                 clocks,
-                store,
+                presentStore,
                 registry,
                 log,
                 this::onFleetChange,
@@ -193,7 +198,7 @@
                 lease,
                 storeViewExchange,
                 log);
-        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashHistory, log);
+        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log);
         this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
         this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
@@ -337,6 +342,22 @@
         logReadinessChange();
     }
 
+    private void onStoreEra(long era) {
+        long before = storeHistory.era();
+        if (!storeHistory.record(era)) {
+            return;
+        }
+        log.write(EventLog.Component.STORE, "restored", "era", era, "before", before);
+        // The lease comes first: nobody may act on a lease of the ended history.
+        List<Runnable> reactions = List.of(
+                lease::onStoreRestored,
+                registryWatch::onStoreRestored,
+                configWatch::onStoreRestored,
+                crashRecorder::onStoreRestored,
+                directory::onStoreRestored);
+        reactions.forEach(reaction -> tasks.run("store-restored", reaction, () -> {}));
+    }
+
     private void onConnectionRefused(Endpoint peer) {
         for (Target target : fleet.servingTargets()) {
             if (target.upstream().endpoint().equals(peer)) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -101,6 +101,9 @@
         holder.decide(holderReportedAtMillis, Optional.of(lease), highestEpoch);
     }
 
+    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
+    void onStoreRestored() {}
+
     /** Records that an upstream has seen a later lease holder. */
     void onFenced() {
         holder.lost();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -70,6 +70,9 @@
         tasks.execute(TASK, this::list, this::scheduleRetry);
     }
 
+    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
+    void onStoreRestored() {}
+
     /** Returns the report addresses of all other daemons. */
     Collection<InetSocketAddress> addresses() {
         return addresses.values();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -93,6 +93,9 @@
         tasks.run(TASK, () -> list(true), this::scheduleRetry);
     }
 
+    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
+    void onStoreRestored() {}
+
     /** Returns the revision up to which changes are known, or 0 before the first response. */
     long revision() {
         return revision;
