List the registry again when the store has been restored

What callers saw: in a drill a daemon went on sending to an engine more than drain_ms after the store had accepted that it leaves. The daemon had not listed the registry again after the store came back from a copy, and its registry_age_ms said that it was current.

Cause: revisions of two histories were compared. A watch from a number of the older history gets the events of the new one from there on, and what lies between the copy and that number is never read; a follower took a relay's revision of the other history for one that it had passed, and counted itself as current; RecentChanges of the older history were told on.

RegistryWatch holds a StoreRevision. On a rise of the era it ends its sequence of requests (a pending watch, refresh or timer of before is ignored, so that there is never a second loop), forgets the relay's currency, the confirmation, the recent changes and the revision, and lists at once: the controller without delay, the others spread over 300 ms, as they learn of it in the same moment. If that listing fails, as one of the older era does, the next one is current. A refresh whose history has expired lists again too; it was ignored before, and a daemon that follows a relay has no watch that would find out. Until the listing the known entries stay in use, but the daemon confirms nothing and passes nothing on.

A newer era in a report is a rise; a view of an older era is ignored as a whole. A report without the field counts as era 0. registry: event=listed has the era as a further field.

Evidence: with the store's results passed on unchecked and the rise ignored, four new tests of CachedStoreViewExchangeTest fail, among them readsChangesWhoseRevisionsRestoredStoreAssignsAgain: neither daemon marks the upstream as leaving.

--- a/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -39,14 +39,15 @@
      * Decodes a change.
      *
      * @param message the message
+     * @param era era of the store in which the message's revision counts
      * @return the change
      * @throws IllegalArgumentException if a field has an invalid value
      */
-    public static ChangeBatch.Change<UpstreamEntry> decode(UpstreamChange message) {
+    public static ChangeBatch.Change<UpstreamEntry> decode(UpstreamChange message, long era) {
         Optional<UpstreamEntry> entry =
                 message.hasUpstream() ? Optional.of(entry(message.getName(), message.getUpstream())) : Optional.empty();
         return new ChangeBatch.Change<>(
-                new StoredObject<>(message.getName(), new StoreRevision(0, message.getRevision()), entry),
+                new StoredObject<>(message.getName(), new StoreRevision(era, message.getRevision()), entry),
                 message.getDeleted());
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
@@ -2,12 +2,15 @@
 
 import io.sesamehead.coordination.catalog.ActiveConfig;
 import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.coordination.store.StoreHistory;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.protocol.UpstreamRecordCodec;
 import io.sesamehead.entry.protocol.generated.StoreView;
 import io.sesamehead.entry.protocol.generated.UpstreamChange;
+import io.sesamehead.state.StoreRevision;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongConsumer;
 
 /**
  * Builds store views from the cached configuration and registry, and passes received views to the watches. Only the
@@ -20,6 +23,8 @@
     private final UpstreamRegistry registry;
     private final ConfigWatch configWatch;
     private final RegistryWatch registryWatch;
+    private final StoreHistory storeHistory;
+    private final LongConsumer onEra;
     private final EventLog log;
 
     CachedStoreViewExchange(
@@ -28,27 +33,31 @@
             UpstreamRegistry registry,
             ConfigWatch configWatch,
             RegistryWatch registryWatch,
+            StoreHistory storeHistory,
+            LongConsumer onEra,
             EventLog log) {
         this.clocks = clocks;
         this.activeConfig = activeConfig;
         this.registry = registry;
         this.configWatch = configWatch;
         this.registryWatch = registryWatch;
+        this.storeHistory = storeHistory;
+        this.onEra = onEra;
         this.log = log;
     }
 
     @Override
     public StoreView view() {
-        StoreView.Builder view = StoreView.newBuilder();
+        StoreView.Builder view = StoreView.newBuilder().setStoreEra(storeHistory.era());
         activeConfig
                 .table()
                 .ifPresent(table -> view.setConfigVersion(table.config().version())
                         .setConfigAgeMillis(activeConfig.ageMillis(clocks.bootMillis())));
-        if (registryWatch.revision() > 0) {
+        if (registryWatch.listed()) {
             RecentChanges.Delta recent = registryWatch.recentChanges();
-            view.setRegistryRevision(registryWatch.revision())
+            view.setRegistryRevision(registryWatch.revision().number())
                     .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()))
-                    .setChangesSince(recent.sinceRevision());
+                    .setChangesSince(recent.sinceRevision().number());
             recent.changes().forEach(change -> view.addChanges(UpstreamRecordCodec.encode(change)));
         }
         return view.build();
@@ -56,6 +65,14 @@
 
     @Override
     public void apply(StoreView view, long stampMillis) {
+        long era = view.getStoreEra();
+        if (era > 0) {
+            onEra.accept(era);
+        }
+        if (era < storeHistory.era()) {
+            // A relay that has not seen the restore of the store confirms only what the ended history contained.
+            return;
+        }
         long elapsedMillis = clocks.bootMillis() - stampMillis;
         if (view.getConfigVersion() > 0) {
             configWatch.onRelayedVersion(view.getConfigVersion(), stampMillis - view.getConfigAgeMillis());
@@ -64,7 +81,7 @@
             List<ChangeBatch.Change<UpstreamEntry>> changes = new ArrayList<>();
             for (UpstreamChange change : view.getChangesList()) {
                 try {
-                    changes.add(UpstreamRecordCodec.decode(change));
+                    changes.add(UpstreamRecordCodec.decode(change, era));
                 } catch (IllegalArgumentException e) {
                     // Without this change the others would leave a gap, so the store is queried instead.
                     log.write(EventLog.Component.REGISTRY, "unreadable", "entry", change.getName(), "cause", e);
@@ -72,9 +89,9 @@
                 }
             }
             registryWatch.onRelayedChanges(
-                    view.getRegistryRevision(),
+                    new StoreRevision(era, view.getRegistryRevision()),
                     view.getRegistryAgeMillis() + elapsedMillis,
-                    new RecentChanges.Delta(view.getChangesSince(), changes));
+                    new RecentChanges.Delta(new StoreRevision(era, view.getChangesSince()), changes));
         }
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -178,9 +178,10 @@
                 registry,
                 log,
                 this::onFleetChange,
-                () -> lease.epoch().isPresent());
-        StoreViewExchange storeViewExchange =
-                new CachedStoreViewExchange(clocks, activeConfig, registry, configWatch, registryWatch, log);
+                () -> lease.epoch().isPresent(),
+                random);
+        StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
+                clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
         this.peerReporter = new PeerReporter(
                 loop,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RecentChanges.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RecentChanges.java
@@ -3,6 +3,7 @@
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.StoredObject;
+import io.sesamehead.state.StoreRevision;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -19,8 +20,8 @@
     private final Deque<Batch> batches = new ArrayDeque<>();
 
     private record Batch(
-            long sinceRevision,
-            long revision,
+            StoreRevision sinceRevision,
+            StoreRevision revision,
             List<ChangeBatch.Change<UpstreamEntry>> changes,
             long receivedAtMillis) {}
 
@@ -30,14 +31,14 @@
      * @param sinceRevision the earlier revision
      * @param changes the changes, in order
      */
-    record Delta(long sinceRevision, List<ChangeBatch.Change<UpstreamEntry>> changes) {}
+    record Delta(StoreRevision sinceRevision, List<ChangeBatch.Change<UpstreamEntry>> changes) {}
 
     /**
      * Adds changes that lead from one revision to a later one. All of them are stored with the later revision: a
      * receiver at that revision has them all, and any other receiver can apply all of them in order, even if it already
      * has some.
      */
-    void add(long since, ChangeBatch<UpstreamEntry> changes, long nowMillis) {
+    void add(StoreRevision since, ChangeBatch<UpstreamEntry> changes, long nowMillis) {
         List<ChangeBatch.Change<UpstreamEntry>> marked = changes.changes().stream()
                 .map(change -> new ChangeBatch.Change<>(
                         new StoredObject<>(
@@ -46,18 +47,18 @@
                                 change.object().content()),
                         change.deleted()))
                 .toList();
-        batches.addLast(new Batch(since, changes.revision().number(), marked, nowMillis));
+        batches.addLast(new Batch(since, changes.revision(), marked, nowMillis));
         batches.removeIf(batch -> nowMillis - batch.receivedAtMillis() > REPEAT_DURATION_MILLIS);
     }
 
-    /** Discards all changes, because the registry was listed again. */
+    /** Discards all changes, because the registry was listed again or the store was restored. */
     void clear() {
         batches.clear();
     }
 
     /** Returns the latest changes that lead up to a revision without a gap. */
-    Delta deltaTo(long revision, long nowMillis) {
-        long since = revision;
+    Delta deltaTo(StoreRevision revision, long nowMillis) {
+        StoreRevision since = revision;
         int count = 0;
         List<Batch> chosen = new ArrayList<>();
         Iterator<Batch> newestFirst = batches.descendingIterator();
@@ -65,7 +66,7 @@
             Batch batch = newestFirst.next();
             count += batch.changes().size();
             boolean expired = nowMillis - batch.receivedAtMillis() > REPEAT_DURATION_MILLIS;
-            if (expired || count > MAX_CHANGES || batch.revision() != since) {
+            if (expired || count > MAX_CHANGES || !batch.revision().equals(since)) {
                 break;
             }
             since = batch.sinceRevision();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /** Keeps the registry of upstreams up to date from the store, or from a relay while the relay is current. */
 final class RegistryWatch {
@@ -47,6 +48,12 @@
     /** Wait of a request for the changes up to now, in milliseconds. The shortest that the store accepts. */
     private static final long REFRESH_TIMEOUT_MILLIS = 1;
 
+    /**
+     * Time over which the daemons spread their listings after a restore of the store, in milliseconds. They learn of it
+     * at about the same time.
+     */
+    private static final long RESTORED_LIST_SPREAD_MILLIS = 300;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private static final String TASK = "registry-watch";
@@ -59,10 +66,15 @@
     private final EventLog log;
     private final Runnable onChange;
     private final BooleanSupplier isController;
+    private final RandomGenerator random;
     private final RecentChanges recent = new RecentChanges();
     private boolean relayReportReceived;
     private long relayCurrentAtMillis = NEVER;
-    private long revision;
+    private StoreRevision revision = StoreRevision.NONE;
+    /** Number of the current sequence of requests; the responses and timers of earlier ones are ignored. */
+    private int sequence;
+
+    private boolean restored;
     private long confirmedAtMillis = NEVER;
     private boolean refreshing;
     private boolean failing;
@@ -75,7 +87,8 @@
             UpstreamRegistry registry,
             EventLog log,
             Runnable onChange,
-            BooleanSupplier isController) {
+            BooleanSupplier isController,
+            RandomGenerator random) {
         this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.store = store;
@@ -83,6 +96,7 @@
         this.log = log;
         this.onChange = onChange;
         this.isController = isController;
+        this.random = random;
     }
 
     /**
@@ -90,14 +104,33 @@
      * watch then returns the changes since that listing.
      */
     void start() {
+        sequence++;
         tasks.run(TASK, () -> list(true), this::scheduleRetry);
     }
 
-    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
-    void onStoreRestored() {}
+    /**
+     * Handles a restore of the store from a copy, which ends the history that this daemon has read. The known entries
+     * stay in use, but nothing confirms them until the registry has been listed again.
+     */
+    void onStoreRestored() {
+        sequence++;
+        restored = true;
+        refreshing = false;
+        revision = StoreRevision.NONE;
+        relayCurrentAtMillis = NEVER;
+        confirmedAtMillis = NEVER;
+        recent.clear();
+        long delayMillis = isController.getAsBoolean() ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS);
+        schedule(() -> list(true), delayMillis);
+    }
 
-    /** Returns the revision up to which changes are known, or 0 before the first response. */
-    long revision() {
+    /** Whether the registry has been listed in the present history of the store. */
+    boolean listed() {
+        return revision.number() > 0;
+    }
+
+    /** Returns the revision up to which changes are known, which is {@link StoreRevision#NONE} if none are. */
+    StoreRevision revision() {
         return revision;
     }
 
@@ -113,20 +146,20 @@
      * @param ageMillis time since the store answered the relay, in milliseconds
      * @param changes the latest changes up to that revision
      */
-    void onRelayedChanges(long relayRevision, long ageMillis, RecentChanges.Delta changes) {
+    void onRelayedChanges(StoreRevision relayRevision, long ageMillis, RecentChanges.Delta changes) {
         long now = clocks.steadyMillis();
-        if (revision == 0 || ageMillis > MAX_RELAYED_AGE_MILLIS) {
+        if (!listed() || relayRevision.era() != revision.era() || ageMillis > MAX_RELAYED_AGE_MILLIS) {
             return;
         }
         relayReportReceived = true;
-        if (relayRevision > revision && changes.sinceRevision() <= revision) {
+        if (relayRevision.compareTo(revision) > 0 && changes.sinceRevision().compareTo(revision) <= 0) {
             List<ChangeBatch.Change<UpstreamEntry>> unknown = changes.changes().stream()
-                    .filter(change -> change.object().revision().number() > revision)
+                    .filter(change -> change.object().revision().compareTo(revision) > 0)
                     .toList();
             revision = relayRevision;
             apply(unknown, now);
         }
-        if (relayRevision <= revision) {
+        if (relayRevision.compareTo(revision) <= 0) {
             relayCurrentAtMillis = now;
             recordAnswer(now - ageMillis);
         }
@@ -144,7 +177,7 @@
 
     /** Requests the changes up to now from the store, in addition to a pending watch. */
     void refresh() {
-        if (refreshing || revision == 0) {
+        if (refreshing || !listed()) {
             return;
         }
         refreshing = true;
@@ -153,40 +186,44 @@
 
     private void requestChanges() {
         long requestedAtMillis = clocks.steadyMillis();
-        long since = revision;
-        Consumer<StoreResult<ChangeBatch<UpstreamEntry>>> onAnswer = answer -> {
+        StoreRevision since = revision;
+        Consumer<StoreResult<ChangeBatch<UpstreamEntry>>> onAnswer = ifCurrent(answer -> {
             refreshing = false;
-            if (answer instanceof StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes)) {
-                onRefreshAnswer(since, requestedAtMillis, changes);
+            switch (answer) {
+                case StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes) ->
+                    onRefreshAnswer(since, requestedAtMillis, changes);
+                case StoreResult.HistoryExpired<ChangeBatch<UpstreamEntry>> expired -> listAgain();
+                default -> {}
             }
-        };
+        });
         store.watch(
                 ObjectKind.UPSTREAMS,
-                new StoreRevision(0, since),
+                since,
                 REFRESH_TIMEOUT_MILLIS,
                 tasks.callback(REFRESH_TASK, onAnswer, () -> refreshing = false));
     }
 
     /** Changes that another response has overtaken are discarded; the next refresh requests them again. */
-    private void onRefreshAnswer(long since, long requestedAtMillis, ChangeBatch<UpstreamEntry> changes) {
-        if (since == revision) {
+    private void onRefreshAnswer(StoreRevision since, long requestedAtMillis, ChangeBatch<UpstreamEntry> changes) {
+        if (since.equals(revision)) {
             applyBatch(since, changes);
         }
-        if (changes.revision().number() <= revision) {
+        if (changes.revision().compareTo(revision) <= 0) {
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
     }
 
     private boolean relayIsCurrent() {
-        return revision > 0 && clocks.steadyMillis() - relayCurrentAtMillis <= RELAY_TIMEOUT_MILLIS;
+        return listed() && clocks.steadyMillis() - relayCurrentAtMillis <= RELAY_TIMEOUT_MILLIS;
     }
 
     private void resume() {
         // The store's history has the changes made during a short failure; a listing of all upstreams takes many calls.
-        if (revision > 0) {
+        if (listed()) {
             watch();
         } else {
-            list(true);
+            // After a restore, a stale listing may still be of the ended history.
+            list(!restored);
         }
     }
 
@@ -207,10 +244,7 @@
 
     private void list(boolean mayBeOld) {
         long requestedAtMillis = clocks.steadyMillis();
-        store.list(
-                ObjectKind.UPSTREAMS,
-                mayBeOld,
-                tasks.callback(TASK, answer -> onListing(answer, mayBeOld, requestedAtMillis), this::scheduleRetry));
+        store.list(ObjectKind.UPSTREAMS, mayBeOld, callback(answer -> onListing(answer, mayBeOld, requestedAtMillis)));
     }
 
     private void onListing(StoreResult<Listing<UpstreamEntry>> answer, boolean mayBeOld, long requestedAtMillis) {
@@ -223,7 +257,8 @@
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
         recent.clear();
-        revision = listing.revision().number();
+        revision = listing.revision();
+        restored = false;
         List<String> unreadable = registry.replaceAll(listing.objects(), clocks.steadyMillis());
         unreadable.forEach(name -> log.write(EventLog.Component.REGISTRY, "unreadable", "entry", name));
         log.write(
@@ -232,7 +267,9 @@
                 "entries",
                 listing.objects().size(),
                 "revision",
-                revision);
+                revision.number(),
+                "era",
+                revision.era());
         onChange.run();
         if (mayBeOld) {
             refresh();
@@ -243,24 +280,25 @@
     /** Watches the store, or waits while a relay reports all changes. */
     private void watch() {
         if (!isController.getAsBoolean() && relayIsCurrent()) {
-            tasks.schedule(TASK, this::watch, RELAY_CHECK_INTERVAL_MILLIS, this::scheduleRetry);
+            schedule(this::watch, RELAY_CHECK_INTERVAL_MILLIS);
             return;
         }
-        long since = revision;
+        StoreRevision since = revision;
         long requestedAtMillis = clocks.steadyMillis();
         store.watch(
                 ObjectKind.UPSTREAMS,
-                new StoreRevision(0, since),
+                since,
                 WATCH_TIMEOUT_MILLIS,
-                tasks.callback(TASK, answer -> onChanges(since, requestedAtMillis, answer), this::scheduleRetry));
+                callback(answer -> onChanges(since, requestedAtMillis, answer)));
     }
 
-    private void onChanges(long since, long requestedAtMillis, StoreResult<ChangeBatch<UpstreamEntry>> answer) {
+    private void onChanges(
+            StoreRevision since, long requestedAtMillis, StoreResult<ChangeBatch<UpstreamEntry>> answer) {
         if (!(answer instanceof StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes))) {
             retry(answer);
             return;
         }
-        if (changes.revision().number() < revision) {
+        if (changes.revision().compareTo(revision) < 0) {
             recordAnswer(clocks.steadyMillis());
             watch();
             return;
@@ -272,14 +310,14 @@
             return;
         }
         long delayMillis = isController.getAsBoolean() ? CONTROLLER_BATCH_DELAY_MILLIS : BATCH_DELAY_MILLIS;
-        tasks.schedule(TASK, this::watch, delayMillis, this::scheduleRetry);
+        schedule(this::watch, delayMillis);
     }
 
-    private void applyBatch(long since, ChangeBatch<UpstreamEntry> changes) {
+    private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes) {
         long now = clocks.steadyMillis();
         recordAnswer(now);
         recent.add(since, changes, now);
-        revision = changes.revision().number();
+        revision = changes.revision();
         apply(changes.changes(), now);
     }
 
@@ -300,7 +338,7 @@
             log.write(EventLog.Component.REGISTRY, "store-lost", "answer", answer);
         }
         if (historyGone) {
-            tasks.execute(TASK, () -> list(false), this::scheduleRetry);
+            listAgain();
         } else {
             scheduleRetry();
         }
@@ -308,6 +346,31 @@
 
     private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        tasks.schedule(TASK, this::resume, delayMillis, this::scheduleRetry);
+        schedule(this::resume, delayMillis);
+    }
+
+    /** Lists the registry after its history has expired. */
+    private void listAgain() {
+        sequence++;
+        refreshing = false;
+        schedule(() -> list(false), 0);
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        Consumer<Void> whileCurrent = ifCurrent(none -> task.run());
+        tasks.schedule(TASK, () -> whileCurrent.accept(null), delayMillis, this::scheduleRetry);
+    }
+
+    private <T> Consumer<T> callback(Consumer<T> onAnswer) {
+        return tasks.callback(TASK, ifCurrent(onAnswer), this::scheduleRetry);
+    }
+
+    private <T> Consumer<T> ifCurrent(Consumer<T> step) {
+        int begunIn = sequence;
+        return value -> {
+            if (sequence == begunIn) {
+                step.accept(value);
+            }
+        };
     }
 }
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -10,6 +10,7 @@
 import io.sesamehead.coordination.replica.Membership;
 import io.sesamehead.coordination.replica.ReplicaKey;
 import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.coordination.store.StoreHistory;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.Listing;
 import io.sesamehead.entry.port.ObjectKind;
@@ -27,8 +28,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -52,6 +55,9 @@
         private final FakeStore store = new FakeStore();
         private final ActiveConfig activeConfig = new ActiveConfig(KEY_LEASE_MILLIS);
         private final UpstreamRegistry registry = new UpstreamRegistry();
+        private final StoreHistory history = new StoreHistory();
+        private final RegistryWatch upstreams;
+        private final ConfigWatch config;
         private final CachedStoreViewExchange storeViews;
 
         private TestDaemon() {
@@ -60,16 +66,39 @@
 
         private TestDaemon(Optional<Listing<UpstreamEntry>> oldListing) {
             store.oldListing = oldListing;
+            store.onEra = this::onEra;
+            PresentHistoryStore present = new PresentHistoryStore(store, history, channel.eventLoop());
             EventLog log = new EventLog(clocks);
-            ConfigWatch config =
-                    new ConfigWatch(channel.eventLoop(), clocks, store, activeConfig, CONVERGE_MILLIS, log, () -> {});
-            RegistryWatch upstreams =
-                    new RegistryWatch(channel.eventLoop(), clocks, store, registry, log, () -> {}, () -> false);
-            storeViews = new CachedStoreViewExchange(clocks, activeConfig, registry, config, upstreams, log);
+            config =
+                    new ConfigWatch(channel.eventLoop(), clocks, present, activeConfig, CONVERGE_MILLIS, log, () -> {});
+            upstreams = new RegistryWatch(
+                    channel.eventLoop(),
+                    clocks,
+                    present,
+                    registry,
+                    log,
+                    () -> {},
+                    () -> false,
+                    new SplittableRandom(1));
+            storeViews = new CachedStoreViewExchange(
+                    clocks, activeConfig, registry, config, upstreams, history, this::onEra, log);
             config.start();
             upstreams.start();
         }
 
+        private void onEra(long era) {
+            if (history.record(era)) {
+                upstreams.onStoreRestored();
+                config.onStoreRestored();
+            }
+        }
+
+        private Optional<UpstreamEntry> entry(String name) {
+            return registry.entries().stream()
+                    .filter(entry -> entry.id().value().equals(name))
+                    .findFirst();
+        }
+
         private long version() {
             return activeConfig.table().map(table -> table.config().version()).orElse(0L);
         }
@@ -177,6 +206,77 @@
         assertThat(lateDaemon.registry.entries()).containsExactlyInAnyOrderElementsOf(storeContents.upstreams.values());
     }
 
+    /** Guards against a leaving that lies between the copy and the revision that a daemon watches from. */
+    @Test
+    void readsChangesWhoseRevisionsRestoredStoreAssignsAgain() {
+        restoreBehindWatches(() -> storeContents.leave("i-3"));
+        run(1_000);
+
+        for (TestDaemon daemon : List.of(relay, follower)) {
+            assertThat(daemon.entry("i-3"))
+                    .hasValueSatisfying(entry -> assertThat(entry.leaving()).isTrue());
+            assertThat(daemon.upstreams.revision()).isEqualTo(storeContents.revision);
+        }
+    }
+
+    /** Guards against a follower that depends on its own contact with the store to learn of a restore. */
+    @Test
+    void relayTellsRestore() {
+        storeContents.restore(storeContents.listing().orElseThrow());
+        run(1_800);
+        int before = follower.store.calls;
+        run(10_000);
+
+        assertThat(follower.upstreams.revision()).isEqualTo(storeContents.revision);
+        assertThat(follower.store.calls).isEqualTo(before);
+    }
+
+    @Test
+    void relayOfOlderHistoryConfirmsNothing() {
+        relaySilent = true;
+        StoreView older = relay.storeViews.view();
+        restoreBehindWatches(() -> {});
+        run(3_000);
+        follower.store.down = true;
+        run(500);
+        StoreRevision known = follower.upstreams.revision();
+        long answeredAtMillis = follower.registry.answeredAtMillis();
+        follower.storeViews.apply(older, clocks.now);
+
+        assertThat(follower.upstreams.revision()).isEqualTo(known);
+        assertThat(known.era()).isEqualTo(1);
+        assertThat(follower.registry.answeredAtMillis()).isEqualTo(answeredAtMillis);
+    }
+
+    /** Guards against orders on the ground of a registry that was read before the restore. */
+    @Test
+    void restoreEndsConfirmationUntilStoreAnswers() {
+        long before = clocks.now - 2_000;
+        assertThat(relay.upstreams.confirmedSince(before)).isTrue();
+        relay.store.down = true;
+        relay.onEra(1);
+        run(1_000);
+
+        assertThat(relay.upstreams.confirmedSince(before)).isFalse();
+        assertThat(relay.storeViews.view().getRegistryRevision()).isZero();
+        assertThat(relay.storeViews.view().getStoreEra()).isEqualTo(1);
+        assertThat(relay.registry.entries()).hasSize(40);
+    }
+
+    /** The revisions of the new history pass those of the older one before any daemon has seen the restore. */
+    private void restoreBehindWatches(Runnable firstChange) {
+        Listing<UpstreamEntry> copy = storeContents.listing().orElseThrow();
+        for (int i = 0; i < 5; i++) {
+            storeContents.put("i-" + (10 + i), MemberState.OPEN);
+        }
+        run(1_000);
+        storeContents.restore(copy);
+        firstChange.run();
+        for (int i = 0; i < 10; i++) {
+            storeContents.put("i-" + (10 + i), MemberState.OPEN);
+        }
+    }
+
     /** Guards against a key lease that outlives the relay's own contact with the store. */
     @Test
     void keyLeaseExpiresWhenRelayLosesStore() {
@@ -235,7 +335,7 @@
         private Optional<Listing<UpstreamEntry>> listing() {
             List<StoredObject<UpstreamEntry>> objects = new ArrayList<>();
             upstreams.forEach((name, entry) ->
-                    objects.add(new StoredObject<>(name, new StoreRevision(0, 1), Optional.of(entry))));
+                    objects.add(new StoredObject<>(name, new StoreRevision(revision.era(), 1), Optional.of(entry))));
             return Optional.of(new Listing<>(objects, revision));
         }
 
@@ -268,6 +368,25 @@
             puts.add(new StoredObject<>(name, revision, Optional.of(entry)));
         }
 
+        private void leave(String name) {
+            advance();
+            UpstreamEntry entry = upstreams.get(name).asLeaving();
+            upstreams.put(name, entry);
+            puts.add(new StoredObject<>(name, revision, Optional.of(entry)));
+        }
+
+        /** Restores the contents of a listing, from which the revisions continue in the next era. */
+        private void restore(Listing<UpstreamEntry> copy) {
+            revision = new StoreRevision(revision.era() + 1, copy.revision().number());
+            upstreams.clear();
+            copy.objects()
+                    .forEach(object ->
+                            upstreams.put(object.name(), object.content().orElseThrow()));
+            puts.clear();
+            deletions.clear();
+            config = new StoredObject<>(config.name(), new StoreRevision(revision.era(), 1), config.content());
+        }
+
         private void remove(String name) {
             advance();
             puts.add(new StoredObject<>(name, revision, Optional.of(upstreams.remove(name))));
@@ -278,6 +397,7 @@
     private final class FakeStore implements ObjectStore {
         private Optional<Listing<UpstreamEntry>> oldListing = Optional.empty();
         private int calls;
+        private LongConsumer onEra = era -> {};
         private boolean down;
 
         @Override
@@ -288,6 +408,7 @@
                 done.accept(new StoreResult.NoResponse<>("down"));
                 return;
             }
+            onEra.accept(storeContents.revision.era());
             List<StoredObject<T>> objects = new ArrayList<>();
             if (kind instanceof ObjectKind.Configuration) {
                 objects.add((StoredObject<T>) storeContents.config);
@@ -315,18 +436,24 @@
                         .schedule(() -> done.accept(new StoreResult.NoResponse<>("down")), 50, TimeUnit.MILLISECONDS);
                 return;
             }
+            if (from.number() > storeContents.revision.number()) {
+                onEra.accept(storeContents.revision.era());
+                done.accept(new StoreResult.HistoryExpired<>());
+                return;
+            }
             List<ChangeBatch.Change<T>> changes = new ArrayList<>();
             if (kind instanceof ObjectKind.Configuration) {
-                if (storeContents.config.revision().compareTo(from) > 0) {
+                if (storeContents.config.revision().number() > from.number()) {
                     changes.add(new ChangeBatch.Change<>((StoredObject<T>) storeContents.config, false));
                 }
             } else {
                 storeContents.puts.stream()
-                        .filter(put -> put.revision().compareTo(from) > 0)
+                        .filter(put -> put.revision().number() > from.number())
                         .forEach(put -> changes.add(new ChangeBatch.Change<>(
                                 (StoredObject<T>) put, storeContents.deletions.contains(put.revision()))));
             }
             if (!changes.isEmpty() || clocks.now >= until) {
+                onEra.accept(storeContents.revision.era());
                 done.accept(new StoreResult.Ok<>(new ChangeBatch<>(changes, storeContents.revision)));
                 return;
             }
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
@@ -93,8 +94,15 @@
     @Test
     void registryWatchContinuesAfterFailedCallback() {
         UpstreamRegistry registry = new UpstreamRegistry();
-        RegistryWatch watch =
-                new RegistryWatch(channel.eventLoop(), clocks, store, registry, log, this::failAtFirst, () -> false);
+        RegistryWatch watch = new RegistryWatch(
+                channel.eventLoop(),
+                clocks,
+                store,
+                registry,
+                log,
+                this::failAtFirst,
+                () -> false,
+                new SplittableRandom(1));
         failuresLeft = 1;
 
         watch.start();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/RecentChangesTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/RecentChangesTest.java
@@ -15,58 +15,62 @@
 final class RecentChangesTest {
     private final RecentChanges recent = new RecentChanges();
 
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
+    }
+
     private static ChangeBatch<UpstreamEntry> changes(long revision, int count, boolean deleted) {
         List<ChangeBatch.Change<UpstreamEntry>> list = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            list.add(new ChangeBatch.Change<>(
-                    new StoredObject<>("i-" + i, new StoreRevision(0, 1), Optional.empty()), deleted));
+            list.add(new ChangeBatch.Change<>(new StoredObject<>("i-" + i, at(1), Optional.empty()), deleted));
         }
-        return new ChangeBatch<>(list, new StoreRevision(0, revision));
+        return new ChangeBatch<>(list, at(revision));
     }
 
     @Test
     void returnsChangesWithoutGap() {
-        recent.add(10, changes(12, 2, false), 0);
-        recent.add(12, changes(15, 1, true), 200);
+        recent.add(at(10), changes(12, 2, false), 0);
+        recent.add(at(12), changes(15, 1, true), 200);
 
-        RecentChanges.Delta delta = recent.deltaTo(15, 300);
-        assertThat(delta.sinceRevision()).isEqualTo(10);
+        RecentChanges.Delta delta = recent.deltaTo(at(15), 300);
+        assertThat(delta.sinceRevision()).isEqualTo(at(10));
         assertThat(delta.changes()).extracting(ChangeBatch.Change::deleted).containsExactly(false, false, true);
-        assertThat(recent.deltaTo(16, 300)).isEqualTo(new RecentChanges.Delta(16, List.of()));
+        assertThat(recent.deltaTo(at(16), 300)).isEqualTo(new RecentChanges.Delta(at(16), List.of()));
     }
 
     /** A removal has the revision of the removed object. Repeated on its own, it would undo a later registration. */
     @Test
     void removalHasRevisionOfItsBatch() {
-        recent.add(12, changes(15, 1, true), 200);
+        recent.add(at(12), changes(15, 1, true), 200);
 
-        assertThat(recent.deltaTo(15, 300).changes())
-                .allMatch(change -> change.object().revision().number() == 15);
+        assertThat(recent.deltaTo(at(15), 300).changes())
+                .allMatch(change -> change.object().revision().equals(at(15)));
     }
 
     @Test
     void stopsRepeatingOldChanges() {
-        recent.add(10, changes(12, 2, false), 0);
-        recent.add(12, changes(15, 1, true), 500);
+        recent.add(at(10), changes(12, 2, false), 0);
+        recent.add(at(12), changes(15, 1, true), 500);
 
-        assertThat(recent.deltaTo(15, RecentChanges.REPEAT_DURATION_MILLIS + 1).sinceRevision())
-                .isEqualTo(12);
+        assertThat(recent.deltaTo(at(15), RecentChanges.REPEAT_DURATION_MILLIS + 1)
+                        .sinceRevision())
+                .isEqualTo(at(12));
     }
 
     @Test
     void exposesGapAboveMaxChanges() {
-        recent.add(10, changes(12, RecentChanges.MAX_CHANGES + 1, false), 0);
-        assertThat(recent.deltaTo(12, 100)).isEqualTo(new RecentChanges.Delta(12, List.of()));
+        recent.add(at(10), changes(12, RecentChanges.MAX_CHANGES + 1, false), 0);
+        assertThat(recent.deltaTo(at(12), 100)).isEqualTo(new RecentChanges.Delta(at(12), List.of()));
 
-        recent.add(12, changes(14, 3, false), 200);
-        assertThat(recent.deltaTo(14, 300).sinceRevision()).isEqualTo(12);
+        recent.add(at(12), changes(14, 3, false), 200);
+        assertThat(recent.deltaTo(at(14), 300).sinceRevision()).isEqualTo(at(12));
     }
 
     @Test
     void clearDiscardsChanges() {
-        recent.add(10, changes(12, 2, false), 0);
+        recent.add(at(10), changes(12, 2, false), 0);
         recent.clear();
 
-        assertThat(recent.deltaTo(12, 100).sinceRevision()).isEqualTo(12);
+        assertThat(recent.deltaTo(at(12), 100).sinceRevision()).isEqualTo(at(12));
     }
 }
