--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -21,6 +21,7 @@
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
 import io.sesamehead.coordination.membership.ReportTopology;
+import io.sesamehead.coordination.store.StoreHistory;
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.EntrySettings;
 import io.sesamehead.entry.port.ObjectStore;
@@ -31,10 +32,12 @@
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.Incarnation;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 /** An entry daemon: runs all its components on one event loop, from start to graceful stop. */
@@ -84,7 +87,9 @@
     private final RefusedConnections refusedConnections;
     private final ModelLoads modelLoads = new ModelLoads();
     private final HttpConnectionPool clients;
+    private final StoreHistory storeHistory = new StoreHistory();
     private final MeteredStore store;
+    private final PeerDirectory directory;
     private final PeerReporter peerReporter;
     private final CrashRecorder crashRecorder;
     private final LeaseTask lease;
@@ -108,9 +113,10 @@
          * Creates the client of the platform's store.
          *
          * @param client HTTP client of the daemon
+         * @param onEra receives the era that each response of the store states, before the result of the call
          * @return the store
          */
-        ObjectStore store(ControlClient client);
+        ObjectStore store(ControlClient client, LongConsumer onEra);
 
         /**
          * Creates the sender of orders to upstreams.
@@ -146,7 +152,8 @@
         this.refusedConnections = new RefusedConnections(new DaemonId(settings.daemon()));
         this.clients = new HttpConnectionPool(loop, clocks, this::onConnectionRefused);
         ControlClient control = new ControlClient(clients);
-        this.store = new MeteredStore(platform.store(control), metrics, log);
+        this.store = new MeteredStore(platform.store(control, this::onStoreEra), metrics, log);
+        ObjectStore presentStore = new PresentHistoryStore(store, storeHistory, loop);
         this.orders = platform.orders(control);
         this.translator = platform.translator();
         long incarnation = random.nextLong();
@@ -156,21 +163,22 @@
                 new LeaseSettings(LEASE_TTL_MILLIS, MAX_CLOCK_DRIFT_MILLIS, MAX_ORDER_DELAY_MILLIS);
         LeaseHolder holder =
                 new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
-        this.lease = new LeaseTask(loop, clocks, store, holder, LEASE_TTL_MILLIS, log, random);
+        this.lease = new LeaseTask(loop, clocks, presentStore, holder, LEASE_TTL_MILLIS, log, random);
         ReportTopology topology = new ReportTopology(new DaemonId(settings.daemon()), settings.failureDomain());
-        PeerDirectory directory = new PeerDirectory(loop, clocks, settings, store, topology, log);
+        this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
-                loop, clocks, store, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
+                loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
         this.registryWatch = new RegistryWatch(
                 loop,
                 clocks,
-                store,
+                presentStore,
                 registry,
                 log,
                 this::onFleetChange,
-                () -> lease.epoch().isPresent());
-        StoreViewExchange storeViewExchange =
-                new CachedStoreViewExchange(clocks, activeConfig, registry, configWatch, registryWatch, log);
+                () -> lease.epoch().isPresent(),
+                random);
+        StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
+                clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
         this.peerReporter = new PeerReporter(
                 loop,
@@ -188,7 +196,7 @@
                 lease,
                 storeViewExchange,
                 log);
-        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), store, crashHistory, log);
+        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log);
         this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
         this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
@@ -339,6 +347,22 @@
         logReadinessChange();
     }
 
+    private void onStoreEra(long era) {
+        long before = storeHistory.era();
+        if (!storeHistory.record(era)) {
+            return;
+        }
+        log.write(EventLog.Component.STORE, "restored", "era", era, "before", before);
+        // The lease comes first: nobody may act on a lease of the ended history.
+        List<Runnable> reactions = List.of(
+                lease::onStoreRestored,
+                registryWatch::onStoreRestored,
+                configWatch::onStoreRestored,
+                crashRecorder::onStoreRestored,
+                directory::onStoreRestored);
+        reactions.forEach(reaction -> tasks.run("store-restored", reaction, () -> {}));
+    }
+
     private void onConnectionRefused(Endpoint peer) {
         for (Target target : fleet.servingTargets()) {
             if (target.upstream().endpoint().equals(peer)) {
