Bound what one row of a daemon's report can cost the others

What callers would see: daemons that hear nothing of their relay, and hold calls in flight, refusals or the age of the registry to be other than they are, because of one odd row. Counts and ages of a report are unsigned in its schema and signed in Java, so that large ones were negative or made sums overflow. A report without a sender and a lease with a blank holder threw out of the receiver, which dropped the rows that follow. A view of the store with a negative age, or an echo of a time that the receiver's clock has not reached, as after a restart of the VM, counted as newer than it is. A change of an entry of 20,000 bytes made the view 20,076 bytes large, more than a datagram that the receivers accept, so that the report was lost with all other rows for as long as the change was repeated.

Each invalid row is now left out by itself; a report without a sender is logged as unreadable; a view with an impossible age is logged and not applied; changes of together more than 6 KiB are left out, so that the receivers query the store, as they do after missed changes. A change that cannot be read leads to a query of the store as before (new test, which passed before as well).

Evidence: with the code of before, reportsOtherDataWithoutOversizedChange (20,076 bytes) and ignoresViewFromFuture (an age of -60,000 ms) of CachedStoreViewExchangeTest failed; they pass now.

--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -27,6 +27,10 @@
 
 /** Encodes and decodes the reports that daemons exchange. */
 public final class ReportCodec {
+    /** Largest time since an event that is taken from a report, in milliseconds. */
+    private static final long MAX_AGE_MILLIS = Integer.MAX_VALUE;
+    /** Largest number of calls that is taken from a report. Sums over all daemons stay in the range of an int. */
+    private static final int MAX_CALLS = 1_000_000;
     /** Placeholder for the lease's time to live, which reports omit because the receiver has it already. */
     private static final long UNKNOWN_TTL = 0;
 
@@ -36,11 +40,13 @@
      * Decodes a datagram.
      *
      * @param bytes datagram payload
-     * @return the report, or empty if it is malformed
+     * @return the report, or empty if it is malformed or does not name its sender
      */
     public static Optional<DaemonReport> decode(byte[] bytes) {
         try {
-            return Optional.of(DaemonReport.parseFrom(bytes));
+            DaemonReport report = DaemonReport.parseFrom(bytes);
+            boolean valid = !report.getDaemon().isBlank() && isCount(report.getDaemons());
+            return valid ? Optional.of(report) : Optional.empty();
         } catch (InvalidProtocolBufferException e) {
             // The caller logs the loss; the sender reports again within a fraction of a second.
             return Optional.empty();
@@ -48,7 +54,7 @@
     }
 
     /**
-     * Decodes the target loads of a report.
+     * Decodes the target loads of a report. Invalid ones are left out, and their targets are reported again soon.
      *
      * @param report the report
      * @return one entry per target
@@ -56,25 +62,48 @@
     public static List<TargetReport> decodeLoads(DaemonReport report) {
         List<TargetReport> rows = new ArrayList<>(report.getTargetsCount());
         for (TargetLoad load : report.getTargetsList()) {
-            TargetKey key = new TargetKey(load.getName(), load.getGeneration());
-            rows.add(new TargetReport(key, load.getInFlight(), load.getSilentMillis(), load.getSuspected()));
+            if (!load.getName().isBlank() && isCount(load.getInFlight()) && load.getSilentMillis() >= 0) {
+                TargetKey key = new TargetKey(load.getName(), load.getGeneration());
+                rows.add(new TargetReport(key, load.getInFlight(), load.getSilentMillis(), load.getSuspected()));
+            }
         }
         return rows;
     }
 
+    private static boolean isCount(int value) {
+        return value >= 0 && value <= MAX_CALLS;
+    }
+
+    /**
+     * Decodes the numbers of refused calls of a report. Invalid ones are left out.
+     *
+     * @param report the report
+     * @return number of refused calls by model
+     */
+    public static Map<String, Integer> decodeRefusals(DaemonReport report) {
+        Map<String, Integer> refused = new HashMap<>();
+        for (ModelLoad load : report.getModelsList()) {
+            if (isCount(load.getRefused())) {
+                refused.merge(load.getModel(), load.getRefused(), Integer::sum);
+            }
+        }
+        return refused;
+    }
+
     /**
      * Decodes the controller lease of a report, whether held by the sender or relayed.
      *
      * @param report the report
-     * @return the lease without its time to live, or empty if the report has none
+     * @return the lease without its time to live, or empty if the report has none or an invalid one
      */
     public static Optional<Lease> decodeLease(DaemonReport report) {
-        if (report.getLeaseEpoch() == 0) {
+        boolean relayed = !report.getLeaseHolder().isEmpty();
+        String holder = relayed ? report.getLeaseHolder() : report.getDaemon();
+        if (report.getLeaseEpoch() <= 0 || report.getLeaseRenewals() < 0 || holder.isBlank()) {
             return Optional.empty();
         }
-        boolean relayed = !report.getLeaseHolder().isEmpty();
         return Optional.of(new Lease(
-                new DaemonId(relayed ? report.getLeaseHolder() : report.getDaemon()),
+                new DaemonId(holder),
                 new Incarnation(relayed ? report.getLeaseHolderIncarnation() : report.getIncarnation()),
                 report.getLeaseEpoch(),
                 UNKNOWN_TTL,
@@ -117,15 +146,12 @@
     public static List<CrashReport> decodeCrashes(DaemonReport report) {
         List<CrashReport> rows = new ArrayList<>(report.getCrashedCount());
         for (CrashedRequest crashed : report.getCrashedList()) {
-            Map<Long, Long> ages = new HashMap<>();
-            int targets = Math.min(crashed.getTargetsCount(), crashed.getAgesMillisCount());
-            for (int i = 0; i < targets; i++) {
-                ages.put(crashed.getTargets(i), Math.max(0, crashed.getAgesMillis(i)));
-            }
-            OptionalLong completed = crashed.getCompletedAge() > 0
-                    ? OptionalLong.of(crashed.getCompletedAge() - 1)
-                    : OptionalLong.empty();
-            rows.add(new CrashReport(new CrashSubject(crashed.getFingerprint()), ImmutableMap.copyOf(ages), completed));
+            long completedAge = crashed.getCompletedAge() - 1;
+            OptionalLong completed = isAge(completedAge) ? OptionalLong.of(completedAge) : OptionalLong.empty();
+            rows.add(new CrashReport(
+                    new CrashSubject(crashed.getFingerprint()),
+                    ages(crashed.getTargetsList(), crashed.getAgesMillisList()),
+                    completed));
         }
         return rows;
     }
@@ -154,17 +180,28 @@
     public static List<RefusedConnections.Refusal> decodeRefusedTargets(DaemonReport report) {
         List<RefusedConnections.Refusal> rows = new ArrayList<>(report.getRefusedCount());
         for (RefusedTarget refused : report.getRefusedList()) {
-            Map<Long, Long> ages = new HashMap<>();
-            int daemons = Math.min(refused.getDaemonsCount(), refused.getAgesMillisCount());
-            for (int i = 0; i < daemons; i++) {
-                ages.put(refused.getDaemons(i), refused.getAgesMillis(i));
-            }
             TargetKey target = new TargetKey(refused.getName(), refused.getGeneration());
-            rows.add(new RefusedConnections.Refusal(target, ImmutableMap.copyOf(ages)));
+            rows.add(new RefusedConnections.Refusal(
+                    target, ages(refused.getDaemonsList(), refused.getAgesMillisList())));
         }
         return rows;
     }
 
+    /** Joins the hashes of a report with their ages, without those whose age is missing or invalid. */
+    private static ImmutableMap<Long, Long> ages(List<Long> hashes, List<Long> agesMillis) {
+        Map<Long, Long> ages = new HashMap<>();
+        for (int i = 0; i < Math.min(hashes.size(), agesMillis.size()); i++) {
+            if (isAge(agesMillis.get(i))) {
+                ages.put(hashes.get(i), agesMillis.get(i));
+            }
+        }
+        return ImmutableMap.copyOf(ages);
+    }
+
+    private static boolean isAge(long millis) {
+        return millis >= 0 && millis <= MAX_AGE_MILLIS;
+    }
+
     /**
      * Encodes the refused connections of a target.
      *
--- a/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -7,18 +7,46 @@
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.entry.protocol.generated.MemberStage;
+import io.sesamehead.entry.protocol.generated.StoreView;
 import io.sesamehead.entry.protocol.generated.UpstreamChange;
 import io.sesamehead.entry.protocol.generated.UpstreamRecord;
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.InstanceId;
 import io.sesamehead.state.ServiceName;
+import java.util.List;
 import java.util.Optional;
 
 /** Encodes and decodes changes of the upstream registry that relays forward. */
 public final class UpstreamRecordCodec {
+    /**
+     * Maximum size of the changes in one view, in bytes. With the loads of all targets they fit into one datagram; a
+     * larger one would be lost with everything else that it contains.
+     */
+    static final int MAX_CHANGES_BYTES = 6_144;
+
     private UpstreamRecordCodec() {}
 
+    /**
+     * Adds the latest changes to a view. Changes that are too large are left out, so that a receiver without them queries
+     * the store.
+     *
+     * @param view the view, with its revision
+     * @param since revision after which the changes follow
+     * @param changes the changes, in order
+     */
+    public static void addChanges(StoreView.Builder view, long since, List<ChangeBatch.Change<UpstreamEntry>> changes) {
+        List<UpstreamChange> messages =
+                changes.stream().map(UpstreamRecordCodec::encode).toList();
+        int bytes =
+                messages.stream().mapToInt(UpstreamChange::getSerializedSize).sum();
+        if (bytes <= MAX_CHANGES_BYTES) {
+            view.setChangesSince(since).addAllChanges(messages);
+        } else {
+            view.setChangesSince(view.getRegistryRevision());
+        }
+    }
+
     /**
      * Encodes a change.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
@@ -47,9 +47,8 @@
         if (registryWatch.revision() > 0) {
             RecentChanges.Delta recent = registryWatch.recentChanges();
             view.setRegistryRevision(registryWatch.revision())
-                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()))
-                    .setChangesSince(recent.sinceRevision());
-            recent.changes().forEach(change -> view.addChanges(UpstreamRecordCodec.encode(change)));
+                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()));
+            UpstreamRecordCodec.addChanges(view, recent.sinceRevision(), recent.changes());
         }
         return view.build();
     }
@@ -57,6 +56,10 @@
     @Override
     public void apply(StoreView view, long stampMillis) {
         long elapsedMillis = clocks.bootMillis() - stampMillis;
+        if (elapsedMillis < 0 || view.getConfigAgeMillis() < 0 || view.getRegistryAgeMillis() < 0) {
+            log.write(EventLog.Component.PEER, "impossible-age", "elapsed_ms", elapsedMillis);
+            return;
+        }
         if (view.getConfigVersion() > 0) {
             configWatch.onRelayedVersion(view.getConfigVersion(), stampMillis - view.getConfigAgeMillis());
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -450,8 +450,8 @@
     }
 
     private void recordRefusals(DaemonReport report, long nowMillis) {
-        report.getModelsList()
-                .forEach(load -> loads.recordRemoteRefusals(load.getModel(), load.getRefused(), nowMillis));
+        ReportCodec.decodeRefusals(report)
+                .forEach((model, count) -> loads.recordRemoteRefusals(model, count, nowMillis));
     }
 
     private void recordLeaseHolder(Lease held) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RelayAccumulator.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RelayAccumulator.java
@@ -24,9 +24,7 @@
      * @param local whether it comes from a daemon that reports to this relay, rather than from another relay
      */
     void add(DaemonReport report, boolean local) {
-        Map<String, Integer> counts = new HashMap<>();
-        report.getModelsList().forEach(load -> counts.merge(load.getModel(), load.getRefused(), Integer::sum));
-        addRefusals(counts, local);
+        addRefusals(ReportCodec.decodeRefusals(report), local);
         Optional<Lease> held = ReportCodec.decodeLease(report);
         if (held.isEmpty()) {
             return;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -17,6 +17,8 @@
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.entry.protocol.generated.StoreView;
+import io.sesamehead.entry.protocol.generated.UpstreamChange;
+import io.sesamehead.entry.protocol.generated.UpstreamRecord;
 import io.sesamehead.state.Endpoint;
 import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.InstanceId;
@@ -209,6 +211,60 @@
         assertThat(follower.store.calls).isGreaterThan(4);
     }
 
+    /** Guards against a report that is lost because of the size of an entry that another writer left. */
+    @Test
+    void reportsOtherDataWithoutOversizedChange() {
+        storeContents.put("x".repeat(20_000), MemberState.READY);
+        int largestBytes = 0;
+        for (int i = 0; i < 50; i++) {
+            run(STEP_MILLIS);
+            largestBytes = Math.max(largestBytes, relay.storeViews.view().getSerializedSize());
+        }
+
+        assertThat(relay.registry.entries()).hasSize(41);
+        assertThat(largestBytes).isLessThan(8_192);
+        assertThat(follower.registry.entries()).containsExactlyInAnyOrderElementsOf(storeContents.upstreams.values());
+    }
+
+    /** Guards against an odd change that ends the reading of reports or leaves a gap. */
+    @Test
+    void queriesStoreInsteadOfUnreadableChange() {
+        int before = follower.store.calls;
+        relaySilent = true;
+        storeContents.remove("i-3");
+        run(STEP_MILLIS);
+        StoreView.Builder odd = relay.storeViews.view().toBuilder().clearChanges();
+        odd.addChanges(UpstreamChange.newBuilder()
+                .setName("odd")
+                .setRevision(storeContents.revision)
+                .setUpstream(UpstreamRecord.newBuilder().setHost("engine.example")));
+        follower.storeViews.apply(
+                odd.setRegistryRevision(storeContents.revision).build(), stampMillis);
+        run(1_500);
+
+        assertThat(follower.store.calls).isGreaterThan(before);
+        assertThat(follower.registry.entries()).containsExactlyInAnyOrderElementsOf(storeContents.upstreams.values());
+    }
+
+    /** Guards against data that counts as newer than it is, by a time that this clock has not reached. */
+    @Test
+    void ignoresViewFromFuture() {
+        StoreView view = relay.storeViews.view();
+        relaySilent = true;
+        follower.store.down = true;
+        run(3_000);
+        follower.storeViews.apply(view, clocks.now + 60_000);
+        follower.storeViews.apply(
+                view.toBuilder()
+                        .setConfigAgeMillis(-60_000)
+                        .setRegistryAgeMillis(-60_000)
+                        .build(),
+                clocks.now);
+
+        assertThat(follower.activeConfig.ageMillis(clocks.now)).isGreaterThanOrEqualTo(3_000);
+        assertThat(follower.registry.answeredAtMillis()).isLessThanOrEqualTo(clocks.now - 2_500);
+    }
+
     /** Guards against counting the age from the arrival of a report, which may have been delayed. */
     @Test
     void countsAgeFromBeforeRelaySent() {
