Count no crash for a target that was drained or closed

Callers would see 503 crashed-before for sound requests: a request whose caller had disconnected counted as a crash when its upstream stopped serving within five seconds, also when the upstream was only drained, its group was closed or left by order of our own planner, or its service was no longer configured. NotServing did not tell these apart.

The list of evidence now has Vanished (an upstream of the target has left the registry or restarted without announcement), which counts, and Withdrawn, which does not. DepartedTargets decides from the registry's entries. A group may be dissolved around a dead head whose entry is still listed, so upstreams of a departed target are watched for five seconds, until their entries show that they go on.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/EvidencePolicy.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/EvidencePolicy.java
@@ -23,7 +23,8 @@
             case TargetEvidence.ConnectFailed failed -> Sets.immutableEnumSet(EvidenceReaction.PREFER_OTHERS);
             case TargetEvidence.ConnectionRefused refused ->
                 Sets.immutableEnumSet(EvidenceReaction.PREFER_OTHERS, EvidenceReaction.COUNT_CRASH);
-            case TargetEvidence.NotServing notServing -> Sets.immutableEnumSet(EvidenceReaction.COUNT_CRASH);
+            case TargetEvidence.Vanished vanished -> Sets.immutableEnumSet(EvidenceReaction.COUNT_CRASH);
+            case TargetEvidence.Withdrawn withdrawn -> ImmutableSet.of();
         };
     }
 
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetEvidence.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetEvidence.java
@@ -20,6 +20,9 @@
     /** A connection was refused: no process listens at the target's address. */
     record ConnectionRefused() implements TargetEvidence {}
 
-    /** The target no longer accepts calls according to the registry or the configuration. */
-    record NotServing() implements TargetEvidence {}
+    /** An upstream of the target has left the registry, or has restarted, without having announced it. */
+    record Vanished() implements TargetEvidence {}
+
+    /** The target accepts no more calls because it was drained, was closed by an order or is no longer configured. */
+    record Withdrawn() implements TargetEvidence {}
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -9,6 +9,7 @@
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.DepartedTargets;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RefusedConnections;
@@ -84,6 +85,7 @@
     private final UpstreamRegistry registry = new UpstreamRegistry();
     private final Fleet fleet = new Fleet();
     private final TargetTable targetTable = new TargetTable();
+    private final DepartedTargets departedTargets = new DepartedTargets();
     private final RefusedConnections refusedConnections;
     private final ModelLoads modelLoads = new ModelLoads();
     private final HttpConnectionPool clients;
@@ -384,10 +386,8 @@
         fleet.update(registry.entries(), activeConfig.table().get().config());
         Set<TargetKey> now = fleet.servingKeys();
         Sets.difference(now, before).forEach(key -> logTarget("serving", key, now.size()));
-        Sets.difference(before, now).forEach(key -> {
-            logTarget("not-serving", key, now.size());
-            environment.onTargetEvidence(key, new TargetEvidence.NotServing());
-        });
+        Sets.difference(before, now).forEach(key -> logTarget("not-serving", key, now.size()));
+        departedTargets.update(now, registry.entries(), clocks.steadyMillis()).forEach(environment::onTargetEvidence);
         targetTable.retainTargets(fleet::exists);
     }
 
