--- a/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
@@ -56,9 +56,8 @@
         if (registryWatch.listed()) {
             RecentChanges.Delta recent = registryWatch.recentChanges();
             view.setRegistryRevision(registryWatch.revision().number())
-                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()))
-                    .setChangesSince(recent.sinceRevision().number());
-            recent.changes().forEach(change -> view.addChanges(UpstreamRecordCodec.encode(change)));
+                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()));
+            UpstreamRecordCodec.addChanges(view, recent.sinceRevision().number(), recent.changes());
         }
         return view.build();
     }
@@ -74,6 +73,10 @@
             return;
         }
         long elapsedMillis = clocks.bootMillis() - stampMillis;
+        if (elapsedMillis < 0 || view.getConfigAgeMillis() < 0 || view.getRegistryAgeMillis() < 0) {
+            log.write(EventLog.Component.PEER, "impossible-age", "elapsed_ms", elapsedMillis);
+            return;
+        }
         if (view.getConfigVersion() > 0) {
             configWatch.onRelayedVersion(view.getConfigVersion(), stampMillis - view.getConfigAgeMillis());
         }
