Don't use removed upstreams because a restored store lists them again

The copy lists such an upstream as ready until its removal is written again or the entry lapses. The other way round, an upstream that registered after the copy was dropped at once if the store was away for less than 0.8 s, because only a longer absence counted as an outage.

A rise of the era now ends an outage of any length: entries that the new listing lacks are kept for the time in which upstreams register again, unless they are known to leave. RemovedUpstreams (core) remembers removed incarnations, for 60 s and at most 4,096 of them; one that was removed before the restore is set aside when it is listed, however often, until a change event shows that it writes, or until the store still lists it after three heartbeat intervals and a second, by when the entry of a silent upstream has lapsed. The time counts up to an answer of the store, not to the clock, as nothing lapses visibly while the store is away. Changes from relays pass through the same code. An older copy of a known entry was already ignored (UpstreamEntry.precedes); a known leaving stays so. EntrySettings gets the heartbeat interval, from heartbeat_ms.

With recordRestore made empty three of the new tests of UpstreamRegistryTest fail.

--- a/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
@@ -22,6 +22,7 @@
  * @param retryRatio retries allowed per call
  * @param extraRetriesPerWindow additional retries allowed per window across all daemons
  * @param retryWindowMillis length of the retry window, in milliseconds
+ * @param heartbeatMillis interval at which upstreams write to the store, in milliseconds
  */
 public record EntrySettings(
         String daemon,
@@ -38,4 +39,5 @@
         boolean bootstrap,
         double retryRatio,
         double extraRetriesPerWindow,
-        long retryWindowMillis) {}
+        long retryWindowMillis,
+        long heartbeatMillis) {}
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -84,7 +84,7 @@
     private final EventLoopTasks tasks;
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final ActiveConfig activeConfig;
-    private final UpstreamRegistry registry = new UpstreamRegistry();
+    private final UpstreamRegistry registry;
     private final Fleet fleet = new Fleet();
     private final TargetTable targetTable = new TargetTable();
     private final RefusedConnections refusedConnections;
@@ -151,6 +151,7 @@
         this.loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         this.log = new EventLog(clocks);
         this.tasks = new EventLoopTasks(loop, log);
+        this.registry = new UpstreamRegistry(settings.heartbeatMillis());
         this.activeConfig = new ActiveConfig(settings.keyRevocationMillis() - MAX_WATCH_SILENCE_MILLIS);
         this.refusedConnections = new RefusedConnections(new DaemonId(settings.daemon()));
         this.clients = new HttpConnectionPool(loop, clocks, this::onConnectionRefused);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -120,6 +120,7 @@
         relayCurrentAtMillis = NEVER;
         confirmedAtMillis = NEVER;
         recent.clear();
+        registry.recordRestore(clocks.steadyMillis());
         long delayMillis = isController.getAsBoolean() ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS);
         schedule(() -> list(true), delayMillis);
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -2,6 +2,7 @@
 
 import io.sesamehead.coordination.replica.FormerGroups;
 import io.sesamehead.coordination.replica.LeavingUpstreams;
+import io.sesamehead.coordination.replica.RemovedUpstreams;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.StoredObject;
@@ -30,12 +31,35 @@
 
     private final FormerGroups formerGroups = new FormerGroups();
     private final LeavingUpstreams leaving = new LeavingUpstreams();
+    private final RemovedUpstreams removed;
+    /** Listed upstreams that are not used before they have shown that they live. */
+    private final Map<InstanceId, UpstreamEntry> unproven = new LinkedHashMap<>();
+
     private final Map<InstanceId, UpstreamEntry> entries = new LinkedHashMap<>();
     private final Map<InstanceId, Long> retainedUntilMillis = new HashMap<>();
     private long answeredAtMillis = Long.MIN_VALUE;
     private long reregistrationEndMillis;
     private long evictedAtMillis;
 
+    /**
+     * Creates an empty registry.
+     *
+     * @param heartbeatMillis interval at which upstreams write to the store, in milliseconds
+     */
+    UpstreamRegistry(long heartbeatMillis) {
+        this.removed = new RemovedUpstreams(heartbeatMillis);
+    }
+
+    /**
+     * Records that the store has been restored from a copy. Upstreams that registered after the copy have to register
+     * again, and upstreams that were removed after it are listed again.
+     */
+    void recordRestore(long nowMillis) {
+        reregistrationEndMillis = nowMillis + REREGISTRATION_MILLIS;
+        removed.recordRestore(nowMillis);
+        unproven.clear();
+    }
+
     /** Records a response from the store, and the end of an outage if there was one. */
     void recordStoreAnswer(long nowMillis, boolean afterFailure) {
         boolean first = answeredAtMillis == Long.MIN_VALUE;
@@ -63,7 +87,14 @@
                 remove(id, nowMillis);
             }
         }
-        listed.forEach((id, entry) -> put(id, entry, nowMillis));
+        unproven.clear();
+        listed.forEach((id, entry) -> {
+            if (removed.isUnproven(entry, nowMillis)) {
+                unproven.put(id, entry);
+            } else {
+                put(id, entry, nowMillis);
+            }
+        });
         return unreadable;
     }
 
@@ -74,14 +105,16 @@
             return false;
         }
         InstanceId id = new InstanceId(object.name());
+        unproven.remove(id);
         if (change.deleted()) {
             remove(id, nowMillis);
             return true;
         }
         if (object.content().isEmpty()) {
-            remove(id, Long.MAX_VALUE);
+            drop(id, nowMillis);
             return false;
         }
+        removed.recordAlive(id);
         put(id, object.content().get(), nowMillis);
         return true;
     }
@@ -91,7 +124,10 @@
         return formerGroups;
     }
 
-    /** Removes expired entries whose upstreams did not register again. Returns whether any was removed. */
+    /**
+     * Removes expired entries whose upstreams did not register again, and adds those that have shown that they live.
+     * Returns whether any was removed or added.
+     */
     boolean expire(long nowMillis) {
         if (nowMillis - evictedAtMillis > EVICTION_INTERVAL_MILLIS) {
             evictedAtMillis = nowMillis;
@@ -101,8 +137,14 @@
         boolean changed = false;
         for (Map.Entry<InstanceId, Long> expired : List.copyOf(retainedUntilMillis.entrySet())) {
             if (nowMillis >= expired.getValue()) {
-                retainedUntilMillis.remove(expired.getKey());
-                entries.remove(expired.getKey());
+                drop(expired.getKey(), nowMillis);
+                changed = true;
+            }
+        }
+        for (UpstreamEntry listed : List.copyOf(unproven.values())) {
+            if (!removed.isUnproven(listed, answeredAtMillis)) {
+                unproven.remove(listed.id());
+                put(listed.id(), listed, nowMillis);
                 changed = true;
             }
         }
@@ -151,7 +193,14 @@
             retainedUntilMillis.putIfAbsent(id, reregistrationEndMillis);
             return;
         }
-        entries.remove(id);
+        drop(id, nowMillis);
+    }
+
+    private void drop(InstanceId id, long nowMillis) {
         retainedUntilMillis.remove(id);
+        UpstreamEntry last = entries.remove(id);
+        if (last != null) {
+            removed.record(last, nowMillis);
+        }
     }
 }
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -54,7 +54,7 @@
     private final class TestDaemon {
         private final FakeStore store = new FakeStore();
         private final ActiveConfig activeConfig = new ActiveConfig(KEY_LEASE_MILLIS);
-        private final UpstreamRegistry registry = new UpstreamRegistry();
+        private final UpstreamRegistry registry = new UpstreamRegistry(1_200);
         private final StoreHistory history = new StoreHistory();
         private final RegistryWatch upstreams;
         private final ConfigWatch config;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -70,13 +70,13 @@
 
     private CallerServer server(EmbeddedChannel channel) {
         EntrySettings settings = new EntrySettings(
-                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1);
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
         TargetTable targetTable = new TargetTable();
         BusyUpstreams busyUpstreams = new BusyUpstreams();
         ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
         SplittableRandom random = new SplittableRandom(1);
         CrashHistory crashHistory = new CrashHistory();
-        UpstreamRegistry registry = new UpstreamRegistry();
+        UpstreamRegistry registry = new UpstreamRegistry(1_200);
         CallEnvironment environment = new CallEnvironment(
                 settings,
                 channel.eventLoop(),
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
@@ -101,7 +101,7 @@
     }
 
     private static final class Daemon {
-        private UpstreamRegistry registry = new UpstreamRegistry();
+        private UpstreamRegistry registry = new UpstreamRegistry(1_200);
         private long revision;
         private long readAtMillis;
     }
@@ -151,7 +151,7 @@
         term++;
         Daemon holder = daemons.get(random.nextInt(daemons.size()));
         if (faults && random.nextInt(4) == 0) {
-            holder.registry = new UpstreamRegistry();
+            holder.registry = new UpstreamRegistry(1_200);
             holder.revision = 0;
         }
         FleetPlanner planner = new FleetPlanner(term, STALL_MILLIS);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -93,7 +93,7 @@
 
     @Test
     void registryWatchContinuesAfterFailedCallback() {
-        UpstreamRegistry registry = new UpstreamRegistry();
+        UpstreamRegistry registry = new UpstreamRegistry(1_200);
         RegistryWatch watch = new RegistryWatch(
                 channel.eventLoop(),
                 clocks,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -42,7 +42,7 @@
         FailureDomain domain = new FailureDomain("a");
         Endpoint own = new Endpoint("127.0.0.1", 1);
         EntrySettings settings =
-                new EntrySettings("self", domain, own, own, Optional.empty(), own, 1, 1, 1, 1, 1, true, 0, 0, 1);
+                new EntrySettings("self", domain, own, own, Optional.empty(), own, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
         directory = new PeerDirectory(
                 channel.eventLoop(),
                 clocks,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
@@ -118,7 +118,22 @@
         Endpoint endpoint = new Endpoint("127.0.0.1", port);
         store.daemons.put(id.value(), new DaemonEndpoint(endpoint, domain));
         EntrySettings settings = new EntrySettings(
-                id.value(), domain, endpoint, endpoint, Optional.empty(), endpoint, 1, 1, 1, 1, 1, true, 0, 0, 1);
+                id.value(),
+                domain,
+                endpoint,
+                endpoint,
+                Optional.empty(),
+                endpoint,
+                1,
+                1,
+                1,
+                1,
+                1,
+                true,
+                0,
+                0,
+                1,
+                1_200);
         EventLog log = new EventLog(clocks);
         TargetTable table = new TargetTable();
         ReportTopology topology = new ReportTopology(id, domain);
@@ -126,7 +141,7 @@
         LeaseHolder holder = new LeaseHolder(id, new Incarnation(number + 1), new LeaseSettings(1_500, 100, 300));
         LeaseTask lease = new LeaseTask(loop, clocks, store, holder, 1_500, log, new SplittableRandom(number));
         RecordingExchange storeViews = new RecordingExchange();
-        UpstreamRegistry registry = new UpstreamRegistry();
+        UpstreamRegistry registry = new UpstreamRegistry(1_200);
         CrashHistory crashes = new CrashHistory();
         RefusedConnections refused = new RefusedConnections(id);
         PeerReporter reporter = new PeerReporter(
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -21,7 +21,7 @@
 
 /** Guards against dissolving groups after a registry outage, and against keeping upstreams that have left. */
 final class UpstreamRegistryTest {
-    private final UpstreamRegistry registry = new UpstreamRegistry();
+    private final UpstreamRegistry registry = new UpstreamRegistry(1_200);
 
     private static UpstreamEntry entry(String id, boolean leaving) {
         return entry(id, 1, 0, leaving, Optional.empty());
@@ -85,6 +85,69 @@
         assertThat(registry.entries()).hasSize(1);
     }
 
+    /** Guards against dropping upstreams that registered after the copy, however short the absence of the store was. */
+    @Test
+    void keepsEntriesThatCopyLacks() {
+        registry.recordStoreAnswer(0, false);
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
+        registry.apply(change(entry("i-3", true)), 10);
+        registry.recordRestore(300);
+        registry.recordStoreAnswer(300, false);
+
+        registry.replaceAll(List.of(stored("i-2")), 310);
+        assertThat(registry.entries()).extracting(entry -> entry.id().value()).containsExactly("i-1", "i-2");
+
+        registry.expire(300 + UpstreamRegistry.REREGISTRATION_MILLIS);
+        assertThat(registry.entries()).hasSize(1);
+    }
+
+    /** Guards against calls to an upstream that has left, whose address another one may have by now. */
+    @Test
+    void doesNotUseRemovedUpstreamBecauseCopyListsIt() {
+        removeThenRestore();
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 2_000);
+        registry.recordStoreAnswer(4_800, false);
+        registry.expire(60_000);
+        assertThat(registry.entries()).extracting(entry -> entry.id().value()).containsExactly("i-2");
+
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 4_900);
+        registry.recordStoreAnswer(5_000, false);
+        assertThat(registry.expire(5_000)).isFalse();
+    }
+
+    @Test
+    void usesRemovedUpstreamThatIsStillListedAfterThreeHeartbeats() {
+        removeThenRestore();
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
+        registry.recordStoreAnswer(5_000, false);
+
+        assertThat(registry.expire(5_000)).isTrue();
+        assertThat(registry.entries()).hasSize(2);
+    }
+
+    @Test
+    void usesRemovedUpstreamThatWritesAgainOrHasRestarted() {
+        removeThenRestore();
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
+        registry.apply(change(entry("i-1", false)), 400);
+        assertThat(registry.entries()).hasSize(2);
+
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 5_000);
+        registry.recordRestore(6_000);
+        UpstreamEntry restarted = entry("i-1", 2, 0, false, Optional.empty());
+        registry.replaceAll(List.of(change(restarted).object(), stored("i-2")), 6_010);
+        assertThat(registry.entries()).hasSize(2);
+    }
+
+    private void removeThenRestore() {
+        registry.recordStoreAnswer(0, false);
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 100);
+        registry.recordRestore(300);
+        registry.recordStoreAnswer(310, false);
+    }
+
     @Test
     void keepsReregisteredUpstream() {
         registry.recordStoreAnswer(0, false);
