--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -125,7 +125,7 @@
     @ParameterizedTest
     @MethodSource("errors")
     void watchContinuesAfterError(Throwable error) {
-        UpstreamRegistry registry = new UpstreamRegistry();
+        UpstreamRegistry registry = new UpstreamRegistry(1_200);
         RegistryWatch watch = new RegistryWatch(
                 channel.eventLoop(),
                 clocks,
