Refuse requests of a planned stop by time, not by a task

Callers would see: a request that arrives after a stopping daemon has left the rotation is still taken if the event loop is late, for example after a pause of the process or a long task: the sockets are read, and the requests routed, before the periodic task that begins the refusals. It may then not end before the exit.

Evidence: CallerConnectionFailureTest#refusesRequestsByTimeAndNotByTask sends a request 2.3 s after the beginning of the stop without any run of that task. Before: the request was routed (its routing fails in this fixture: internal-failure). After: refused as stopping. The real program under SIGSTOP does not show it, since timers run first after such a pause; PlannedStopTest#refusesRequestThatArrivesWhileProcessIsPaused passed before.

Why it works: CallerServer asks the schedule at each request. The flags for stopping and rejecting are gone; the schedule of the environment holds both.

--- a/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
+++ b/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
@@ -68,6 +68,16 @@
         return nowMillis >= refuseAtMillis ? Phase.REFUSING : Phase.ACCEPTING;
     }
 
+    /**
+     * Returns whether new calls are refused.
+     *
+     * @param nowMillis current time
+     * @return true from the end of the time in which the platform may send connections
+     */
+    public boolean isRefusing(long nowMillis) {
+        return phase(nowMillis).compareTo(Phase.REFUSING) >= 0;
+    }
+
     /**
      * Returns whether an attempt that begins now can end before the last answers.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -372,6 +372,12 @@
         return stop.isPresent();
     }
 
+    /** Returns whether new requests are refused. One that is accepted this late might not complete before the exit. */
+    boolean isRefusing() {
+        return stop.filter(schedule -> schedule.isRefusing(clocks.steadyMillis()))
+                .isPresent();
+    }
+
     /**
      * Returns whether an attempt can end before a stopping daemon gives its last answers.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.coordination.drain.StopSchedule;
 import io.sesamehead.state.Endpoint;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -45,8 +46,6 @@
     private final CallRouter router;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Optional<Channel> listener = Optional.empty();
-    private boolean stopping;
-    private boolean rejecting;
     private OptionalLong stoppingIdleMillis = OptionalLong.empty();
 
     CallerServer(CallEnvironment environment, CallRouter router) {
@@ -103,21 +102,19 @@
                 .addLast(connection);
     }
 
-    /** Closes each connection after its next response from now on. */
-    void beginStop() {
-        stopping = true;
+    /** Closes each connection after its next response from now on, and refuses requests when the schedule says so. */
+    void beginStop(StopSchedule schedule) {
+        environment.beginStop(schedule);
     }
 
     /**
-     * Stops accepting connections and requests, and closes idle connections. A request accepted this late might not
-     * complete before the process exits.
+     * Stops accepting connections and closes idle ones.
      *
      * @param idleMillis idle time after which a connection is closed, in milliseconds
      */
     void stopAccepting(long idleMillis) {
         listener.ifPresent(Channel::close);
         listener = Optional.empty();
-        rejecting = true;
         stoppingIdleMillis = OptionalLong.of(idleMillis);
         closeTimedOut();
     }
@@ -129,7 +126,7 @@
     }
 
     boolean rejecting() {
-        return rejecting;
+        return environment.isRefusing();
     }
 
     int openConnections() {
@@ -137,7 +134,7 @@
     }
 
     boolean stopping() {
-        return stopping;
+        return environment.isStopping();
     }
 
     EventLoopTasks tasks() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -279,9 +279,8 @@
         }
         stopStartedAtMillis = clocks.steadyMillis();
         log.write(EventLog.Component.DAEMON, "stopping", "open_calls", environment.openCalls());
-        callerServer.beginStop();
         StopSchedule schedule = new StopSchedule(stopStartedAtMillis, settings.shutdownGraceMillis());
-        environment.beginStop(schedule);
+        callerServer.beginStop(schedule);
         tasks.repeat("stop", () -> continueStop(schedule), STOP_CHECK_INTERVAL_MILLIS);
     }
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -16,6 +16,7 @@
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.drain.StopSchedule;
 import io.sesamehead.entry.port.AttemptMetadata;
 import io.sesamehead.entry.port.CallMetadata;
 import io.sesamehead.entry.port.CallTranslator;
@@ -30,18 +31,44 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Guards against requests that are never answered because an exception occurred while they were routed. */
+/**
+ * Guards against requests that are never answered because an exception occurred while they were routed, and against
+ * requests that a stopping daemon routes because its tasks are late.
+ */
 final class CallerConnectionFailureTest {
     private static final Endpoint ENDPOINT = new Endpoint("127.0.0.1", 1);
     private static final FailureDomain DOMAIN = new FailureDomain("a");
+    private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
     private final FakeClocks clocks = new FakeClocks(1_000_000);
     private final EventLog log = new EventLog(clocks);
 
     @Test
     void answersRequestsWhoseRoutingFails() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        accept(channel, server(channel));
+
+        send(channel, REQUEST + REQUEST);
+
+        assertThat(output(channel))
+                .containsPattern("(?s)HTTP/1.1 503.*internal-failure.*HTTP/1.1 503.*internal-failure");
+        assertThat(channel.isOpen()).isTrue();
+    }
+
+    @Test
+    void refusesRequestsByTimeAndNotByTask() {
         EmbeddedChannel channel = new EmbeddedChannel();
         CallerServer server = server(channel);
+        accept(channel, server);
+        server.beginStop(new StopSchedule(clocks.now, 8_000));
+        clocks.now += 2_300;
+
+        send(channel, REQUEST);
+
+        assertThat(output(channel)).containsPattern("(?s)HTTP/1.1 503.*stopping");
+    }
+
+    private static void accept(EmbeddedChannel channel, CallerServer server) {
         channel.pipeline().addLast(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel accepted) {
@@ -49,14 +76,11 @@
             }
         });
         channel.pipeline().fireChannelActive();
-        String request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
 
-        channel.writeInbound(Unpooled.copiedBuffer(request + request, StandardCharsets.US_ASCII));
+    private static void send(EmbeddedChannel channel, String requests) {
+        channel.writeInbound(Unpooled.copiedBuffer(requests, StandardCharsets.US_ASCII));
         channel.runPendingTasks();
-
-        assertThat(output(channel))
-                .containsPattern("(?s)HTTP/1.1 503.*internal-failure.*HTTP/1.1 503.*internal-failure");
-        assertThat(channel.isOpen()).isTrue();
     }
 
     private static String output(EmbeddedChannel channel) {
