Take calls in a planned stop whose own deadline passes before its end

The stop does not shorten such a call; its deadline ends it first.

Evidence: a caller in PlannedStopTest#takesOnlyWhatCanEndBeforeExit with a deadline of 1 s at an upstream that answers at once. StopScheduleTest has the limits.

Why it works: StopSchedule weighs the earlier of the call's deadline and its expected end against the last answers.

--- a/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
+++ b/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
@@ -79,14 +79,16 @@
     }
 
     /**
-     * Returns whether an attempt that begins now can end before the last answers.
+     * Returns whether an attempt that begins now can end before the last answers, or ends before them at its deadline.
      *
      * @param nowMillis current time
+     * @param deadlineMillis deadline of the call
      * @param expectedMillis estimated time until the end of the attempt, in milliseconds
      * @return true if the attempt may begin
      */
-    public boolean allowsAttempt(long nowMillis, long expectedMillis) {
-        return nowMillis < lastAnswersAtMillis && expectedMillis <= lastAnswersAtMillis - nowMillis;
+    public boolean allowsAttempt(long nowMillis, long deadlineMillis, long expectedMillis) {
+        return nowMillis < lastAnswersAtMillis
+                && Math.min(deadlineMillis, nowMillis + expectedMillis) <= lastAnswersAtMillis;
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -381,14 +381,17 @@
     /**
      * Returns whether an attempt can end before a stopping daemon gives its last answers.
      *
+     * @param deadlineMillis deadline of the call
      * @param promptTokens number of prompt tokens, 0 for a plain call
      * @param ranMillis time for which a stream that would be resumed has run, in milliseconds
      */
-    boolean mayEndBeforeExit(Target target, int promptTokens, long ranMillis) {
+    boolean mayEndBeforeExit(Target target, long deadlineMillis, int promptTokens, long ranMillis) {
         return stop.stream().allMatch(schedule -> {
             int load = targetTable.inFlight(target.key());
             return schedule.allowsAttempt(
-                    clocks.steadyMillis(), serviceTimes.endMillis(target, load, promptTokens, ranMillis));
+                    clocks.steadyMillis(),
+                    deadlineMillis,
+                    serviceTimes.endMillis(target, load, promptTokens, ranMillis));
         });
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -184,7 +184,7 @@
         long ranMillis = responseBegun ? now() - request.arrivedAtMillis() : 0;
         return environment.fleet().targets(service, facts.model()).stream()
                 .filter(target -> !attempts.tried(target.key()))
-                .filter(target -> environment.mayEndBeforeExit(target, facts.promptTokens(), ranMillis))
+                .filter(target -> environment.mayEndBeforeExit(target, deadlineMillis, facts.promptTokens(), ranMillis))
                 .toList();
     }
 
