--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -237,4 +237,16 @@
         assertThat(dispatcher.decideAmongSilent(FRESH, List.of(silent), true, NOW + 500))
                 .isPresent();
     }
+
+    /** Guards against streams that are not resumed in a planned stop although little of them is left. */
+    @Test
+    void resumedStreamIsExpectedToEndSooner() {
+        Target target = target(1, "a");
+        times.recordRunTime(target, 5_000);
+        long firstEventMillis = times.firstEventMillis(target, 0, 1_400);
+
+        assertThat(times.endMillis(target, 0, 1_400, 0)).isEqualTo(5_000);
+        assertThat(times.endMillis(target, 0, 1_400, 3_000)).isEqualTo(2_000);
+        assertThat(times.endMillis(target, 0, 1_400, 6_000)).isEqualTo(firstEventMillis);
+    }
 }
