--- a/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
+++ b/core/src/main/java/io/sesamehead/coordination/drain/StopSchedule.java
@@ -69,14 +69,26 @@
     }
 
     /**
-     * Returns whether an attempt that begins now can end before the last answers.
+     * Returns whether new calls are refused.
      *
      * @param nowMillis current time
+     * @return true from the end of the time in which the platform may send connections
+     */
+    public boolean isRefusing(long nowMillis) {
+        return phase(nowMillis).compareTo(Phase.REFUSING) >= 0;
+    }
+
+    /**
+     * Returns whether an attempt that begins now can end before the last answers, or ends before them at its deadline.
+     *
+     * @param nowMillis current time
+     * @param deadlineMillis deadline of the call
      * @param expectedMillis estimated time until the end of the attempt, in milliseconds
      * @return true if the attempt may begin
      */
-    public boolean allowsAttempt(long nowMillis, long expectedMillis) {
-        return nowMillis < lastAnswersAtMillis && expectedMillis <= lastAnswersAtMillis - nowMillis;
+    public boolean allowsAttempt(long nowMillis, long deadlineMillis, long expectedMillis) {
+        return nowMillis < lastAnswersAtMillis
+                && Math.min(deadlineMillis, nowMillis + expectedMillis) <= lastAnswersAtMillis;
     }
 
     /**
