End a call at once after an exception in a callback

A caller would wait until its deadline, and an attempt could stay open for ever. An exception while an upstream's response was handled reached Netty: after the end of the response its connection no longer knows the call, so that only the deadline ended it; before the end, the connection reported a failure of the upstream, which counts a crash. And where the answer at the deadline failed, the answer was tried again before the attempts were cancelled, so that a second failure left the attempts at silent upstreams open, in no list that is checked later.

ForwardedCallFailureTest calls a held upstream on a real connection with a writer that throws. Before, no answer came within 1,000 ms of the response (deadline 1,700 ms), and the upstream's connection was still open 1,000 ms after the deadline; now the call is answered with 502 at once, no crash is counted, and the connection is closed.

GuardedExchange passes the events of an exchange on and ends the call where one cannot be handled. The end after a failure cancels the attempts first, then answers, and closes the caller's connection if that fails too.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -9,6 +9,7 @@
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.entry.port.ResponseMetadata;
 import io.sesamehead.entry.protocol.EventScanner;
+import io.sesamehead.entry.transport.ExchangeListener;
 import io.sesamehead.entry.transport.HttpConnectionPool;
 
 /**
@@ -89,9 +90,9 @@
         this.resumed = resumed;
     }
 
-    void start(FullHttpRequest request, boolean idempotent, ResponseReader reader) {
+    void start(FullHttpRequest request, boolean idempotent, ExchangeListener listener) {
         environment.targetTable().recordSent(target.key(), sentAtMillis);
-        exchange = environment.send(target, request, idempotent, reader);
+        exchange = environment.send(target, request, idempotent, listener);
         if (ended) {
             exchange.cancel();
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -212,10 +212,12 @@
         CallAttempt attempt = new CallAttempt(environment, crashes, this, target, expectedMillis, responseBegun);
         attempts.add(attempt);
         log.sent(attempts.size(), target, expectedMillis, lastEventId);
+        ResponseReader reader =
+                new ResponseReader(environment.translator(), facts.requestId(), route.kind(), responseBegun, attempt);
         attempt.start(
                 encodeRequest(target),
                 route.idempotent(),
-                new ResponseReader(environment.translator(), facts.requestId(), route.kind(), responseBegun, attempt));
+                new GuardedExchange(reader, environment.tasks(), this::endAfterFailure));
     }
 
     private FullHttpRequest encodeRequest(Target target) {
@@ -310,12 +312,19 @@
         finish();
     }
 
-    /** Ends a call whose end at the deadline has failed; no other timer would. */
+    /** Ends a call after an exception in its deadline or in a callback; nothing else would. */
     private void endAfterFailure() {
         finished = true;
+        deadlineTimer.cancel(false);
         environment.removeCall(this);
-        environment.sendError(responseWriter, ErrorResponse.MAY_HAVE_RUN, 0);
-        attempts.cancelAll();
+        // The answer may fail like what failed before, so the attempts are cancelled first.
+        environment.tasks().run("cancel-attempts", attempts::cancelAll, () -> {});
+        environment
+                .tasks()
+                .run(
+                        "answer-failed-call",
+                        () -> environment.sendError(responseWriter, ErrorResponse.MAY_HAVE_RUN, 0),
+                        responseWriter::abort);
     }
 
     private void complete(int status) {
--- /dev/null
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -0,0 +1,257 @@
+package io.sesamehead.entry.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.sesamehead.coordination.catalog.ActiveConfig;
+import io.sesamehead.coordination.catalog.Backend;
+import io.sesamehead.coordination.catalog.CallKind;
+import io.sesamehead.coordination.catalog.CallLimits;
+import io.sesamehead.coordination.catalog.Route;
+import io.sesamehead.coordination.catalog.ServiceProfile;
+import io.sesamehead.coordination.catalog.ServingConfig;
+import io.sesamehead.coordination.dispatch.BusyUpstreams;
+import io.sesamehead.coordination.dispatch.CrashHistory;
+import io.sesamehead.coordination.dispatch.CrashSubject;
+import io.sesamehead.coordination.dispatch.Dispatcher;
+import io.sesamehead.coordination.dispatch.PromptPartCrashes;
+import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
+import io.sesamehead.coordination.dispatch.TargetTable;
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.entry.port.AttemptMetadata;
+import io.sesamehead.entry.port.CallMetadata;
+import io.sesamehead.entry.port.CallTranslator;
+import io.sesamehead.entry.port.EntrySettings;
+import io.sesamehead.entry.port.ResponseMetadata;
+import io.sesamehead.entry.transport.HttpConnectionPool;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against calls and attempts that stay open because an exception occurred in a callback or in the answer. */
+@Timeout(30)
+final class ForwardedCallFailureTest {
+    private static final Endpoint ENDPOINT = new Endpoint("127.0.0.1", 1);
+    private static final FailureDomain DOMAIN = new FailureDomain("a");
+    private static final ServiceName SERVICE = new ServiceName("s");
+    /** Between the times after which the upstream counts as silent and as lost, in milliseconds. */
+    private static final long DEADLINE_MILLIS = 1_700;
+
+    private static final int REACTION_MILLIS = 1_000;
+
+    private final EventLoop loop = (EventLoop) new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final BlockingQueue<Integer> answers = new LinkedBlockingQueue<>();
+    private ServerSocket upstream;
+    private CallEnvironment environment;
+
+    @BeforeEach
+    void start() throws IOException {
+        upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        environment = environment(new Endpoint("127.0.0.1", upstream.getLocalPort()));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        upstream.close();
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void callIsAnsweredAtOnceWhenHandlingOfResponseFails() throws Exception {
+        start(1);
+        try (Socket socket = upstream.accept()) {
+            socket.getInputStream().read(new byte[1_024]);
+            socket.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+
+            assertThat(answers.poll(REACTION_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(502);
+            assertThat(environment.crashHistory().crashCount(subject(), 0)).isZero();
+        }
+    }
+
+    @Test
+    void attemptsEndWhenAnswerAtDeadlineFails() throws Exception {
+        start(Integer.MAX_VALUE);
+        try (Socket socket = upstream.accept()) {
+            socket.setSoTimeout((int) DEADLINE_MILLIS + REACTION_MILLIS);
+
+            assertThat(socket.getInputStream().readAllBytes()).isNotEmpty();
+        }
+        assertThat(environment.openCalls()).isZero();
+    }
+
+    private static CrashSubject subject() {
+        return CrashSubject.ofCall("/x", Optional.empty(), new byte[0]);
+    }
+
+    /** Starts a call the first answers of which fail. */
+    private void start(int failures) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/",
+                CallKind.UNSAFE,
+                DEADLINE_MILLIS,
+                100,
+                5,
+                List.of(new Backend(SERVICE, 1)),
+                1,
+                true,
+                false);
+        CallMetadata facts = new CallMetadata(
+                "id",
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                ImmutableList.of(),
+                Optional.empty());
+        CallRequest request = new CallRequest(
+                HttpMethod.GET,
+                "/x",
+                new DefaultHttpHeaders(),
+                new byte[0],
+                false,
+                environment.clocks().steadyMillis());
+        loop.execute(() -> new ForwardedCall(
+                        environment,
+                        request,
+                        subject(),
+                        ImmutableList.of(),
+                        facts,
+                        route,
+                        Optional.empty(),
+                        SERVICE,
+                        new FailingWriter(failures))
+                .start());
+    }
+
+    private CallEnvironment environment(Endpoint endpoint) {
+        EntrySettings settings = new EntrySettings(
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1);
+        Clocks clocks = new SystemClocks();
+        EventLog log = new EventLog(clocks);
+        TargetTable targetTable = new TargetTable();
+        BusyUpstreams busyUpstreams = new BusyUpstreams();
+        ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
+        CrashHistory crashHistory = new CrashHistory();
+        UpstreamRegistry registry = new UpstreamRegistry();
+        Fleet fleet = new Fleet();
+        UpstreamEntry entry = new UpstreamEntry(
+                new InstanceId("u"),
+                1,
+                0,
+                SERVICE,
+                endpoint,
+                DOMAIN,
+                1,
+                false,
+                "",
+                List.of(),
+                List.of(),
+                Optional.empty());
+        ServiceProfile service = new ServiceProfile(SERVICE, 0, Optional.empty());
+        fleet.update(
+                List.of(entry),
+                new ServingConfig(1, List.of(), Map.of(SERVICE, service), CallLimits.DEFAULT, false, Map.of()));
+        return new CallEnvironment(
+                settings,
+                loop,
+                clocks,
+                new TestTranslator(),
+                new ActiveConfig(1_000),
+                registry,
+                fleet,
+                targetTable,
+                serviceTimes,
+                busyUpstreams,
+                new Dispatcher(DOMAIN, targetTable, busyUpstreams, serviceTimes, new SplittableRandom(1)),
+                crashHistory,
+                new PromptPartCrashes(crashHistory, new DaemonId("d")),
+                new LeavingRecorder(clocks, registry, log, () -> {}),
+                null,
+                new ModelLoads(),
+                new HttpConnectionPool(loop, clocks, peer -> {}),
+                log,
+                new DaemonMetrics());
+    }
+
+    /** Throws exceptions instead of sending the first answers. */
+    private final class FailingWriter implements ResponseWriter {
+        private int failures;
+
+        private FailingWriter(int failures) {
+            this.failures = failures;
+        }
+
+        @Override
+        public void send(HttpResponseStatus status, HttpHeaders headers, byte[] body) {
+            if (failures > 0) {
+                failures--;
+                throw new IllegalStateException("failure of the test");
+            }
+            answers.add(status.code());
+        }
+
+        @Override
+        public void begin(HttpResponseStatus status, HttpHeaders headers) {}
+
+        @Override
+        public boolean write(byte[] bytes) {
+            return true;
+        }
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void abort() {}
+    }
+
+    private static final class TestTranslator implements CallTranslator {
+        @Override
+        public CallMetadata readCall(HttpHeaders headers) {
+            throw new UnsupportedOperationException("this test routes no call");
+        }
+
+        @Override
+        public void writeAttempt(HttpHeaders headers, AttemptMetadata attempt) {}
+
+        @Override
+        public ResponseMetadata readResponse(HttpResponse response) {
+            return new ResponseMetadata("id", true, false, false);
+        }
+
+        @Override
+        public String readinessPath() {
+            return "/ready";
+        }
+    }
+}
