Retry a call at the service that its route now names

Callers would see 502 for a safe call, or a broken stream, although the route's present service had targets: a retry went to the service chosen at admission only, which has none once it is drained or no longer configured.

RetryServices in core decides: the service of admission stays allowed, since the call was sent under the version that named it; the version in force goes first where it names other services and the route is of the same kind. A stream that has begun stays with the service that began it as long as that has targets. Without a route in force only the service of admission is left. The retry budget is that of the service that gets the retry.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import io.sesamehead.coordination.catalog.CallKind;
+import io.sesamehead.coordination.catalog.RetryServices;
 import io.sesamehead.coordination.catalog.Route;
 import io.sesamehead.coordination.catalog.Tenant;
 import io.sesamehead.coordination.dispatch.CrashSubject;
@@ -49,12 +50,15 @@
     private final CallMetadata facts;
     private final Route route;
     private final Optional<Tenant> tenant;
-    private final ServiceName service;
+    private final ServiceName admittedTo;
     private final ResponseWriter responseWriter;
     private final CallLog log;
     private final long deadlineMillis;
     private final CallAttempts attempts = new CallAttempts();
 
+    /** Service of the latest attempt. */
+    private ServiceName service;
+
     private Future<?> deadlineTimer;
     private boolean responseBegun;
 
@@ -77,6 +81,7 @@
         this.facts = facts;
         this.route = route;
         this.tenant = tenant;
+        this.admittedTo = service;
         this.service = service;
         this.responseWriter = responseWriter;
         this.log = new CallLog(environment, facts, route, request.arrivedAtMillis());
@@ -116,7 +121,8 @@
         if (finished || !concerned || !allSilent || !mayRunAgain()) {
             return;
         }
-        List<Target> candidates = untriedTargets();
+        chooseRetryService();
+        List<Target> candidates = untriedTargets(service);
         Optional<DispatchDecision.Send> decision =
                 switch (environment.dispatcher().decide(dispatchRequest(), candidates, now())) {
                     case DispatchDecision.Send send -> Optional.of(send);
@@ -155,7 +161,7 @@
     }
 
     private void dispatch() {
-        List<Target> candidates = untriedTargets();
+        List<Target> candidates = untriedTargets(service);
         DispatchRequest dispatchRequest = dispatchRequest();
         switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
             case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
@@ -172,8 +178,8 @@
                 crashes.suspectedPart());
     }
 
-    private List<Target> untriedTargets() {
-        return environment.fleet().targets(service, facts.model()).stream()
+    private List<Target> untriedTargets(ServiceName candidate) {
+        return environment.fleet().targets(candidate, facts.model()).stream()
                 .filter(target -> !attempts.tried(target.key()))
                 .toList();
     }
@@ -259,7 +265,8 @@
         if (mayHaveRun ? !mayRunAgain() : !mayRetry()) {
             return false;
         }
-        if (untriedTargets().stream().noneMatch(this::mayBeSentTo) || !environment.tryRetry(service, now())) {
+        chooseRetryService();
+        if (untriedTargets(service).stream().noneMatch(this::mayBeSentTo) || !environment.tryRetry(service, now())) {
             return false;
         }
         environment.metrics().count("calls_sent_again");
@@ -267,6 +274,17 @@
         return true;
     }
 
+    /** Chooses the first of the allowed services that has a target for a further attempt. */
+    private void chooseRetryService() {
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> inForce =
+                environment.activeConfig().table().flatMap(table -> table.find(host, request.target()));
+        RetryServices.inOrder(admittedTo, route, inForce, responseBegun).stream()
+                .filter(candidate -> untriedTargets(candidate).stream().anyMatch(this::mayBeSentTo))
+                .findFirst()
+                .ifPresent(candidate -> service = candidate);
+    }
+
     /** Returns whether a retry may be sent to a target. A silent target may only run calls that can be repeated. */
     private boolean mayBeSentTo(Target target) {
         boolean onlySilent = environment.targetTable().isOnlySilent(target.key(), now());
