End the use of upstreams that are removed just after a restore in time

For 2.3 s after a restore, as after an outage, entries that disappear are kept for upstreams that have yet to register again. After an outage the watch shows removals that happened meanwhile; after a restore the listing does, and a removal that the watch shows is a present one. An upstream that leaves without reporting it before then got requests for up to 2.3 s after the store had removed its entry, where it responds for no more than 2 s.

A removal seen by the watch in the time after a restore now keeps the entry for at most 1.3 s, which leaves time for the event to arrive through a batch and a relay. Outages without a restore are as before. With the limit at 2.3 s UpstreamRegistryTest.removalAfterRestoreTakesEffectInTime fails.

Not covered: an upstream that leaves without reporting it during the absence, and whose removal is written before the first listing. The listing lacks it like one that has yet to register again, and it is kept for the 2.3 s.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -26,6 +26,11 @@
      * Time without a response from the store that counts as an outage, in milliseconds. Exceeds the wait of a watch.
      */
     private static final long MIN_OUTAGE_MILLIS = 2_500;
+    /**
+     * Maximum time for which an upstream is kept whose removal was seen after a restore, in milliseconds. Shorter than
+     * the time for which an upstream that has left still responds.
+     */
+    private static final long MAX_REMOVED_RETENTION_MILLIS = 1_300;
     /** Interval at which upstreams that no longer exist are evicted, in milliseconds. */
     private static final long EVICTION_INTERVAL_MILLIS = 10_000;
 
@@ -39,6 +44,7 @@
     private final Map<InstanceId, Long> retainedUntilMillis = new HashMap<>();
     private long answeredAtMillis = Long.MIN_VALUE;
     private long reregistrationEndMillis;
+    private boolean reregistrationAfterRestore;
     private long evictedAtMillis;
 
     /**
@@ -56,6 +62,7 @@
      */
     void recordRestore(long nowMillis) {
         reregistrationEndMillis = nowMillis + REREGISTRATION_MILLIS;
+        reregistrationAfterRestore = true;
         removed.recordRestore(nowMillis);
         unproven.clear();
     }
@@ -64,6 +71,7 @@
     void recordStoreAnswer(long nowMillis, boolean afterFailure) {
         boolean first = answeredAtMillis == Long.MIN_VALUE;
         if (!first && (afterFailure || nowMillis - answeredAtMillis > MIN_OUTAGE_MILLIS)) {
+            reregistrationAfterRestore &= nowMillis < reregistrationEndMillis;
             reregistrationEndMillis = nowMillis + REREGISTRATION_MILLIS;
         }
         answeredAtMillis = Math.max(answeredAtMillis, nowMillis);
@@ -84,7 +92,7 @@
         }
         for (InstanceId id : List.copyOf(entries.keySet())) {
             if (!listed.containsKey(id)) {
-                remove(id, nowMillis);
+                remove(id, nowMillis, reregistrationEndMillis);
             }
         }
         unproven.clear();
@@ -107,7 +115,9 @@
         InstanceId id = new InstanceId(object.name());
         unproven.remove(id);
         if (change.deleted()) {
-            remove(id, nowMillis);
+            // After a restore, the listing lacks what expired during the absence, and a removal is a present one.
+            long retention = reregistrationAfterRestore ? MAX_REMOVED_RETENTION_MILLIS : REREGISTRATION_MILLIS;
+            remove(id, nowMillis, Math.min(reregistrationEndMillis, nowMillis + retention));
             return true;
         }
         if (object.content().isEmpty()) {
@@ -184,13 +194,13 @@
         formerGroups.observe(entry, nowMillis);
     }
 
-    private void remove(InstanceId id, long nowMillis) {
+    private void remove(InstanceId id, long nowMillis, long retainUntilMillis) {
         UpstreamEntry known = entries.get(id);
         if (known == null) {
             return;
         }
-        if (nowMillis < reregistrationEndMillis && !known.leaving()) {
-            retainedUntilMillis.putIfAbsent(id, reregistrationEndMillis);
+        if (nowMillis < retainUntilMillis && !known.leaving()) {
+            retainedUntilMillis.merge(id, retainUntilMillis, Math::min);
             return;
         }
         drop(id, nowMillis);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -101,6 +101,21 @@
         assertThat(registry.entries()).hasSize(1);
     }
 
+    /** Guards against calls to an upstream that leaves just after a restore for longer than it responds. */
+    @Test
+    void removalAfterRestoreTakesEffectInTime() {
+        registry.recordStoreAnswer(0, false);
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
+        registry.recordRestore(5_000);
+        registry.recordStoreAnswer(5_010, true);
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 5_010);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 5_050);
+
+        assertThat(registry.expire(6_300)).isFalse();
+        assertThat(registry.expire(6_350)).isTrue();
+        assertThat(registry.entries()).hasSize(1);
+    }
+
     /** Guards against calls to an upstream that has left, whose address another one may have by now. */
     @Test
     void doesNotUseRemovedUpstreamBecauseCopyListsIt() {
