List the current registry after a restore where the rate allows it

The listing after a restore may be stale, which costs a tenth and does not count toward the store's rate. A store that still has a state of the older era at hand returns that; PresentHistoryStore withholds it, and the daemon lists again only after its retry delay.

In a fleet of up to 25 daemons, which report to each other directly, the current listings of all are within the rate. These daemons, and any controller, now list currently at once, and have their confirmation with it. In larger fleets the first try may be stale and each later one is current; this is the form that all used before. With stale listings allowed at every try CachedStoreViewExchangeTest.listsAgainAfterStaleListingOfOlderHistory fails.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -180,6 +180,7 @@
                 log,
                 this::onFleetChange,
                 () -> lease.epoch().isPresent(),
+                () -> !topology.mesh(),
                 random);
         StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
                 clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -66,6 +66,7 @@
     private final EventLog log;
     private final Runnable onChange;
     private final BooleanSupplier isController;
+    private final BooleanSupplier isLargeFleet;
     private final RandomGenerator random;
     private final RecentChanges recent = new RecentChanges();
     private boolean relayReportReceived;
@@ -75,6 +76,7 @@
     private int sequence;
 
     private boolean restored;
+    private boolean triedStaleListing;
     private long confirmedAtMillis = NEVER;
     private boolean refreshing;
     private boolean failing;
@@ -88,6 +90,7 @@
             EventLog log,
             Runnable onChange,
             BooleanSupplier isController,
+            BooleanSupplier isLargeFleet,
             RandomGenerator random) {
         this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
@@ -96,6 +99,7 @@
         this.log = log;
         this.onChange = onChange;
         this.isController = isController;
+        this.isLargeFleet = isLargeFleet;
         this.random = random;
     }
 
@@ -115,6 +119,7 @@
     void onStoreRestored() {
         sequence++;
         restored = true;
+        triedStaleListing = false;
         refreshing = false;
         revision = StoreRevision.NONE;
         relayCurrentAtMillis = NEVER;
@@ -122,7 +127,7 @@
         recent.clear();
         registry.recordRestore(clocks.steadyMillis());
         long delayMillis = isController.getAsBoolean() ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS);
-        schedule(() -> list(true), delayMillis);
+        schedule(this::resume, delayMillis);
     }
 
     /** Whether the registry has been listed in the present history of the store. */
@@ -223,11 +228,20 @@
         if (listed()) {
             watch();
         } else {
-            // After a restore, a stale listing may still be of the ended history.
-            list(!restored);
+            list(!restored || mayListStaleAfterRestore());
         }
     }
 
+    /**
+     * A stale listing may still be of the ended history. It is tried once, and only where current listings of all
+     * daemons would exceed the store's rate.
+     */
+    private boolean mayListStaleAfterRestore() {
+        boolean firstTry = !triedStaleListing;
+        triedStaleListing = true;
+        return firstTry && isLargeFleet.getAsBoolean() && !isController.getAsBoolean();
+    }
+
     private void apply(List<ChangeBatch.Change<UpstreamEntry>> changes, long nowMillis) {
         for (ChangeBatch.Change<UpstreamEntry> change : changes) {
             if (!registry.apply(change, nowMillis)) {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -49,6 +49,7 @@
     private TestDaemon relay;
     private TestDaemon follower;
     private boolean relaySilent;
+    private boolean largeFleet;
     private long stampMillis;
 
     private final class TestDaemon {
@@ -79,6 +80,7 @@
                     log,
                     () -> {},
                     () -> false,
+                    () -> largeFleet,
                     new SplittableRandom(1));
             storeViews = new CachedStoreViewExchange(
                     clocks, activeConfig, registry, config, upstreams, history, this::onEra, log);
@@ -219,6 +221,18 @@
         }
     }
 
+    @Test
+    void listsAgainAfterStaleListingOfOlderHistory() {
+        largeFleet = true;
+        relay.store.oldListing = storeContents.listing();
+        restoreBehindWatches(() -> storeContents.leave("i-3"));
+        run(1_500);
+
+        assertThat(relay.entry("i-3"))
+                .hasValueSatisfying(entry -> assertThat(entry.leaving()).isTrue());
+        assertThat(relay.upstreams.revision()).isEqualTo(storeContents.revision);
+    }
+
     /** Guards against a follower that depends on its own contact with the store to learn of a restore. */
     @Test
     void relayTellsRestore() {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -102,6 +102,7 @@
                 log,
                 this::failAtFirst,
                 () -> false,
+                () -> true,
                 new SplittableRandom(1));
         failuresLeft = 1;
 
