Prove the lease again after a restore, and give no epoch out twice

A restored store has lost the lease's last states. A daemon could go on under a lease that only the older history had accepted, or renew one that the copy names although another daemon had taken it since; a daemon that had not read the lost renewals counted its wait from a state that it had seen long before; and the epochs given out in the lost part were given out again, so that the fencing token of two holders was the same.

On a rise of the era LeaseHolder sends nothing until the store has accepted a write of the lease in the present era. A holder within its TTL may write at once, on the condition of what the present era holds: nobody can have acquired the lease before its TTL and the wait have passed, in either history. Anyone else observes the lease anew for the full wait. A lease that was released in an older era is not taken at once, since a daemon that has just started cannot know what came after it. Each era begins with epochs of its own, 256 to an era, above those that the lost part can have given out. LeaseTask drops the revision that it read and ignores the answers to earlier requests.

A lease that is missing in the copy is still created at once by a daemon that knows of no epoch: the copy is then older than the first lease.

--- a/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
+++ b/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
@@ -13,6 +13,13 @@
 public final class LeaseHolder {
     /** Number of renewals per TTL, so that one lost write does not lose the lease. */
     private static final int RENEWALS_PER_TTL = 3;
+    /**
+     * Epochs that are reserved for each era of the store. A holder cannot know the epochs that were given out in the part
+     * of an older era that a restored store has lost.
+     */
+    private static final long EPOCHS_PER_ERA = 256;
+    /** Keeps the epochs of groups, which have 20 bits more, within the integers that JSON numbers hold exactly. */
+    private static final long ERA_MODULUS = 1L << 24;
 
     private final DaemonId self;
     private final Incarnation incarnation;
@@ -27,6 +34,10 @@
     private Optional<Lease> observed = Optional.empty();
     private long observedSinceMillis;
     private long highestEpoch;
+    private long firstEpochOfEra;
+    /** Whether the present era of the store has accepted a write of the held lease. */
+    private boolean heldInEra;
+
     private boolean stopping;
 
     /**
@@ -56,16 +67,68 @@
         confirmPending(nowMillis, read);
         long readEpoch = read.map(Lease::epoch).orElse(0L);
         highestEpoch = Math.max(highestEpoch, Math.max(highestEpochSeen, readEpoch));
+        if (mayContinue(nowMillis)) {
+            observing = false;
+            Lease last = held.get().renewals() >= read.map(Lease::renewals).orElse(0L) ? held.get() : read.get();
+            return write(
+                    nowMillis,
+                    new Lease(self, incarnation, held.get().epoch(), settings.ttlMillis(), last.renewals() + 1),
+                    LeaseDecision.Kind.RENEW);
+        }
         if (read.isPresent()
                 && read.get().heldBy(self, incarnation)
                 && !read.get().released()
-                && !isRestoredCopy(readEpoch)) {
+                && !isRestoredCopy(readEpoch)
+                && (isOfPresentEra(readEpoch) || held.isPresent())) {
             return decideAsHolder(nowMillis, read.get());
         }
         held = Optional.empty();
         return decideAsCandidate(nowMillis, read);
     }
 
+    /**
+     * Records the store's era as read. Leases of older eras may have been lost in a restore.
+     *
+     * @param era the era
+     */
+    public synchronized void recordEra(long era) {
+        firstEpochOfEra = Math.max(firstEpochOfEra, era % ERA_MODULUS * EPOCHS_PER_ERA);
+    }
+
+    /**
+     * Records that the store was restored from a copy. No order may be sent until the store has accepted a write of the
+     * lease again. While the held lease is within its TTL, no other daemon can have acquired it, before or after the
+     * restore, and it may be written again at once; otherwise this daemon has to wait as any other.
+     *
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return true if the lease is still held and should be written again soon
+     */
+    public synchronized boolean recordRestore(long nowMillis) {
+        heldInEra = false;
+        pending = Optional.empty();
+        observing = false;
+        if (!isWithinTtl(nowMillis)) {
+            held = Optional.empty();
+        }
+        return held.isPresent();
+    }
+
+    private boolean mayContinue(long nowMillis) {
+        return !stopping
+                && held.isPresent()
+                && !heldInEra
+                && isWithinTtl(nowMillis)
+                && !isRestoredCopy(held.get().epoch());
+    }
+
+    private boolean isWithinTtl(long nowMillis) {
+        return held.isPresent() && nowMillis < renewalSentAtMillis + settings.ttlMillis();
+    }
+
+    private boolean isOfPresentEra(long epoch) {
+        return epoch >= firstEpochOfEra;
+    }
+
     /**
      * Records that the store accepted the write of a lease. The TTL starts when {@link #decide} returned that write,
      * which is before the write was sent.
@@ -90,7 +153,7 @@
      * @return true if an order sent now takes effect before a successor can acquire the lease
      */
     public synchronized boolean maySend(long nowMillis) {
-        return !stopping && held.isPresent() && nowMillis < sendDeadlineMillis();
+        return !stopping && held.isPresent() && heldInEra && nowMillis < sendDeadlineMillis();
     }
 
     /**
@@ -153,7 +216,8 @@
         if (stopping || nowMillis < untilMillis) {
             return new LeaseDecision.Wait(untilMillis);
         }
-        Lease next = new Lease(self, incarnation, highestEpoch + 1, settings.ttlMillis(), 0);
+        long epoch = Math.max(highestEpoch + 1, firstEpochOfEra);
+        Lease next = new Lease(self, incarnation, epoch, settings.ttlMillis(), 0);
         return write(nowMillis, next, LeaseDecision.Kind.ACQUIRE);
     }
 
@@ -165,9 +229,12 @@
         return readEpoch < highestEpoch;
     }
 
+    /** A lease that was released in an older era may have been acquired again in the part that the store has lost. */
     private long waitMillis(Optional<Lease> read) {
-        boolean available = read.map(Lease::released).orElse(true)
-                && !isRestoredCopy(read.map(Lease::epoch).orElse(0L));
+        long readEpoch = read.map(Lease::epoch).orElse(0L);
+        boolean available = read.map(lease -> lease.released() && isOfPresentEra(lease.epoch()))
+                        .orElse(true)
+                && !isRestoredCopy(readEpoch);
         if (available) {
             return 0;
         }
@@ -192,12 +259,15 @@
         if (pending.isEmpty() || !pending.equals(stored)) {
             return;
         }
-        boolean continuous =
-                held.isPresent() && held.get().epoch() == stored.get().epoch() && nowMillis < sendDeadlineMillis();
+        boolean continuous = held.isPresent()
+                && heldInEra
+                && held.get().epoch() == stored.get().epoch()
+                && nowMillis < sendDeadlineMillis();
         if (!continuous) {
             heldSinceMillis = nowMillis;
         }
         held = pending;
+        heldInEra = true;
         renewalSentAtMillis = pendingSentAtMillis;
         pending = Optional.empty();
     }
--- a/core/src/test/java/io/sesamehead/coordination/lease/LeaseHolderTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/lease/LeaseHolderTest.java
@@ -113,6 +113,57 @@
         assertThat(second.decide(1_000, released, 0)).isEqualTo(new LeaseDecision.Wait(1_000 + WAIT_MILLIS));
     }
 
+    @Test
+    void holderProvesLeaseAgainAfterRestore() {
+        acquire(first, 0);
+        Optional<Lease> copy = Optional.of(lease(0));
+
+        assertThat(first.recordRestore(1_000)).isTrue();
+        assertThat(first.maySend(1_001)).isFalse();
+        Lease renewed = write(first.decide(1_100, copy, 0)).lease();
+        first.accepted(1_200, renewed);
+
+        assertThat(first.heldLease(1_300)).contains(new HeldLease(1, 1_200));
+        assertThat(renewed.renewals()).isPositive();
+    }
+
+    /** Another daemon may have acquired the lease in the part that the store has lost. */
+    @Test
+    void holderBeyondTtlWaitsAfterRestore() {
+        acquire(first, 0);
+        first.recordRestore(10_000);
+        first.recordEra(2);
+
+        assertThat(first.decide(10_100, stored, 0)).isEqualTo(new LeaseDecision.Wait(10_100 + WAIT_MILLIS));
+        assertThat(write(first.decide(10_100 + WAIT_MILLIS, stored, 0)).lease().epoch())
+                .isGreaterThan(1);
+    }
+
+    /** The lease looks unchanged to a daemon that has not read the renewals that the store has lost. */
+    @Test
+    void candidateObservesAgainAfterRestore() {
+        acquire(first, 0);
+        second.decide(100, stored, 0);
+        second.recordRestore(30_000);
+
+        assertThat(second.decide(30_000, stored, 0)).isEqualTo(new LeaseDecision.Wait(30_000 + WAIT_MILLIS));
+    }
+
+    /** A daemon that has just started cannot know of a holder in the part that the store has lost. */
+    @Test
+    void waitsForLeaseReleasedInOlderEra() {
+        acquire(first, 0);
+        Optional<Lease> released = first.release(0);
+        second.recordEra(2);
+        assertThat(second.decide(0, released, 0)).isEqualTo(new LeaseDecision.Wait(WAIT_MILLIS));
+        Lease taken = write(second.decide(WAIT_MILLIS, released, 0)).lease();
+        second.accepted(WAIT_MILLIS, taken);
+
+        LeaseHolder third = holder(3);
+        third.recordEra(2);
+        assertThat(third.decide(WAIT_MILLIS, second.release(0), 0)).isInstanceOf(LeaseDecision.Write.class);
+    }
+
     /**
      * Daemons with pauses, lost answers and late confirmations share a store; orders of two epochs must never overlap.
      */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -14,6 +14,7 @@
 import io.sesamehead.state.StoreRevision;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -52,6 +53,9 @@
     private final long ttlMillis;
     private Optional<StoredObject<Lease>> stored = Optional.empty();
     private long highestEpoch;
+    /** Number of reads that were started out of turn. What an earlier one has led to is ignored. */
+    private long sequence;
+
     private long holderReportedAtMillis = Long.MIN_VALUE / 2;
     private boolean stopping;
 
@@ -101,8 +105,32 @@
         holder.decide(holderReportedAtMillis, Optional.of(lease), highestEpoch);
     }
 
-    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
-    void onStoreRestored() {}
+    /** Handles a restore of the store from a copy: orders need a new proof of the lease. */
+    void onStoreRestored() {
+        boolean held = holder.recordRestore(clocks.bootMillis());
+        stored = Optional.empty();
+        sequence++;
+        if (held) {
+            tasks.run(TASK, this::read, this::readAgain);
+        } else {
+            schedulePoll(POLL_INTERVAL_MILLIS);
+        }
+    }
+
+    /** Returns a step that has no effect once the lease is read out of turn. */
+    private <T> Consumer<T> inSequence(Consumer<T> step) {
+        long started = sequence;
+        return value -> {
+            if (sequence == started) {
+                step.accept(value);
+            }
+        };
+    }
+
+    private <T> Consumer<T> callback(Consumer<T> step) {
+        Consumer<Runnable> onFailure = inSequence(Runnable::run);
+        return tasks.callback(TASK, inSequence(step), () -> onFailure.accept(this::readAgain));
+    }
 
     /** Records that an upstream has seen a later lease holder. */
     void onFenced() {
@@ -130,7 +158,11 @@
             schedulePoll(POLL_INTERVAL_MILLIS);
             return;
         }
-        store.list(ObjectKind.CONTROLLER_LEASE, false, tasks.callback(TASK, this::onListing, this::readAgain));
+        read();
+    }
+
+    private void read() {
+        store.list(ObjectKind.CONTROLLER_LEASE, false, callback(this::onListing));
     }
 
     private void onListing(StoreResult<Listing<Lease>> answer) {
@@ -141,12 +173,13 @@
             schedulePoll(RETRY_DELAY_MILLIS);
             return;
         }
+        holder.recordEra(listing.revision().era());
         Optional<StoredObject<Lease>> read = listing.objects().stream()
                 .filter(object -> object.name().equals(LEASE_NAME))
                 .findFirst();
         boolean older = read.isPresent()
                 && stored.isPresent()
-                && read.get().revision().number() < stored.get().revision().number();
+                && read.get().revision().compareTo(stored.get().revision()) < 0;
         if (!older) {
             stored = read;
         }
@@ -172,7 +205,7 @@
                 LEASE_NAME,
                 expected,
                 write.lease(),
-                tasks.callback(TASK, answer -> onWritten(write.kind(), answer), this::readAgain));
+                callback((StoreResult<StoredObject<Lease>> answer) -> onWritten(write.kind(), answer)));
     }
 
     private void onWritten(LeaseDecision.Kind kind, StoreResult<StoredObject<Lease>> answer) {
@@ -215,7 +248,8 @@
     }
 
     private void schedule(Runnable task, long millis) {
-        tasks.schedule(TASK, task, Math.max(1, millis), this::readAgain);
+        Consumer<Runnable> current = inSequence(Runnable::run);
+        tasks.schedule(TASK, () -> current.accept(task), Math.max(1, millis), () -> current.accept(this::readAgain));
     }
 
     /** Reads the lease with full consistency after a request whose effect is unknown. */
