--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -113,6 +113,7 @@
                 log,
                 this::failAtFirst,
                 () -> false,
+                () -> true,
                 new SplittableRandom(1));
         failuresLeft = 1;
 
