--- a/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EventLoopTasksTest.java
@@ -135,6 +135,7 @@
                 log,
                 this::failAtFirst,
                 () -> false,
+                () -> true,
                 new SplittableRandom(1));
         failure = error;
         failuresLeft = 1;
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -155,14 +155,14 @@
 
     private CallEnvironment environment(Endpoint endpoint) {
         EntrySettings settings = new EntrySettings(
-                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1);
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1, 1);
         Clocks clocks = new SystemClocks();
         EventLog log = new EventLog(clocks);
         TargetTable targetTable = new TargetTable();
         BusyUpstreams busyUpstreams = new BusyUpstreams();
         ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
         CrashHistory crashHistory = new CrashHistory();
-        UpstreamRegistry registry = new UpstreamRegistry();
+        UpstreamRegistry registry = new UpstreamRegistry(1);
         Fleet fleet = new Fleet();
         UpstreamEntry entry = new UpstreamEntry(
                 new InstanceId("u"),
