Write refused requests again that a restored store has lost

The requests that are refused because they crash upstreams are written when what is refused changes. A restore of the store loses those written since the copy; nobody wrote them again, and after the next loss of all daemons such a request would have reached upstreams once more.

Once per rise of the era, 0.5 s to 5 s later at random, a daemon that refuses something reads the object and writes it if a refused request or one of its crashes is missing there. The first daemon that writes spares the others: what is refused is exchanged in the daemons' reports. A failed call is retried as such a check, so that a daemon whose knowledge is stored writes nothing.

CrashRecorderTest#writesAgainWhatRestoredStoreLacks fails without the check: a daemon that starts after the loss does not refuse the request. #writesNothingThatRestoredStoreHas guards the number of calls: one failed read, one that finds everything, no write. The first fails and the second counts one read instead of three with the check switched off; both pass now.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -13,6 +13,7 @@
 import io.sesamehead.state.StoreRevision;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 
 /**
  * Persists the requests that are refused because of their crashes in one object of the store, so that they survive a
@@ -28,6 +29,13 @@
     /** Delay before a failed store call is retried, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 1_000;
 
+    /** Minimum delay after a restore of the store before its content is checked, in milliseconds. */
+    private static final long MIN_CHECK_DELAY_MILLIS = 500;
+    /** Time over which the checks of all daemons are spread, in milliseconds: the first that writes spares the others. */
+    private static final long CHECK_SPREAD_MILLIS = 4_500;
+
+    private static final long NEVER = Long.MAX_VALUE;
+
     private static final String READ_TASK = "crashes-read";
     private static final String WRITE_TASK = "crashes-write";
 
@@ -37,9 +45,14 @@
     private final ObjectStore store;
     private final CrashHistory crashHistory;
     private final EventLog log;
+    private final RandomGenerator random;
     private boolean writePending;
     private boolean writeInFlight;
+    /** Whether the pending call only writes what a restored store lacks. */
+    private boolean checking;
+
     private long nextWriteAtMillis;
+    private long checkAtMillis = NEVER;
 
     CrashRecorder(
             EventLoop loop,
@@ -47,13 +60,15 @@
             InstantSource wallClock,
             ObjectStore store,
             CrashHistory crashHistory,
-            EventLog log) {
+            EventLog log,
+            RandomGenerator random) {
         this.tasks = new EventLoopTasks(loop, log);
         this.clocks = clocks;
         this.wallClock = wallClock;
         this.store = store;
         this.crashHistory = crashHistory;
         this.log = log;
+        this.random = random;
     }
 
     /** Schedules the reads. */
@@ -63,14 +78,26 @@
         tasks.repeat(READ_TASK, this::read, READ_INTERVAL_MILLIS);
     }
 
-    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
-    void onStoreRestored() {}
+    /** Handles a restore of the store from a copy, which may lack refused requests that were written since. */
+    void onStoreRestored() {
+        checkAtMillis = clocks.steadyMillis() + MIN_CHECK_DELAY_MILLIS + random.nextLong(CHECK_SPREAD_MILLIS);
+    }
 
-    /** Writes what is refused if that has changed because of crashes at this daemon. */
+    /**
+     * Writes what is refused if that has changed because of crashes at this daemon, or if a restored store may lack a part
+     * of it.
+     */
     void writeIfChanged() {
-        writePending |= crashHistory.takeRefusalsChanged(clocks.steadyMillis());
-        if (writePending && !writeInFlight && clocks.steadyMillis() >= nextWriteAtMillis) {
+        long now = clocks.steadyMillis();
+        writePending |= crashHistory.takeRefusalsChanged(now);
+        boolean checkDue = now >= checkAtMillis;
+        if ((writePending || checkDue) && !writeInFlight && now >= nextWriteAtMillis) {
+            checking = !writePending;
             writePending = false;
+            checkAtMillis = NEVER;
+            if (checking && crashHistory.refusedRequests(now).isEmpty()) {
+                return;
+            }
             writeInFlight = true;
             tasks.run(WRITE_TASK, this::listAndWrite, this::onWriteTaskFailed);
         }
@@ -124,11 +151,15 @@
 
     private void write(StoreResult<Listing<CrashRecord>> listed) {
         Optional<StoreRevision> revision = mergeListing(listed);
-        if (!(listed instanceof StoreResult.Ok<Listing<CrashRecord>>)) {
+        if (!(listed instanceof StoreResult.Ok<Listing<CrashRecord>>(Listing<CrashRecord> listing))) {
             retry("list");
             return;
         }
         ImmutableList<CrashReport> refused = ImmutableList.copyOf(crashHistory.refusedRequests(clocks.steadyMillis()));
+        if (checking && refused.stream().allMatch(report -> isStored(report, listing))) {
+            writeInFlight = false;
+            return;
+        }
         CrashRecord record = new CrashRecord(wallClock.millis(), refused);
         store.write(ObjectKind.CRASHES, OBJECT_NAME, revision, record, answer -> {
             if (answer instanceof StoreResult.Ok<StoredObject<CrashRecord>>) {
@@ -140,10 +171,24 @@
         });
     }
 
+    private static boolean isStored(CrashReport report, Listing<CrashRecord> listing) {
+        return listing.objects().stream()
+                .flatMap(object -> object.content().stream())
+                .flatMap(record -> record.reports().stream())
+                .anyMatch(stored -> stored.subject().equals(report.subject())
+                        && stored.ageMillisByCrash()
+                                .keySet()
+                                .containsAll(report.ageMillisByCrash().keySet()));
+    }
+
     private void retry(String call) {
         writeInFlight = false;
-        writePending = true;
         nextWriteAtMillis = clocks.steadyMillis() + RETRY_DELAY_MILLIS;
+        if (checking) {
+            checkAtMillis = Math.min(checkAtMillis, nextWriteAtMillis);
+        } else {
+            writePending = true;
+        }
         log.write(EventLog.Component.STORE, "crashes-not-written", "call", call, "again_in_ms", RETRY_DELAY_MILLIS);
     }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -201,7 +201,7 @@
                 lease,
                 storeViewExchange,
                 log);
-        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log);
+        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log, random);
         this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
         this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashRecorderTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +36,13 @@
 
     private CrashRecorder recorder(CrashHistory history) {
         return new CrashRecorder(
-                loop, clocks, () -> Instant.ofEpochMilli(wallClockMillis), store, history, new EventLog(clocks));
+                loop,
+                clocks,
+                () -> Instant.ofEpochMilli(wallClockMillis),
+                store,
+                history,
+                new EventLog(clocks),
+                new SplittableRandom(1));
     }
 
     private void crash(CrashHistory history, CrashSubject request) {
@@ -111,6 +118,43 @@
         assertThat(loop.submit(() -> later.isRefused(FIRST, clocks.now)).get()).isTrue();
     }
 
+    /** A restored store has lost what was written since its copy; the next loss of all daemons would forget it. */
+    @Test
+    void writesAgainWhatRestoredStoreLacks() throws Exception {
+        CrashHistory one = new CrashHistory();
+        CrashRecorder recorder = recorder(one);
+        crash(one, FIRST);
+        recorder.writeIfChanged();
+        store.object = Optional.empty();
+        recorder.onStoreRestored();
+        store.listsToRefuse = 1;
+        runFor(recorder, 10_000);
+
+        assertThat(startDaemon().isRefused(FIRST, clocks.now)).isTrue();
+        assertThat(store.writes).isEqualTo(2);
+    }
+
+    @Test
+    void writesNothingThatRestoredStoreHas() {
+        CrashHistory one = new CrashHistory();
+        CrashRecorder recorder = recorder(one);
+        crash(one, FIRST);
+        recorder.writeIfChanged();
+        recorder.onStoreRestored();
+        store.listsToRefuse = 1;
+        runFor(recorder, 10_000);
+
+        assertThat(store.writes).isEqualTo(1);
+        assertThat(store.lists).isEqualTo(3);
+    }
+
+    private void runFor(CrashRecorder recorder, long millis) {
+        for (long passed = 0; passed < millis; passed += 50) {
+            clocks.now += 50;
+            recorder.writeIfChanged();
+        }
+    }
+
     @Test
     void makesNoStoreCallsBelowCrashLimit() {
         CrashHistory one = new CrashHistory();
