Register a daemon again when its entry is missing in the store

A daemon registered its report address once. After a restore of the store, or after a removal of the object, the entry was missing for good: daemons that started later did not find it. A listing of the copy also made the others forget peers that had registered since, so that their reports went nowhere.

PeerDirectory compares each listing with the revision of its last registration: if the listing is not older and lacks the entry or has another address, it registers again. After a rise of the era it lists within 2 s, spread by the daemon's name, and for 5 s the known daemons and addresses stay in use beside the listed ones, since all register again meanwhile.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerDirectory.java
@@ -36,6 +36,14 @@
     /** Maximum number of other daemons at which the list interval stays at its initial value. */
     private static final int FEW_PEERS = 2;
 
+    /** Time over which the listings of all daemons after a restore of the store are spread, in milliseconds. */
+    private static final int RESTORE_SPREAD_MILLIS = 2_000;
+    /**
+     * Time after a restore for which the known daemons and addresses count beside the listed ones, in milliseconds. All
+     * daemons register again meanwhile.
+     */
+    private static final long RETENTION_MILLIS = 5_000;
+
     private static final String TASK = "peer-listing";
 
     private final EventLoopTasks tasks;
@@ -45,10 +53,14 @@
     private final ReportTopology topology;
     private final EventLog log;
     private final Map<DaemonId, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<DaemonId, FailureDomain> failureDomains = new HashMap<>();
     private Future<?> nextListing;
     private long intervalMillis = INITIAL_LIST_INTERVAL_MILLIS;
     private long listedAtMillis;
-    private boolean registered;
+    /** Revision at which this daemon was last registered. */
+    private Optional<StoreRevision> registeredAt = Optional.empty();
+
+    private long retainUntilMillis = Long.MIN_VALUE;
 
     PeerDirectory(
             EventLoop loop,
@@ -70,8 +82,12 @@
         tasks.execute(TASK, this::list, this::scheduleRetry);
     }
 
-    /** Handles a restore of the store from a copy, which ends the history that this daemon has read. */
-    void onStoreRestored() {}
+    /** Handles a restore of the store from a copy, which may lack registrations and list former addresses. */
+    void onStoreRestored() {
+        retainUntilMillis = clocks.steadyMillis() + RETENTION_MILLIS;
+        intervalMillis = INITIAL_LIST_INTERVAL_MILLIS;
+        scheduleListing(Math.floorMod(settings.daemon().hashCode(), RESTORE_SPREAD_MILLIS));
+    }
 
     /** Returns the report addresses of all other daemons. */
     Collection<InetSocketAddress> addresses() {
@@ -118,8 +134,10 @@
         DaemonEndpoint own = new DaemonEndpoint(settings.peerEndpoint(), settings.failureDomain());
         Optional<StoreRevision> ownRevision = Optional.empty();
         boolean current = false;
-        Map<DaemonId, FailureDomain> listed = new HashMap<>();
-        addresses.clear();
+        if (clocks.steadyMillis() >= retainUntilMillis) {
+            addresses.clear();
+            failureDomains.clear();
+        }
         for (StoredObject<DaemonEndpoint> object : listing.objects()) {
             if (object.name().equals(settings.daemon())) {
                 ownRevision = Optional.of(object.revision());
@@ -127,12 +145,16 @@
             } else if (object.content().isPresent()) {
                 DaemonId id = new DaemonId(object.name());
                 Endpoint endpoint = object.content().get().reportsTo();
-                addresses.put(id, new InetSocketAddress(endpoint.host(), endpoint.port()));
-                listed.put(id, object.content().get().failureDomain());
+                addresses.putIfAbsent(id, new InetSocketAddress(endpoint.host(), endpoint.port()));
+                failureDomains.putIfAbsent(id, object.content().get().failureDomain());
             }
         }
-        topology.updatePeers(listed);
-        if (!current && !registered) {
+        topology.updatePeers(failureDomains);
+        // The listing may be older than the registration.
+        boolean includesOwnWrite = registeredAt
+                .map(written -> listing.revision().compareTo(written) >= 0)
+                .orElse(true);
+        if (!current && includesOwnWrite) {
             register(own, ownRevision);
         }
         scheduleListing(intervalMillis);
@@ -152,7 +174,10 @@
 
     private void register(DaemonEndpoint own, Optional<StoreRevision> expected) {
         store.write(ObjectKind.DAEMONS, settings.daemon(), expected, own, answer -> {
-            registered = answer instanceof StoreResult.Ok<StoredObject<DaemonEndpoint>>;
+            boolean registered = answer instanceof StoreResult.Ok<StoredObject<DaemonEndpoint>>;
+            if (answer instanceof StoreResult.Ok<StoredObject<DaemonEndpoint>>(StoredObject<DaemonEndpoint> object)) {
+                registeredAt = Optional.of(object.revision());
+            }
             log.write(EventLog.Component.PEER, "registered", "endpoint", own.reportsTo(), "done", registered);
             if (!registered) {
                 scheduleListing(INITIAL_LIST_INTERVAL_MILLIS);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -93,9 +93,61 @@
         assertThat(directory.addresses()).hasSize(6);
     }
 
+    /** A restored store may have lost the registration, as may one whose object was removed. */
+    @Test
+    void registersAgainWhenEntryIsMissing() {
+        run(60_000);
+        assertThat(store.writes).isEqualTo(1);
+        store.registration = Optional.empty();
+        store.revision++;
+        run(16_000);
+
+        assertThat(store.writes).isEqualTo(2);
+        assertThat(store.registration).isPresent();
+    }
+
+    @Test
+    void registersAgainSoonAfterRestore() {
+        run(60_000);
+        store.registration = Optional.empty();
+        store.era++;
+        store.revision = 1;
+        directory.onStoreRestored();
+        run(2_100);
+
+        assertThat(store.registration).isPresent();
+    }
+
+    /** Listings may be seconds old. */
+    @Test
+    void registersOnceWhileListingIsOlderThanRegistration() {
+        store.registration = Optional.empty();
+        store.revision--;
+        run(10_000);
+
+        assertThat(store.writes).isEqualTo(1);
+    }
+
+    @Test
+    void keepsKnownDaemonsThatCopyDoesNotList() {
+        run(60_000);
+        store.daemonCount = 1;
+        store.era++;
+        directory.onStoreRestored();
+        run(3_000);
+        assertThat(directory.addresses()).hasSize(5);
+        run(20_000);
+
+        assertThat(directory.addresses()).hasSize(1);
+    }
+
     private static final class FakeStore implements ObjectStore {
         private int daemonCount;
         private int listCalls;
+        private int writes;
+        private long era;
+        private long revision = 1;
+        private Optional<StoredObject<DaemonEndpoint>> registration = Optional.empty();
 
         @Override
         @SuppressWarnings("unchecked")
@@ -105,10 +157,11 @@
             for (int i = 0; i < daemonCount; i++) {
                 DaemonEndpoint endpoint =
                         new DaemonEndpoint(new Endpoint("127.0.0.1", 1_000 + i), new FailureDomain("a"));
-                objects.add(
-                        (StoredObject<T>) new StoredObject<>("d-" + i, new StoreRevision(0, 1), Optional.of(endpoint)));
+                objects.add((StoredObject<T>)
+                        new StoredObject<>("d-" + i, new StoreRevision(era, 1), Optional.of(endpoint)));
             }
-            done.accept(new StoreResult.Ok<>(new Listing<>(objects, new StoreRevision(0, 1))));
+            registration.ifPresent(object -> objects.add((StoredObject<T>) object));
+            done.accept(new StoreResult.Ok<>(new Listing<>(objects, new StoreRevision(era, revision))));
         }
 
         @Override
@@ -118,13 +171,18 @@
         }
 
         @Override
+        @SuppressWarnings("unchecked")
         public <T> void write(
                 ObjectKind<T> kind,
                 String name,
                 Optional<StoreRevision> expected,
                 T content,
                 Consumer<StoreResult<StoredObject<T>>> done) {
-            done.accept(new StoreResult.Ok<>(new StoredObject<>(name, new StoreRevision(0, 2), Optional.of(content))));
+            writes++;
+            revision++;
+            StoredObject<T> object = new StoredObject<>(name, new StoreRevision(era, revision), Optional.of(content));
+            registration = Optional.of((StoredObject<DaemonEndpoint>) object);
+            done.accept(new StoreResult.Ok<>(object));
         }
     }
 }
