Acquire no epoch that upstreams have seen already

The highest epoch was known from leases and the holder's reports only. A daemon that starts and reads an older copy of the lease, or a store whose lease was removed, took an epoch at once that another holder may still have been sending under: two holders with one fencing token.

The entries of the upstreams name the epochs of their groups, whose upper bits are the controller's epoch (ControllerTerm passes the lease's epoch to FleetPlanner and as the fencing token). LeaseTask gives the highest of them to the decision. A candidate that reads a lower epoch waits as for a restored copy and acquires a higher one. It does not end a lease that is held, and entries that no controller of this system can have caused are left out: names that ReplicaKey did not form, and epochs whose groups would exceed 2^53.

LeaseTaskTest#startedDaemonTakesNoEpochThatUpstreamsHaveSeen fails without it: the daemon holds epoch 2 within 1 s although an upstream has seen epoch 7. It passes now with epoch 8 after the wait. #keepsLeaseBesideEntriesWithOddEpochs guards against another writer's entry.

--- a/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
+++ b/core/src/main/java/io/sesamehead/coordination/lease/LeaseHolder.java
@@ -64,6 +64,23 @@
      * @return the decision
      */
     public synchronized LeaseDecision decide(long nowMillis, Optional<Lease> read, long highestEpochSeen) {
+        return decide(nowMillis, read, highestEpochSeen, 0);
+    }
+
+    /**
+     * Decides the next step after {@code controllers/<fd>} has been read.
+     *
+     * @param nowMillis current monotonic time, taken after the read has ended and before a write is sent, in
+     *     milliseconds
+     * @param read content of the object, or empty if it does not exist
+     * @param highestEpochSeen highest controller epoch known from other daemons, or 0 if there is none; a store restored
+     *     from a backup can contain a lower epoch
+     * @param upstreamEpoch highest controller epoch in the entries of upstreams, or 0 if there is none. It limits what may
+     *     be acquired, but does not end a lease that is held
+     * @return the decision
+     */
+    public synchronized LeaseDecision decide(
+            long nowMillis, Optional<Lease> read, long highestEpochSeen, long upstreamEpoch) {
         confirmPending(nowMillis, read);
         long readEpoch = read.map(Lease::epoch).orElse(0L);
         highestEpoch = Math.max(highestEpoch, Math.max(highestEpochSeen, readEpoch));
@@ -83,7 +100,7 @@
             return decideAsHolder(nowMillis, read.get());
         }
         held = Optional.empty();
-        return decideAsCandidate(nowMillis, read);
+        return decideAsCandidate(nowMillis, read, upstreamEpoch);
     }
 
     /**
@@ -206,17 +223,17 @@
         return write(nowMillis, read.renewed(settings.ttlMillis()), LeaseDecision.Kind.RENEW);
     }
 
-    private LeaseDecision decideAsCandidate(long nowMillis, Optional<Lease> read) {
+    private LeaseDecision decideAsCandidate(long nowMillis, Optional<Lease> read, long upstreamEpoch) {
         if (!observing || !observed.equals(read)) {
             observing = true;
             observed = read;
             observedSinceMillis = nowMillis;
         }
-        long untilMillis = observedSinceMillis + waitMillis(read);
+        long untilMillis = observedSinceMillis + waitMillis(read, upstreamEpoch);
         if (stopping || nowMillis < untilMillis) {
             return new LeaseDecision.Wait(untilMillis);
         }
-        long epoch = Math.max(highestEpoch + 1, firstEpochOfEra);
+        long epoch = Math.max(Math.max(highestEpoch, upstreamEpoch) + 1, firstEpochOfEra);
         Lease next = new Lease(self, incarnation, epoch, settings.ttlMillis(), 0);
         return write(nowMillis, next, LeaseDecision.Kind.ACQUIRE);
     }
@@ -230,11 +247,12 @@
     }
 
     /** A lease that was released in an older era may have been acquired again in the part that the store has lost. */
-    private long waitMillis(Optional<Lease> read) {
+    private long waitMillis(Optional<Lease> read, long upstreamEpoch) {
         long readEpoch = read.map(Lease::epoch).orElse(0L);
         boolean available = read.map(lease -> lease.released() && isOfPresentEra(lease.epoch()))
                         .orElse(true)
-                && !isRestoredCopy(readEpoch);
+                && !isRestoredCopy(readEpoch)
+                && readEpoch >= upstreamEpoch;
         if (available) {
             return 0;
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -163,11 +163,7 @@
         long incarnation = random.nextLong();
         CrashHistory crashHistory = new CrashHistory();
         PromptPartCrashes partCrashes = new PromptPartCrashes(crashHistory, new DaemonId(settings.daemon()));
-        LeaseSettings leaseSettings =
-                new LeaseSettings(LEASE_TTL_MILLIS, MAX_CLOCK_DRIFT_MILLIS, MAX_ORDER_DELAY_MILLIS);
-        LeaseHolder holder =
-                new LeaseHolder(new DaemonId(settings.daemon()), new Incarnation(incarnation), leaseSettings);
-        this.lease = new LeaseTask(loop, clocks, presentStore, holder, LEASE_TTL_MILLIS, log, random);
+        this.lease = leaseTask(presentStore, new Incarnation(incarnation), random);
         ReportTopology topology = new ReportTopology(new DaemonId(settings.daemon()), settings.failureDomain());
         this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
@@ -201,12 +197,20 @@
                 lease,
                 storeViewExchange,
                 log);
-        this.crashRecorder = new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log, random);
+        this.crashRecorder =
+                new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log, random);
         this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
         this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
     }
 
+    private LeaseTask leaseTask(ObjectStore presentStore, Incarnation incarnation, RandomGenerator random) {
+        LeaseSettings leaseSettings =
+                new LeaseSettings(LEASE_TTL_MILLIS, MAX_CLOCK_DRIFT_MILLIS, MAX_ORDER_DELAY_MILLIS);
+        LeaseHolder holder = new LeaseHolder(new DaemonId(settings.daemon()), incarnation, leaseSettings);
+        return new LeaseTask(loop, clocks, presentStore, holder, registry::entries, LEASE_TTL_MILLIS, log, random);
+    }
+
     /** Creates the environment shared by all calls. */
     private CallEnvironment callEnvironment(
             CrashHistory crashHistory,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -4,17 +4,22 @@
 import io.sesamehead.coordination.lease.Lease;
 import io.sesamehead.coordination.lease.LeaseDecision;
 import io.sesamehead.coordination.lease.LeaseHolder;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.Listing;
 import io.sesamehead.entry.port.ObjectKind;
 import io.sesamehead.entry.port.ObjectStore;
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Epoch;
 import io.sesamehead.state.Incarnation;
 import io.sesamehead.state.StoreRevision;
+import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -42,12 +47,16 @@
     /** Delay after a failed request, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 200;
 
+    /** Higher epochs in the entries of upstreams are not of this system: those of its groups would exceed 2^53. */
+    private static final long MAX_UPSTREAM_EPOCH = (1L << 33) - 2;
+
     private static final String TASK = "lease";
 
     private final EventLoopTasks tasks;
     private final Clocks clocks;
     private final ObjectStore store;
     private final LeaseHolder holder;
+    private final Supplier<? extends Collection<UpstreamEntry>> upstreams;
     private final EventLog log;
     private final RandomGenerator random;
     private final long ttlMillis;
@@ -64,6 +73,7 @@
             Clocks clocks,
             ObjectStore store,
             LeaseHolder holder,
+            Supplier<? extends Collection<UpstreamEntry>> upstreams,
             long ttlMillis,
             EventLog log,
             RandomGenerator random) {
@@ -71,6 +81,7 @@
         this.clocks = clocks;
         this.store = store;
         this.holder = holder;
+        this.upstreams = upstreams;
         this.ttlMillis = ttlMillis;
         this.log = log;
         this.random = random;
@@ -189,7 +200,7 @@
     private void decide() {
         Optional<Lease> lease = stored.flatMap(StoredObject::content);
         lease.ifPresent(value -> highestEpoch = Math.max(highestEpoch, value.epoch()));
-        switch (holder.decide(clocks.bootMillis(), lease, highestEpoch)) {
+        switch (holder.decide(clocks.bootMillis(), lease, highestEpoch, upstreamEpoch())) {
             case LeaseDecision.Write write -> write(write);
             case LeaseDecision.Hold hold -> schedule(this::decide, hold.renewAtMillis() - clocks.bootMillis());
             case LeaseDecision.Wait wait ->
@@ -198,6 +209,18 @@
         }
     }
 
+    /** Returns the highest controller epoch in the entries of upstreams, of those that name a group of this system. */
+    private long upstreamEpoch() {
+        return upstreams.get().stream()
+                .flatMap(upstream -> upstream.membership().stream())
+                .map(Membership::replica)
+                .filter(replica -> replica.model().isPresent())
+                .mapToLong(replica -> new Epoch(replica.epoch()).controllerEpoch())
+                .filter(epoch -> epoch <= MAX_UPSTREAM_EPOCH)
+                .max()
+                .orElse(0);
+    }
+
     private void write(LeaseDecision.Write write) {
         Optional<StoreRevision> expected = stored.map(StoredObject::revision);
         store.write(
--- a/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/LeaseTaskTest.java
@@ -6,6 +6,10 @@
 import io.sesamehead.coordination.lease.Lease;
 import io.sesamehead.coordination.lease.LeaseHolder;
 import io.sesamehead.coordination.lease.LeaseSettings;
+import io.sesamehead.coordination.replica.MemberState;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.ReplicaKey;
+import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.entry.port.ChangeBatch;
 import io.sesamehead.entry.port.Listing;
 import io.sesamehead.entry.port.ObjectKind;
@@ -13,8 +17,14 @@
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.Epoch;
+import io.sesamehead.state.FailureDomain;
 import io.sesamehead.state.Incarnation;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
 import io.sesamehead.state.StoreRevision;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -36,6 +46,7 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeStore store = new FakeStore();
     private final FakeClocks clocks = new FakeClocks(1_000_000);
+    private final List<UpstreamEntry> upstreams = new ArrayList<>();
     private LeaseTask first;
     private LeaseTask second;
 
@@ -49,6 +60,7 @@
                 clocks,
                 store,
                 holder,
+                () -> upstreams,
                 TTL_MILLIS,
                 new EventLog(clocks),
                 new SplittableRandom(incarnation));
@@ -152,6 +164,51 @@
         assertThat(first.epoch()).isEmpty();
     }
 
+    private static UpstreamEntry member(ReplicaKey replica) {
+        return new UpstreamEntry(
+                new InstanceId("e-" + replica.epoch()),
+                1,
+                1,
+                new ServiceName("pool"),
+                new Endpoint("127.0.0.1", 80),
+                new FailureDomain("a"),
+                18,
+                false,
+                "d0",
+                List.of(),
+                List.of(),
+                Optional.of(new Membership(replica, 0, MemberState.OPEN)));
+    }
+
+    /** A daemon that has just started reads an older copy of the lease, whose next epoch was given out already. */
+    @Test
+    void startedDaemonTakesNoEpochThatUpstreamsHaveSeen() {
+        upstreams.add(member(ReplicaKey.of("m0", Epoch.of(7, 3).value())));
+        first.stop(0);
+        second.stop(0);
+        LeaseTask third = task("c", 3);
+        third.start();
+        run(1_000);
+        assertThat(third.epoch()).as("another daemon may hold the lease").isEmpty();
+
+        runUntilHeld(third, TAKEOVER_MILLIS);
+        assertThat(third.epoch()).hasValue(8);
+    }
+
+    /** Another writer's entry must not end the lease, or use up the epochs. */
+    @Test
+    void keepsLeaseBesideEntriesWithOddEpochs() {
+        upstreams.add(member(ReplicaKey.of("m0", -1)));
+        upstreams.add(member(ReplicaKey.of("m0", Long.MAX_VALUE)));
+        upstreams.add(member(new ReplicaKey("other", Epoch.of(9, 1).value())));
+        run(3_000);
+        assertThat(first.epoch()).hasValue(1);
+        first.stop(0);
+
+        runUntilHeld(second, TAKEOVER_MILLIS);
+        assertThat(second.epoch()).hasValue(2);
+    }
+
     /** Stores the lease. Writes of the daemon in {@code unreachableFor} get no response and have no effect. */
     private static final class FakeStore implements ObjectStore {
         private Optional<StoredObject<Lease>> lease = Optional.empty();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/RestoredLeaseTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/RestoredLeaseTest.java
@@ -160,6 +160,7 @@
                         clocks,
                         new PresentHistoryStore(this, history, channel.eventLoop()),
                         holder,
+                        List::of,
                         TTL_MILLIS,
                         new EventLog(clocks),
                         random.split());
