--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -172,16 +172,7 @@
         this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
                 loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
-        this.registryWatch = new RegistryWatch(
-                loop,
-                clocks,
-                presentStore,
-                registry,
-                log,
-                this::onFleetChange,
-                () -> lease.epoch().isPresent(),
-                () -> !topology.mesh(),
-                random);
+        this.registryWatch = registryWatch(presentStore, topology, random);
         StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
                 clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
@@ -207,6 +198,19 @@
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random));
     }
 
+    private RegistryWatch registryWatch(ObjectStore presentStore, ReportTopology topology, RandomGenerator random) {
+        return new RegistryWatch(
+                loop,
+                clocks,
+                presentStore,
+                registry,
+                log,
+                this::onFleetChange,
+                () -> lease.epoch().isPresent(),
+                () -> !topology.mesh(),
+                random);
+    }
+
     /** Creates the environment shared by all calls. */
     private CallEnvironment callEnvironment(
             CrashHistory crashHistory,
