Accept the waiting connections before a planned stop closes its port

Callers saw: in a planned stop, connections that were opened before the daemon left the rotation were reset without an answer, if its event loop was late when requests begin to be refused.

Cause: the first step of the refusals closed the listening socket, and with it the connections that the system had accepted and the event loop had not.

Evidence: PlannedStopTest#refusesRequestsOnConnectionsThatWaitToBeAccepted opens 40 connections while the process is paused across that moment. Before: connection reset on the first. After: 503 on each, and no request reaches an upstream; the other tests of the class and those of callers' connections pass.

Why it works: requests are refused by time already, so the port can stay open 50 ms longer, in which the event loop accepts what waits and refuses it. The process does not exit before the port is closed.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -32,6 +32,11 @@
      * sockets in between, so that no connection is closed whose next request has arrived.
      */
     private static final long IDLE_CLOSE_DELAY_MILLIS = 1;
+    /**
+     * Delay between the first refusal of a stop and the close of the listener, in milliseconds. The event loop accepts the
+     * waiting connections meanwhile; the close would reset them.
+     */
+    private static final long LISTENER_CLOSE_DELAY_MILLIS = 50;
     /** Retry-After value of a request rejected during the stop, in milliseconds: another daemon can take it at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
     /** Maximum number of connections waiting to be accepted. */
@@ -108,15 +113,26 @@
     }
 
     /**
-     * Stops accepting connections and closes idle ones.
+     * Stops accepting connections, after those that wait to be accepted, and closes idle ones.
      *
      * @param idleMillis idle time after which a connection is closed, in milliseconds
      */
     void stopAccepting(long idleMillis) {
+        if (stoppingIdleMillis.isEmpty()) {
+            stoppingIdleMillis = OptionalLong.of(idleMillis);
+            tasks.schedule("close-listener", this::closeListener, LISTENER_CLOSE_DELAY_MILLIS, this::closeListener);
+        }
+        closeTimedOut();
+    }
+
+    private void closeListener() {
         listener.ifPresent(Channel::close);
         listener = Optional.empty();
-        stoppingIdleMillis = OptionalLong.of(idleMillis);
-        closeTimedOut();
+    }
+
+    /** Returns whether no connection is open or can be opened. */
+    boolean isClosed() {
+        return listener.isEmpty() && connections.isEmpty();
     }
 
     /** Ends each open request: a call with what is known of it, an incomplete request with a refusal. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -301,7 +301,7 @@
         if (phase != StopSchedule.Phase.REFUSING) {
             callerServer.answerOpenRequests();
         }
-        if (callerServer.openConnections() == 0 || phase == StopSchedule.Phase.EXITING) {
+        if (callerServer.isClosed() || phase == StopSchedule.Phase.EXITING) {
             exit();
         }
     }
