--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -168,16 +168,7 @@
         this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
                 loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
-        this.registryWatch = new RegistryWatch(
-                loop,
-                clocks,
-                presentStore,
-                registry,
-                log,
-                this::onFleetChange,
-                () -> lease.epoch().isPresent(),
-                () -> !topology.mesh(),
-                random);
+        this.registryWatch = registryWatch(presentStore, topology, random);
         StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
                 clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
@@ -211,6 +202,19 @@
         return new LeaseTask(loop, clocks, presentStore, holder, registry::entries, LEASE_TTL_MILLIS, log, random);
     }
 
+    private RegistryWatch registryWatch(ObjectStore presentStore, ReportTopology topology, RandomGenerator random) {
+        return new RegistryWatch(
+                loop,
+                clocks,
+                presentStore,
+                registry,
+                log,
+                this::onFleetChange,
+                () -> lease.epoch().isPresent(),
+                () -> !topology.mesh(),
+                random);
+    }
+
     /** Creates the environment shared by all calls. */
     private CallEnvironment callEnvironment(
             CrashHistory crashHistory,
