Keep a planned stop going after one of its steps has failed

Callers would see open requests cut without an answer at the end of a planned stop: one connection or call whose handling throws kept all later steps, the last answers and the exit, from their time until the forced kill.

ForwardedCallFailureTest#callIsAnsweredWhenItsEndInStopFails fails with the empty action of before (no answer in 1,000 ms) and passes now. Each step of the stop and each connection runs by itself, and a call whose end fails is ended as after any other exception: its attempts are cancelled and it is answered.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -409,7 +409,7 @@
     /** Ends all open calls because the daemon is about to exit. */
     void endCallsForStop() {
         for (ForwardedCall call : List.copyOf(openCalls)) {
-            tasks.run("end-call", call::endForStop, () -> {});
+            tasks.run("end-call", call::endForStop, call::endAfterFailure);
         }
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -138,7 +138,9 @@
     /** Ends each open request: a call with what is known of it, an incomplete request with a refusal. */
     void answerOpenRequests() {
         environment.endCallsForStop();
-        List.copyOf(connections).forEach(CallerConnection::rejectIncomplete);
+        for (CallerConnection connection : List.copyOf(connections)) {
+            tasks.run("reject-incomplete", connection::rejectIncomplete, () -> {});
+        }
     }
 
     boolean rejecting() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -315,9 +315,10 @@
         if (phase == StopSchedule.Phase.ACCEPTING) {
             return;
         }
-        callerServer.stopAccepting(STOPPING_IDLE_MILLIS);
+        // No failure of a step may keep the following ones from their time.
+        tasks.run("stop-accepting", () -> callerServer.stopAccepting(STOPPING_IDLE_MILLIS), () -> {});
         if (phase != StopSchedule.Phase.REFUSING) {
-            callerServer.answerOpenRequests();
+            tasks.run("answer-open-requests", callerServer::answerOpenRequests, () -> {});
         }
         if (callerServer.isClosed() || phase == StopSchedule.Phase.EXITING) {
             exit();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -344,8 +344,8 @@
         finish();
     }
 
-    /** Ends a call after an exception in its deadline or in a callback; nothing else would. */
-    private void endAfterFailure() {
+    /** Ends a call after an exception in its deadline, in a callback or in a stop; nothing else would. */
+    void endAfterFailure() {
         finished = true;
         deadlineTimer.cancel(false);
         environment.removeCall(this);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -107,6 +107,17 @@
         assertThat(environment.openCalls()).isZero();
     }
 
+    @Test
+    void callIsAnsweredWhenItsEndInStopFails() throws Exception {
+        start(1);
+        try (Socket socket = upstream.accept()) {
+            socket.getInputStream().read(new byte[1_024]);
+            loop.execute(environment::endCallsForStop);
+
+            assertThat(answers.poll(REACTION_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(502);
+        }
+    }
+
     private static CrashSubject subject() {
         return CrashSubject.ofCall("/x", Optional.empty(), new byte[0]);
     }
