Tell a revision of the registry only with an age of its own

Daemons that follow a relay would send to upstreams that have left (DRAIN): a relay that has started with a listing that may be old, and that the store then turns away, told that revision with an age of 0, because no answer had been recorded yet and the difference to the smallest number overflowed. After a restore in a large fleet, the new revision was told with the age of the older history.

RegistryWatch keeps the time at which its revision was the store's latest one, and a view contains the registry only if there is one.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
@@ -53,10 +53,10 @@
                 .table()
                 .ifPresent(table -> view.setConfigVersion(table.config().version())
                         .setConfigAgeMillis(activeConfig.ageMillis(clocks.bootMillis())));
-        if (registryWatch.listed()) {
+        if (registryWatch.hasBeenCurrent()) {
             RecentChanges.Delta recent = registryWatch.recentChanges();
             view.setRegistryRevision(registryWatch.revision().number())
-                    .setRegistryAgeMillis(Math.max(0, clocks.steadyMillis() - registry.answeredAtMillis()));
+                    .setRegistryAgeMillis(Math.max(0, registryWatch.ageMillis(clocks.steadyMillis())));
             UpstreamRecordCodec.addChanges(view, recent.sinceRevision().number(), recent.changes());
         }
         return view.build();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -78,6 +78,9 @@
     private boolean restored;
     private boolean triedStaleListing;
     private long confirmedAtMillis = NEVER;
+    /** Latest time at which the known revision was the store's; never for a listing that may be old. */
+    private long currentAtMillis = NEVER;
+
     private boolean refreshing;
     private boolean failing;
     private long failingSinceMillis;
@@ -124,6 +127,7 @@
         revision = StoreRevision.NONE;
         relayCurrentAtMillis = NEVER;
         confirmedAtMillis = NEVER;
+        currentAtMillis = NEVER;
         recent.clear();
         registry.recordRestore(clocks.steadyMillis());
         long delayMillis = isController.getAsBoolean() ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS);
@@ -135,6 +139,21 @@
         return revision.number() > 0;
     }
 
+    /** Whether the known revision was ever the store's latest one in its present history. */
+    boolean hasBeenCurrent() {
+        return listed() && currentAtMillis != NEVER;
+    }
+
+    /**
+     * Returns the time since the known revision was the store's latest one.
+     *
+     * @param nowMillis current time, on the clock of {@link Clocks#steadyMillis()}
+     * @return the time, in milliseconds, if it {@linkplain #hasBeenCurrent() has been}
+     */
+    long ageMillis(long nowMillis) {
+        return nowMillis - currentAtMillis;
+    }
+
     /** Returns the revision up to which changes are known, which is {@link StoreRevision#NONE} if none are. */
     StoreRevision revision() {
         return revision;
@@ -267,7 +286,9 @@
             retry(answer);
             return;
         }
-        if (!mayBeOld) {
+        if (mayBeOld) {
+            currentAtMillis = NEVER;
+        } else {
             recordAnswer(clocks.steadyMillis());
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
@@ -338,6 +359,7 @@
 
     private void recordAnswer(long answeredAtMillis) {
         registry.recordStoreAnswer(
+        currentAtMillis = Math.max(currentAtMillis, answeredAtMillis);
                 answeredAtMillis, failing && answeredAtMillis - failingSinceMillis > MAX_TRANSIENT_FAILURE_MILLIS);
         if (failing) {
             failing = false;
