Count a batch of registry changes as read only when it is applied

An exception while a batch was applied left the rest of it unread for good: the revision had advanced before, the watch went on from there, and relays passed the gap on as current, so that requests could go to upstreams that had left.

The revision advances after the batch has been applied, so that it is read again.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -181,8 +181,8 @@
             List<ChangeBatch.Change<UpstreamEntry>> unknown = changes.changes().stream()
                     .filter(change -> change.object().revision().compareTo(revision) > 0)
                     .toList();
-            revision = relayRevision;
             apply(unknown, now);
+            revision = relayRevision;
         }
         if (relayRevision.compareTo(revision) <= 0) {
             relayCurrentAtMillis = now;
@@ -352,9 +352,10 @@
     private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes) {
         long now = clocks.steadyMillis();
         recordAnswer(now);
+        // A batch that fails is read again: its revision counts only once all of it has been applied.
+        apply(changes.changes(), now);
         recent.add(since, changes, now);
         revision = changes.revision();
-        apply(changes.changes(), now);
     }
 
     private void recordAnswer(long answeredAtMillis) {
