Take the store's era from the store alone

One report with a wrong, higher era would have made each later answer of the store look old at every daemon, for good: no configuration, registry or lease until all daemons start again at once.

A higher era in a report leads to a request to the store at once, whose answer states the era; until then what the report says of the store is ignored.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CachedStoreViewExchange.java
@@ -10,7 +10,6 @@
 import io.sesamehead.state.StoreRevision;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.LongConsumer;
 
 /**
  * Builds store views from the cached configuration and registry, and passes received views to the watches. Only the
@@ -20,29 +19,23 @@
 final class CachedStoreViewExchange implements StoreViewExchange {
     private final Clocks clocks;
     private final ActiveConfig activeConfig;
-    private final UpstreamRegistry registry;
     private final ConfigWatch configWatch;
     private final RegistryWatch registryWatch;
     private final StoreHistory storeHistory;
-    private final LongConsumer onEra;
     private final EventLog log;
 
     CachedStoreViewExchange(
             Clocks clocks,
             ActiveConfig activeConfig,
-            UpstreamRegistry registry,
             ConfigWatch configWatch,
             RegistryWatch registryWatch,
             StoreHistory storeHistory,
-            LongConsumer onEra,
             EventLog log) {
         this.clocks = clocks;
         this.activeConfig = activeConfig;
-        this.registry = registry;
         this.configWatch = configWatch;
         this.registryWatch = registryWatch;
         this.storeHistory = storeHistory;
-        this.onEra = onEra;
         this.log = log;
     }
 
@@ -65,11 +58,13 @@
     @Override
     public void apply(StoreView view, long stampMillis) {
         long era = view.getStoreEra();
-        if (era > 0) {
-            onEra.accept(era);
+        if (era > storeHistory.era()) {
+            // Only the store itself proves a restore; a wrong era from a daemon would make its answers look old for
+            // good.
+            registryWatch.refresh();
         }
-        if (era < storeHistory.era()) {
-            // A relay that has not seen the restore of the store confirms only what the ended history contained.
+        if (era != storeHistory.era()) {
+            // What the relay knows belongs to another history of the store than what this daemon knows.
             return;
         }
         long elapsedMillis = clocks.bootMillis() - stampMillis;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -168,8 +168,8 @@
         this.configWatch = new ConfigWatch(
                 loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
         this.registryWatch = registryWatch(presentStore, topology, random);
-        StoreViewExchange storeViewExchange = new CachedStoreViewExchange(
-                clocks, activeConfig, registry, configWatch, registryWatch, storeHistory, this::onStoreEra, log);
+        StoreViewExchange storeViewExchange =
+                new CachedStoreViewExchange(clocks, activeConfig, configWatch, registryWatch, storeHistory, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
         this.peerReporter = new PeerReporter(
                 loop,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -53,6 +53,7 @@
     private boolean relaySilent;
     private boolean largeFleet;
     private long stampMillis;
+    private boolean watchesFail;
 
     private final class TestDaemon {
         private final FakeStore store = new FakeStore();
@@ -62,6 +63,8 @@
         private final RegistryWatch upstreams;
         private final ConfigWatch config;
         private final CachedStoreViewExchange storeViews;
+        private int changes;
+        private boolean failChanges;
 
         private TestDaemon() {
             this(Optional.empty());
@@ -80,16 +83,23 @@
                     present,
                     registry,
                     log,
-                    () -> {},
+                    this::onChange,
                     () -> false,
                     () -> largeFleet,
                     new SplittableRandom(1));
-            storeViews = new CachedStoreViewExchange(
-                    clocks, activeConfig, registry, config, upstreams, history, this::onEra, log);
+            storeViews = new CachedStoreViewExchange(clocks, activeConfig, config, upstreams, history, log);
             config.start();
             upstreams.start();
         }
 
+        private void onChange() {
+            changes++;
+            if (failChanges) {
+                failChanges = false;
+                throw new IllegalStateException("failure of the test");
+            }
+        }
+
         private void onEra(long era) {
             if (history.record(era)) {
                 upstreams.onStoreRestored();
@@ -264,6 +274,41 @@
         assertThat(follower.registry.answeredAtMillis()).isEqualTo(answeredAtMillis);
     }
 
+    /** Guards against a wrong era that makes every later answer of the store look old. */
+    @Test
+    void wrongEraOfDaemonChangesNothing() {
+        StoreView wrong = relay.storeViews.view().toBuilder().setStoreEra(9).build();
+        follower.storeViews.apply(wrong, clocks.now);
+        relaySilent = true;
+        run(1_500);
+        storeContents.put("i-10", MemberState.OPEN);
+        run(1_500);
+
+        assertThat(follower.registry.entries()).containsExactlyInAnyOrderElementsOf(storeContents.upstreams.values());
+    }
+
+    /** Guards against a revision that is told with an age which no current answer has given it. */
+    @Test
+    void tellsNoRevisionOfOldListing() {
+        watchesFail = true;
+        TestDaemon started = new TestDaemon();
+        run(1_000);
+
+        assertThat(started.upstreams.listed()).isTrue();
+        assertThat(started.storeViews.view().getRegistryRevision()).isZero();
+    }
+
+    /** Guards against changes that are skipped for good after one of them could not be applied. */
+    @Test
+    void readsBatchAgainAfterFailure() {
+        relay.changes = 0;
+        relay.failChanges = true;
+        storeContents.put("i-10", MemberState.OPEN);
+        run(1_500);
+
+        assertThat(relay.changes).isEqualTo(2);
+    }
+
     /** Guards against orders on the ground of a registry that was read before the restore. */
     @Test
     void restoreEndsConfirmationUntilStoreAnswers() {
@@ -501,7 +546,7 @@
         @SuppressWarnings("unchecked")
         private <T> void answerWatch(
                 ObjectKind<T> kind, StoreRevision from, long until, Consumer<StoreResult<ChangeBatch<T>>> done) {
-            if (down) {
+            if (down || watchesFail) {
                 channel.eventLoop()
                         .schedule(() -> done.accept(new StoreResult.NoResponse<>("down")), 50, TimeUnit.MILLISECONDS);
                 return;
