Forget the removal of an upstream that is used again

At a second restore, an upstream that had been removed long before and was used again was set aside like one that had ended: its listed state, for example that it leaves, was not taken for up to 4.6 s, while its older entry stayed in use.

UpstreamRegistryTest#secondRestoreDoesNotSetAsideUpstreamInUse fails without the change and passes now: each entry that is taken ends the memory of its removal.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -191,6 +191,7 @@
             return;
         }
         entries.put(id, entry);
+        removed.recordAlive(id);
         formerGroups.observe(entry, nowMillis);
     }
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -155,6 +155,19 @@
         assertThat(registry.entries()).hasSize(2);
     }
 
+    /** Guards against a state that is not taken from the listing because the upstream was removed once, long before. */
+    @Test
+    void secondRestoreDoesNotSetAsideUpstreamInUse() {
+        removeThenRestore();
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
+        registry.recordStoreAnswer(5_000, false);
+        registry.expire(5_000);
+        registry.recordRestore(10_000);
+        registry.replaceAll(List.of(change(entry("i-1", true)).object(), stored("i-2")), 10_010);
+
+        assertThat(registry.entries()).anyMatch(UpstreamEntry::leaving);
+    }
+
     private void removeThenRestore() {
         registry.recordStoreAnswer(0, false);
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
