List the registry at the controller first after a restore

The reaction of the lease came first and withdrew the lease, so that the watch never found itself at the controller: it waited up to 300 ms like all others and tried a stale listing in large fleets, and orders waited for it. No order can be sent between the reactions, which run one after the other on the event loop. No test of its own.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -365,10 +365,11 @@
             return;
         }
         log.write(EventLog.Component.STORE, "restored", "era", era, "before", before);
-        // The lease comes first: nobody may act on a lease of the ended history.
+        // The watch of the registry asks whether this daemon is the controller, which it is not after the lease's
+        // reaction.
         List<Runnable> reactions = List.of(
-                lease::onStoreRestored,
                 registryWatch::onStoreRestored,
+                lease::onStoreRestored,
                 configWatch::onStoreRestored,
                 crashRecorder::onStoreRestored,
                 directory::onStoreRestored);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -122,7 +122,7 @@
     void onStoreRestored() {
         sequence++;
         restored = true;
-        triedStaleListing = false;
+        triedStaleListing = isController.getAsBoolean();
         refreshing = false;
         revision = StoreRevision.NONE;
         relayCurrentAtMillis = NEVER;
@@ -258,7 +258,7 @@
     private boolean mayListStaleAfterRestore() {
         boolean firstTry = !triedStaleListing;
         triedStaleListing = true;
-        return firstTry && isLargeFleet.getAsBoolean() && !isController.getAsBoolean();
+        return firstTry && isLargeFleet.getAsBoolean();
     }
 
     private void apply(List<ChangeBatch.Change<UpstreamEntry>> changes, long nowMillis) {
