Let a configuration that cannot be read confirm nothing

Callers with a key that a change had removed would be served for good, and added routes denied, if that change could not be decoded: the watch logged it and renewed the age of the older version, as if the store had no newer one.

--- a/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
+++ b/core/src/main/java/io/sesamehead/coordination/catalog/ActiveConfig.java
@@ -115,6 +115,11 @@
         return true;
     }
 
+    /** Records that the store's configuration cannot be read. It may be newer than the active one, and confirms nothing. */
+    public void recordUnreadable() {
+        storedVersion = 0;
+    }
+
     /** Records that the store was restored from a copy: what it holds now is unknown until it is read again. */
     public void recordRestore() {
         storedVersion = 0;
--- a/core/src/test/java/io/sesamehead/coordination/catalog/ActiveConfigTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/catalog/ActiveConfigTest.java
@@ -47,6 +47,15 @@
         assertThat(activeConfig.fresh(9_001)).isTrue();
     }
 
+    @Test
+    void unreadableConfigurationConfirmsNothing() {
+        activeConfig.offer(config(7), at(1, 3), 1_000);
+        activeConfig.recordUnreadable();
+        activeConfig.confirm(3_000);
+
+        assertThat(activeConfig.ageMillis(3_000)).isEqualTo(2_000);
+    }
+
     @Test
     void requestSentBeforeSuspensionDoesNotRenewLease() {
         activeConfig.offer(config(7), at(1, 3), 1_000);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -202,6 +202,7 @@
                     object.name(),
                     "revision",
                     object.revision().number());
+            activeConfig.recordUnreadable();
             return;
         }
         ServingConfig config = object.content().get();
