--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -359,8 +359,8 @@
     }
 
     private void recordAnswer(long answeredAtMillis) {
-        registry.recordStoreAnswer(
         currentAtMillis = Math.max(currentAtMillis, answeredAtMillis);
+        registry.recordStoreAnswer(
                 answeredAtMillis, failing && answeredAtMillis - failingSinceMillis > MAX_TRANSIENT_FAILURE_MILLIS);
         if (failing) {
             failing = false;
