Give the sequences of the watches and of the lease one class

RegistryWatch, ConfigWatch and LeaseTask each had their own counter and wrappers that ignore what a superseded sequence of requests leads to. RequestSequence is the one copy. The watch of the registry begins anew before its other reactions to a restore, so that an exception in these does not end it, and the watch of the configuration also at its start; both were named by the review.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ConfigWatch.java
@@ -10,7 +10,6 @@
 import io.sesamehead.entry.port.StoreResult;
 import io.sesamehead.entry.port.StoredObject;
 import io.sesamehead.state.StoreRevision;
-import java.util.function.Consumer;
 
 /**
  * Keeps the active configuration up to date. Each response from the store, including an empty one, renews the daemon's
@@ -39,7 +38,7 @@
 
     private static final String TASK = "config-watch";
 
-    private final EventLoopTasks tasks;
+    private final RequestSequence sequence;
     private final Clocks clocks;
     private final ObjectStore store;
     private final ActiveConfig activeConfig;
@@ -49,8 +48,6 @@
     private boolean storeReachable;
     private boolean relayReportReceived;
     private long relayConfirmedAtMillis = NEVER;
-    /** Number of listings that were started out of turn. What an earlier one has led to is ignored. */
-    private long sequence;
 
     ConfigWatch(
             EventLoop loop,
@@ -60,7 +57,7 @@
             long convergeMillis,
             EventLog log,
             Runnable onChange) {
-        this.tasks = new EventLoopTasks(loop, log);
+        this.sequence = new RequestSequence(new EventLoopTasks(loop, log), TASK, this::scheduleRetry);
         this.clocks = clocks;
         this.store = store;
         this.activeConfig = activeConfig;
@@ -71,7 +68,7 @@
     }
 
     void start() {
-        tasks.run(TASK, this::list, this::scheduleRetry);
+        listNow();
     }
 
     /** Handles a rise of the store's era: its content is unknown until it is read again. */
@@ -83,32 +80,7 @@
 
     /** Reads the store now, instead of what is pending. */
     private void listNow() {
-        sequence++;
-        tasks.run(TASK, this::list, this::scheduleRetry);
-    }
-
-    /** Returns a step that has no effect once the store is read out of turn. */
-    private Runnable inSequence(Runnable step) {
-        long started = sequence;
-        return () -> {
-            if (sequence == started) {
-                step.run();
-            }
-        };
-    }
-
-    private <T> Consumer<T> callback(Consumer<T> step) {
-        long started = sequence;
-        Consumer<T> current = answer -> {
-            if (sequence == started) {
-                step.accept(answer);
-            }
-        };
-        return tasks.callback(TASK, current, inSequence(this::scheduleRetry));
-    }
-
-    private void schedule(Runnable step, long delayMillis) {
-        tasks.schedule(TASK, inSequence(step), delayMillis, inSequence(this::scheduleRetry));
+        sequence.restart(this::list);
     }
 
     /**
@@ -131,7 +103,7 @@
     /** Sends no requests to the store until the relay stops reporting or reports a newer version. */
     private void followRelay() {
         if (confirmedByRelay()) {
-            schedule(this::followRelay, RELAY_CHECK_INTERVAL_MILLIS);
+            sequence.schedule(this::followRelay, RELAY_CHECK_INTERVAL_MILLIS);
         } else {
             list();
         }
@@ -146,7 +118,8 @@
         store.list(
                 ObjectKind.CONFIGURATION,
                 false,
-                callback((StoreResult<Listing<ServingConfig>> answer) -> onListing(answer, requestedAtMillis)));
+                sequence.callback(
+                        (StoreResult<Listing<ServingConfig>> answer) -> onListing(answer, requestedAtMillis)));
     }
 
     private void onListing(StoreResult<Listing<ServingConfig>> answer, long requestedAtMillis) {
@@ -170,7 +143,8 @@
                 ObjectKind.CONFIGURATION,
                 since,
                 WATCH_TIMEOUT_MILLIS,
-                callback((StoreResult<ChangeBatch<ServingConfig>> answer) -> onChanges(answer, requestedAtMillis)));
+                sequence.callback(
+                        (StoreResult<ChangeBatch<ServingConfig>> answer) -> onChanges(answer, requestedAtMillis)));
     }
 
     private void onChanges(StoreResult<ChangeBatch<ServingConfig>> answer, long requestedAtMillis) {
@@ -238,7 +212,7 @@
 
     private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        schedule(this::followRelay, delayMillis);
+        sequence.schedule(this::followRelay, delayMillis);
     }
 
     private void recordStoreReachable() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/LeaseTask.java
@@ -18,7 +18,6 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -52,7 +51,7 @@
 
     private static final String TASK = "lease";
 
-    private final EventLoopTasks tasks;
+    private final RequestSequence sequence;
     private final Clocks clocks;
     private final ObjectStore store;
     private final LeaseHolder holder;
@@ -62,9 +61,6 @@
     private final long ttlMillis;
     private Optional<StoredObject<Lease>> stored = Optional.empty();
     private long highestEpoch;
-    /** Number of reads that were started out of turn. What an earlier one has led to is ignored. */
-    private long sequence;
-
     private long holderReportedAtMillis = Long.MIN_VALUE / 2;
     private boolean stopping;
 
@@ -77,7 +73,7 @@
             long ttlMillis,
             EventLog log,
             RandomGenerator random) {
-        this.tasks = new EventLoopTasks(loop, log);
+        this.sequence = new RequestSequence(new EventLoopTasks(loop, log), TASK, this::readAgain);
         this.clocks = clocks;
         this.store = store;
         this.holder = holder;
@@ -120,29 +116,13 @@
     void onStoreRestored() {
         boolean held = holder.recordRestore(clocks.bootMillis());
         stored = Optional.empty();
-        sequence++;
         if (held) {
-            tasks.run(TASK, this::read, this::readAgain);
+            sequence.restart(this::read);
         } else {
-            schedulePoll(POLL_INTERVAL_MILLIS);
+            sequence.restart(() -> schedulePoll(POLL_INTERVAL_MILLIS));
         }
     }
 
-    /** Returns a step that has no effect once the lease is read out of turn. */
-    private <T> Consumer<T> inSequence(Consumer<T> step) {
-        long started = sequence;
-        return value -> {
-            if (sequence == started) {
-                step.accept(value);
-            }
-        };
-    }
-
-    private <T> Consumer<T> callback(Consumer<T> step) {
-        Consumer<Runnable> onFailure = inSequence(Runnable::run);
-        return tasks.callback(TASK, inSequence(step), () -> onFailure.accept(this::readAgain));
-    }
-
     /** Records that an upstream has seen a later lease holder. */
     void onFenced() {
         holder.lost();
@@ -173,7 +153,7 @@
     }
 
     private void read() {
-        store.list(ObjectKind.CONTROLLER_LEASE, false, callback(this::onListing));
+        store.list(ObjectKind.CONTROLLER_LEASE, false, sequence.callback(this::onListing));
     }
 
     private void onListing(StoreResult<Listing<Lease>> answer) {
@@ -228,7 +208,7 @@
                 LEASE_NAME,
                 expected,
                 write.lease(),
-                callback((StoreResult<StoredObject<Lease>> answer) -> onWritten(write.kind(), answer)));
+                sequence.callback((StoreResult<StoredObject<Lease>> answer) -> onWritten(write.kind(), answer)));
     }
 
     private void onWritten(LeaseDecision.Kind kind, StoreResult<StoredObject<Lease>> answer) {
@@ -271,8 +251,7 @@
     }
 
     private void schedule(Runnable task, long millis) {
-        Consumer<Runnable> current = inSequence(Runnable::run);
-        tasks.schedule(TASK, () -> current.accept(task), Math.max(1, millis), () -> current.accept(this::readAgain));
+        sequence.schedule(task, Math.max(1, millis));
     }
 
     /** Reads the lease with full consistency after a request whose effect is unknown. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -60,6 +60,7 @@
     private static final String REFRESH_TASK = "registry-refresh";
 
     private final EventLoopTasks tasks;
+    private final RequestSequence sequence;
     private final Clocks clocks;
     private final ObjectStore store;
     private final UpstreamRegistry registry;
@@ -72,9 +73,6 @@
     private boolean relayReportReceived;
     private long relayCurrentAtMillis = NEVER;
     private StoreRevision revision = StoreRevision.NONE;
-    /** Number of the current sequence of requests; the responses and timers of earlier ones are ignored. */
-    private int sequence;
-
     private boolean restored;
     private boolean triedStaleListing;
     private long confirmedAtMillis = NEVER;
@@ -96,6 +94,7 @@
             BooleanSupplier isLargeFleet,
             RandomGenerator random) {
         this.tasks = new EventLoopTasks(loop, log);
+        this.sequence = new RequestSequence(tasks, TASK, this::scheduleRetry);
         this.clocks = clocks;
         this.store = store;
         this.registry = registry;
@@ -111,8 +110,7 @@
      * watch then returns the changes since that listing.
      */
     void start() {
-        sequence++;
-        tasks.run(TASK, () -> list(true), this::scheduleRetry);
+        sequence.restart(() -> list(true));
     }
 
     /**
@@ -120,9 +118,10 @@
      * stay in use, but nothing confirms them until the registry has been listed again.
      */
     void onStoreRestored() {
-        sequence++;
+        boolean controller = isController.getAsBoolean();
+        sequence.restart(this::resume, controller ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS));
         restored = true;
-        triedStaleListing = isController.getAsBoolean();
+        triedStaleListing = controller;
         refreshing = false;
         revision = StoreRevision.NONE;
         relayCurrentAtMillis = NEVER;
@@ -130,8 +129,6 @@
         currentAtMillis = NEVER;
         recent.clear();
         registry.recordRestore(clocks.steadyMillis());
-        long delayMillis = isController.getAsBoolean() ? 0 : random.nextLong(RESTORED_LIST_SPREAD_MILLIS);
-        schedule(this::resume, delayMillis);
     }
 
     /** Whether the registry has been listed in the present history of the store. */
@@ -212,7 +209,7 @@
     private void requestChanges() {
         long requestedAtMillis = clocks.steadyMillis();
         StoreRevision since = revision;
-        Consumer<StoreResult<ChangeBatch<UpstreamEntry>>> onAnswer = ifCurrent(answer -> {
+        Consumer<StoreResult<ChangeBatch<UpstreamEntry>>> onAnswer = sequence.ifCurrent(answer -> {
             refreshing = false;
             switch (answer) {
                 case StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes) ->
@@ -278,7 +275,10 @@
 
     private void list(boolean mayBeOld) {
         long requestedAtMillis = clocks.steadyMillis();
-        store.list(ObjectKind.UPSTREAMS, mayBeOld, callback(answer -> onListing(answer, mayBeOld, requestedAtMillis)));
+        store.list(
+                ObjectKind.UPSTREAMS,
+                mayBeOld,
+                sequence.callback(answer -> onListing(answer, mayBeOld, requestedAtMillis)));
     }
 
     private void onListing(StoreResult<Listing<UpstreamEntry>> answer, boolean mayBeOld, long requestedAtMillis) {
@@ -316,7 +316,7 @@
     /** Watches the store, or waits while a relay reports all changes. */
     private void watch() {
         if (!isController.getAsBoolean() && relayIsCurrent()) {
-            schedule(this::watch, RELAY_CHECK_INTERVAL_MILLIS);
+            sequence.schedule(this::watch, RELAY_CHECK_INTERVAL_MILLIS);
             return;
         }
         StoreRevision since = revision;
@@ -325,7 +325,7 @@
                 ObjectKind.UPSTREAMS,
                 since,
                 WATCH_TIMEOUT_MILLIS,
-                callback(answer -> onChanges(since, requestedAtMillis, answer)));
+                sequence.callback(answer -> onChanges(since, requestedAtMillis, answer)));
     }
 
     private void onChanges(
@@ -346,7 +346,7 @@
             return;
         }
         long delayMillis = isController.getAsBoolean() ? CONTROLLER_BATCH_DELAY_MILLIS : BATCH_DELAY_MILLIS;
-        schedule(this::watch, delayMillis);
+        sequence.schedule(this::watch, delayMillis);
     }
 
     private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes) {
@@ -384,31 +384,12 @@
 
     private void scheduleRetry() {
         long delayMillis = relayReportReceived ? RELAYED_RETRY_DELAY_MILLIS : RETRY_DELAY_MILLIS;
-        schedule(this::resume, delayMillis);
+        sequence.schedule(this::resume, delayMillis);
     }
 
     /** Lists the registry after its history has expired. */
     private void listAgain() {
-        sequence++;
         refreshing = false;
-        schedule(() -> list(false), 0);
-    }
-
-    private void schedule(Runnable task, long delayMillis) {
-        Consumer<Void> whileCurrent = ifCurrent(none -> task.run());
-        tasks.schedule(TASK, () -> whileCurrent.accept(null), delayMillis, this::scheduleRetry);
-    }
-
-    private <T> Consumer<T> callback(Consumer<T> onAnswer) {
-        return tasks.callback(TASK, ifCurrent(onAnswer), this::scheduleRetry);
-    }
-
-    private <T> Consumer<T> ifCurrent(Consumer<T> step) {
-        int begunIn = sequence;
-        return value -> {
-            if (sequence == begunIn) {
-                step.accept(value);
-            }
-        };
+        sequence.restart(() -> list(false), 0);
     }
 }
