Take no change from before a restore as proof that an upstream lives

In a large fleet, a restore is followed by a listing that may be old, and the changes since it include writes that the copy contains. An upstream that had ended was used again because of such a change, although nothing shows that it lives, and its address may belong to another one.

Changes read before the revision has once been the store's latest one prove nothing; the upstream is set aside until a later change or the end of the time in which entries of silent upstreams lapse. UpstreamRegistryTest#changeFromBeforeRestoreDoesNotShowThatUpstreamLives needs the new argument, so it was not run on the earlier code.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -178,7 +178,7 @@
             List<ChangeBatch.Change<UpstreamEntry>> unknown = changes.changes().stream()
                     .filter(change -> change.object().revision().compareTo(revision) > 0)
                     .toList();
-            apply(unknown, now);
+            apply(unknown, true, now);
             revision = relayRevision;
         }
         if (relayRevision.compareTo(revision) <= 0) {
@@ -258,9 +258,9 @@
         return firstTry && isLargeFleet.getAsBoolean();
     }
 
-    private void apply(List<ChangeBatch.Change<UpstreamEntry>> changes, long nowMillis) {
+    private void apply(List<ChangeBatch.Change<UpstreamEntry>> changes, boolean present, long nowMillis) {
         for (ChangeBatch.Change<UpstreamEntry> change : changes) {
-            if (!registry.apply(change, nowMillis)) {
+            if (!registry.apply(change, present, nowMillis)) {
                 log.write(
                         EventLog.Component.REGISTRY,
                         "unreadable",
@@ -351,9 +351,11 @@
 
     private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes) {
         long now = clocks.steadyMillis();
+        // The changes since a listing that may be old include those that the copy of a restored store contains.
+        boolean present = hasBeenCurrent();
         recordAnswer(now);
         // A batch that fails is read again: its revision counts only once all of it has been applied.
-        apply(changes.changes(), now);
+        apply(changes.changes(), present, now);
         recent.add(since, changes, now);
         revision = changes.revision();
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/UpstreamRegistry.java
@@ -106,8 +106,16 @@
         return unreadable;
     }
 
-    /** Applies a change. Returns false if the entry cannot be read. */
-    boolean apply(ChangeBatch.Change<UpstreamEntry> change, long nowMillis) {
+    /**
+     * Applies a change.
+     *
+     * @param change the change
+     * @param present whether it was made after the present history of the store began; an earlier one does not show that
+     *     an upstream lives
+     * @param nowMillis current time, in milliseconds
+     * @return false if the entry cannot be read
+     */
+    boolean apply(ChangeBatch.Change<UpstreamEntry> change, boolean present, long nowMillis) {
         StoredObject<UpstreamEntry> object = change.object();
         if (object.name().isBlank()) {
             return false;
@@ -124,8 +132,12 @@
             drop(id, nowMillis);
             return false;
         }
-        removed.recordAlive(id);
-        put(id, object.content().get(), nowMillis);
+        UpstreamEntry entry = object.content().get();
+        if (!present && removed.isUnproven(entry, nowMillis)) {
+            unproven.put(id, entry);
+            return true;
+        }
+        put(id, entry, nowMillis);
         return true;
     }
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
@@ -396,12 +396,13 @@
                                     new StoredObject<>(
                                             known.id().value(), new StoreRevision(0, revision), Optional.empty()),
                                     true),
+                            true,
                             now);
                 }
             }
             for (StoredObject<UpstreamEntry> object : registryObjects.values()) {
                 if (object.revision().number() > daemon.revision) {
-                    daemon.registry.apply(new ChangeBatch.Change<>(object, false), now);
+                    daemon.registry.apply(new ChangeBatch.Change<>(object, false), true, now);
                 }
             }
         }
--- a/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/UpstreamRegistryTest.java
@@ -45,8 +45,8 @@
     }
 
     private UpstreamEntry after(UpstreamEntry first, UpstreamEntry second) {
-        registry.apply(change(first), 0);
-        registry.apply(change(second), 100);
+        registry.apply(change(first), true, 0);
+        registry.apply(change(second), true, 100);
         return registry.entries().iterator().next();
     }
 
@@ -64,7 +64,7 @@
         registry.recordStoreAnswer(0, false);
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
 
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 100);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 100);
 
         assertThat(registry.entries()).extracting(UpstreamEntry::id).containsExactly(new InstanceId("i-2"));
     }
@@ -90,7 +90,7 @@
     void keepsEntriesThatCopyLacks() {
         registry.recordStoreAnswer(0, false);
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
-        registry.apply(change(entry("i-3", true)), 10);
+        registry.apply(change(entry("i-3", true)), true, 10);
         registry.recordRestore(300);
         registry.recordStoreAnswer(300, false);
 
@@ -109,7 +109,7 @@
         registry.recordRestore(5_000);
         registry.recordStoreAnswer(5_010, true);
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 5_010);
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 5_050);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 5_050);
 
         assertThat(registry.expire(6_300)).isFalse();
         assertThat(registry.expire(6_350)).isTrue();
@@ -126,7 +126,7 @@
         registry.expire(60_000);
         assertThat(registry.entries()).extracting(entry -> entry.id().value()).containsExactly("i-2");
 
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 4_900);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 4_900);
         registry.recordStoreAnswer(5_000, false);
         assertThat(registry.expire(5_000)).isFalse();
     }
@@ -145,16 +145,26 @@
     void usesRemovedUpstreamThatWritesAgainOrHasRestarted() {
         removeThenRestore();
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
-        registry.apply(change(entry("i-1", false)), 400);
+        registry.apply(change(entry("i-1", false)), true, 400);
         assertThat(registry.entries()).hasSize(2);
 
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 5_000);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 5_000);
         registry.recordRestore(6_000);
         UpstreamEntry restarted = entry("i-1", 2, 0, false, Optional.empty());
         registry.replaceAll(List.of(change(restarted).object(), stored("i-2")), 6_010);
         assertThat(registry.entries()).hasSize(2);
     }
 
+    /** Guards against a write that the copy contains, read after a listing that is older still. */
+    @Test
+    void changeFromBeforeRestoreDoesNotShowThatUpstreamLives() {
+        removeThenRestore();
+        registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 310);
+        registry.apply(change(entry("i-1", false)), false, 320);
+
+        assertThat(registry.entries()).hasSize(1);
+    }
+
     /** Guards against a state that is not taken from the listing because the upstream was removed once, long before. */
     @Test
     void secondRestoreDoesNotSetAsideUpstreamInUse() {
@@ -171,7 +181,7 @@
     private void removeThenRestore() {
         registry.recordStoreAnswer(0, false);
         registry.replaceAll(List.of(stored("i-1"), stored("i-2")), 0);
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 100);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 100);
         registry.recordRestore(300);
         registry.recordStoreAnswer(310, false);
     }
@@ -183,7 +193,7 @@
         registry.recordStoreAnswer(6_000, true);
         registry.replaceAll(List.of(), 6_000);
 
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), false), 7_000);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), false), true, 7_000);
 
         assertThat(registry.expire(9_000)).isFalse();
         assertThat(registry.entries()).hasSize(1);
@@ -196,6 +206,7 @@
 
         boolean readable = registry.apply(
                 new ChangeBatch.Change<>(new StoredObject<>("i-1", new StoreRevision(0, 2), Optional.empty()), false),
+                true,
                 10);
 
         assertThat(readable).isFalse();
@@ -232,10 +243,10 @@
     void recordsGroupLeftWhileUnlisted() {
         ReplicaKey group = ReplicaKey.of("big", 4);
         Optional<Membership> member = Optional.of(new Membership(group, 1, MemberState.READY));
-        registry.apply(change(entry("i-1", 10, 1, false, member)), 0);
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 1_000);
+        registry.apply(change(entry("i-1", 10, 1, false, member)), true, 0);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 1_000);
         UpstreamEntry returned = entry("i-1", 10, 2, false, Optional.empty());
-        registry.apply(change(returned), 2_000);
+        registry.apply(change(returned), true, 2_000);
 
         assertThat(registry.formerGroups().formerGroup(returned))
                 .contains(new FormerGroups.FormerGroup(group, 2_000, false));
@@ -244,19 +255,19 @@
     /** The store may list an upstream as ready for several seconds after it has begun to leave. */
     @Test
     void announcementOverridesListingUntilRestart() {
-        registry.apply(change(entry("i-1", false)), 0);
+        registry.apply(change(entry("i-1", false)), true, 0);
 
         assertThat(registry.recordLeaving(new LeavingUpstreams.UpstreamIncarnation(new InstanceId("i-1"), 1), 50))
                 .isTrue();
         assertThat(registry.recordLeaving(new LeavingUpstreams.UpstreamIncarnation(new InstanceId("i-1"), 1), 60))
                 .isFalse();
         assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
-        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), 100);
+        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), true, 100);
         assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
         registry.replaceAll(List.of(stored("i-1")), 200);
         assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
 
-        registry.apply(change(entry("i-1", 2, 0, false, Optional.empty())), 300);
+        registry.apply(change(entry("i-1", 2, 0, false, Optional.empty())), true, 300);
         assertThat(registry.entries()).noneMatch(UpstreamEntry::leaving);
     }
 
@@ -274,13 +285,13 @@
     /** An upstream may take minutes to shut down; an order that it executes meanwhile makes its entry look newer. */
     @Test
     void keepsLeavingStateDuringLongShutdown() {
-        registry.apply(change(entry("i-1", false)), 0);
+        registry.apply(change(entry("i-1", false)), true, 0);
         registry.recordLeaving(new LeavingUpstreams.UpstreamIncarnation(new InstanceId("i-1"), 1), 0);
         registry.expire(200_000);
-        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), 200_000);
+        registry.apply(change(entry("i-1", 1, 9, false, Optional.empty())), true, 200_000);
 
         assertThat(registry.entries()).allMatch(UpstreamEntry::leaving);
-        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), 200_100);
+        registry.apply(new ChangeBatch.Change<>(stored("i-1"), true), true, 200_100);
         registry.expire(400_000);
         assertThat(registry.leaving().applyTo(entry("i-1", false)).leaving()).isFalse();
     }
