--- a/review/standin/KeptBodies.java
+++ b/review/standin/KeptBodies.java
@@ -23,7 +23,8 @@
     private static final long RECOVER_MILLIS = 12_000;
     private static final long END_AT_MILLIS = 60_000;
 
-    private record Call(String id, Daemon daemon, long sentAtMillis, long answeredAtMillis, int status) {}
+    /** A request; whether all of it was sent, and when its last byte was. */
+    private record Call(Daemon daemon, boolean whole, long sentAtMillis, long answeredAtMillis, int status) {}
 
     private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
     private final Recorder recorder;
@@ -105,6 +106,7 @@
                 int bytes = MIN_BODY_BYTES + random.nextInt(MAX_BODY_BYTES - MIN_BODY_BYTES);
                 long sentAt = now();
                 int status = 0;
+                boolean whole = false;
                 String reason;
                 try {
                     if (caller == null) {
@@ -114,14 +116,15 @@
                     caller.timeout(DEADLINE_MILLIS);
                     caller.send("POST", "/order/" + client, Config.HOST, Config.KEY, id, DEADLINE_MILLIS, bytes, 65_536, 0);
                     sentAt = now();
+                    whole = true;
                     Caller.Answer answer = caller.receive();
                     status = answer.status();
                     reason = status == 200 ? "" : answer.reason() + " " + answer.body();
                 } catch (IOException e) {
                     reason = e.toString();
                 }
-                calls.add(new Call(id, daemon, sentAt, status == 0 ? Long.MAX_VALUE : now(), status));
-                recorder.write("sent " + id + " to " + daemon.name + ", " + bytes + " bytes, answered " + status + " after "
+                calls.add(new Call(daemon, whole, sentAt, status == 0 ? Long.MAX_VALUE : now(), status));
+                recorder.write("sent " + id + " to " + daemon.name + ", " + bytes + (whole ? " bytes" : " bytes, not all of it") + ", answered " + status + " after "
                         + (now() - sentAt) + " ms " + reason);
                 if (status != 200 && caller != null) {
                     caller.close();
@@ -134,9 +137,9 @@
         }
     }
 
-    /** Checks the requests at the daemon that was never disturbed, and the share that is served after the recovery time. */
+    /** Checks the requests that were sent whole to the daemon that was never disturbed, and the share that is served after the recovery time. */
     private int judge(List<Daemon> daemons, Daemon calm, long killedAt, long backAt) {
-        List<Call> atCalm = calls.stream().filter(call -> call.daemon() == calm).toList();
+        List<Call> atCalm = calls.stream().filter(call -> call.daemon() == calm && call.whole()).toList();
         long late = atCalm.stream().filter(call -> unanswered(call, TIMEOUT_MILLIS)).count();
         long never = atCalm.stream().filter(call -> unanswered(call, TIMEOUT_MILLIS + 500)).count();
         long before = calls.stream().filter(call -> call.sentAtMillis() < killedAt).count();
@@ -148,7 +151,7 @@
                     + ", lines of its log with OutOfMemoryError " + count(daemon, "OutOfMemoryError")
                     + ", event loops that ended " + count(daemon, "Exception in thread \"multiThreadIoEventLoopGroup"));
         }
-        say("at " + calm.name + ": " + atCalm.size() + " requests, unanswered at the timeout " + late
+        say("at " + calm.name + ": " + atCalm.size() + " whole requests, unanswered at the timeout " + late
                 + ", unanswered 0.5 s later " + never);
         say("served before " + servedBefore + " of " + before + ", later than recover_s " + servedAfter + " of " + after.size());
         boolean config = never >= 8 && 2 * never > late;
