--- /dev/null
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
@@ -0,0 +1,197 @@
+package io.sesamehead.coordination.dispatch;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+
+/**
+ * What one daemon knows of the crashes of one subject. Crashes and survivors are merged by union; a survivor takes
+ * precedence over a crash of the same target up to the time at which it was known to go on.
+ */
+final class CrashEntry {
+    /**
+     * Number of crashes after which a request is refused. Innocent requests rarely see that many before one
+     * completes.
+     */
+    static final int CRASHES_TO_REFUSE = 3;
+    /** Time for which a crash is kept, in milliseconds: longer than callers usually retry a request. */
+    static final long RETENTION_MILLIS = 600_000;
+    /** Maximum number of crashes kept per subject, and of survivors: more than a refusal needs. */
+    static final int MAX_CRASHES = 8;
+    /**
+     * Interval at which completions are recorded that clear no crash, in milliseconds. Otherwise each answer to a
+     * popular part would be reported to all daemons.
+     */
+    private static final long COMPLETION_INTERVAL_MILLIS = RETENTION_MILLIS / 2;
+    /**
+     * Time after the last crash of a part before the part is stored, in milliseconds. Other daemons report within it
+     * that they received answers.
+     */
+    private static final long PART_SETTLING_MILLIS = 500;
+
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final Map<Long, Crash> crashes = new HashMap<>();
+    /** Times until which targets are known to have gone on, by the hash of the crash that was counted there. */
+    private final Map<Long, Long> survivedUntil = new HashMap<>();
+
+    private long completedAt = NEVER;
+    private long reportedAt = NEVER;
+    private boolean crashedHere;
+    private boolean part;
+    private boolean stored;
+
+    /** A crash, and when this daemon learned of it. */
+    private record Crash(long atMillis, long learnedAtMillis) {}
+
+    boolean addCrash(long crash, long atMillis, long nowMillis) {
+        if (atMillis <= completedAt
+                || atMillis <= survivedUntil.getOrDefault(crash, NEVER)
+                || crashes.containsKey(crash)
+                || crashes.size() >= MAX_CRASHES) {
+            return false;
+        }
+        crashes.put(crash, new Crash(atMillis, nowMillis));
+        return true;
+    }
+
+    /**
+     * Returns the hash under which a loss at a target counts. Attempts that ended in the same crash share one. An attempt
+     * sent after a recorded crash reached a later incarnation, which may not be listed yet; a loss after the target was
+     * found to have survived an earlier one is a new one.
+     */
+    long crashHash(TargetKey target, long sentAtMillis) {
+        int number = 0;
+        long crash = CrashHash.of(target, number);
+        while (survivedUntil.containsKey(crash)
+                || (crashes.containsKey(crash) && crashes.get(crash).atMillis() < sentAtMillis)) {
+            number++;
+            crash = CrashHash.of(target, number);
+        }
+        return crash;
+    }
+
+    /**
+     * Records that a target went on after a loss there.
+     *
+     * @return whether this is new
+     */
+    boolean addSurvivor(long crash, long untilMillis) {
+        if (untilMillis <= survivedUntil.getOrDefault(crash, NEVER)) {
+            return false;
+        }
+        boolean known = survivedUntil.put(crash, untilMillis) != null;
+        Crash recorded = crashes.get(crash);
+        boolean refutes = recorded != null && recorded.atMillis() <= untilMillis;
+        if (refutes) {
+            crashes.remove(crash);
+        }
+        if (survivedUntil.size() > MAX_CRASHES) {
+            survivedUntil.remove(Collections.min(survivedUntil.entrySet(), Map.Entry.comparingByValue())
+                    .getKey());
+        }
+        return refutes || !known;
+    }
+
+    boolean complete(long atMillis) {
+        boolean clears = crashes.values().removeIf(crash -> crash.atMillis() <= atMillis);
+        if (!clears && atMillis <= completedAt + COMPLETION_INTERVAL_MILLIS) {
+            return false;
+        }
+        completedAt = Math.max(completedAt, atMillis);
+        return true;
+    }
+
+    Collection<Long> crashHashes() {
+        return List.copyOf(crashes.keySet());
+    }
+
+    long learnedAtMillis(long crash) {
+        return crashes.get(crash).learnedAtMillis();
+    }
+
+    int crashCount() {
+        return crashes.size();
+    }
+
+    long lastEventMillis() {
+        LongStream times = LongStream.concat(
+                crashes.values().stream().mapToLong(Crash::atMillis),
+                survivedUntil.values().stream().mapToLong(Long::longValue));
+        return Math.max(completedAt, times.max().orElse(NEVER));
+    }
+
+    boolean retained(long nowMillis) {
+        return nowMillis - lastEventMillis() <= RETENTION_MILLIS;
+    }
+
+    boolean refused() {
+        return crashCount() >= CRASHES_TO_REFUSE;
+    }
+
+    /** Returns whether the store keeps the subject: it is refused, or the store may list crashes that were none. */
+    boolean storable(long nowMillis) {
+        boolean settled = !part
+                || crashes.values().stream()
+                        .allMatch(crash -> nowMillis - crash.learnedAtMillis() >= PART_SETTLING_MILLIS);
+        boolean refutesStored = !survivedUntil.isEmpty() && crashCount() + survivedUntil.size() >= CRASHES_TO_REFUSE;
+        return (refused() || refutesStored) && retained(nowMillis) && settled;
+    }
+
+    CrashHistory.Summary summary(long nowMillis) {
+        return new CrashHistory.Summary(
+                crashes.values().stream().map(Crash::atMillis).sorted().toList(),
+                crashes.values().stream().map(Crash::learnedAtMillis).sorted().toList(),
+                nowMillis - completedAt <= RETENTION_MILLIS);
+    }
+
+    CrashReport report(CrashSubject subject, long nowMillis) {
+        ImmutableMap.Builder<Long, Long> ages = ImmutableMap.builder();
+        crashes.forEach((hash, crash) -> ages.put(hash, Math.max(0, nowMillis - crash.atMillis())));
+        ImmutableMap.Builder<Long, Long> survivorAges = ImmutableMap.builder();
+        survivedUntil.forEach((hash, until) -> survivorAges.put(hash, Math.max(0, nowMillis - until)));
+        boolean completed = nowMillis - completedAt <= RETENTION_MILLIS;
+        return new CrashReport(
+                subject,
+                ages.buildOrThrow(),
+                completed ? OptionalLong.of(Math.max(0, nowMillis - completedAt)) : OptionalLong.empty(),
+                survivorAges.buildOrThrow());
+    }
+
+    long reportedAtMillis() {
+        return reportedAt;
+    }
+
+    void markReported(long nowMillis) {
+        reportedAt = nowMillis;
+    }
+
+    boolean crashedHere() {
+        return crashedHere;
+    }
+
+    void markCrashedHere() {
+        crashedHere = true;
+    }
+
+    boolean isPart() {
+        return part;
+    }
+
+    void markPart() {
+        part = true;
+    }
+
+    boolean isStored() {
+        return stored;
+    }
+
+    void setStored(boolean nowStored) {
+        stored = nowStored;
+    }
+}
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -1,7 +1,5 @@
 package io.sesamehead.coordination.dispatch;
 
-import com.google.common.collect.ImmutableMap;
-import com.google.common.hash.Hashing;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Records which targets crashed while they ran a request, or requests with a common part in their prompts, so that what
@@ -20,21 +19,12 @@
  * are harmless. Not thread-safe.
  */
 public final class CrashHistory {
-    /**
-     * Number of crashes after which a request is refused. Innocent requests rarely see that many before one
-     * completes.
-     */
-    private static final int CRASHES_TO_REFUSE = 3;
-    /** Time for which a crash is kept, in milliseconds: longer than callers usually retry a request. */
-    private static final long RETENTION_MILLIS = 600_000;
     /** Maximum number of requests kept, a few hundred bytes each. */
     private static final int MAX_REQUESTS = 4_096;
     /**
      * One in this many requests is evicted at once when the table is full, because sorting them takes a millisecond.
      */
     private static final int EVICTION_DIVISOR = 16;
-    /** Maximum number of crashes kept per request: more than a refusal needs. */
-    private static final int MAX_CRASHES = 8;
     /** Number of reports that repeat a local update: a relay that fails is replaced within four of them. */
     private static final int UPDATE_REPEATS = 5;
     /** Maximum number of updates in one report, about a kilobyte. Requests with the most crashes come first. */
@@ -47,88 +37,13 @@
     private static final int MAX_STORED_REQUESTS = 256;
     /** Number of refused requests resent at a time, and of other requests: half a kilobyte for each of the two. */
     private static final int RESEND_BATCH_SIZE = 16;
-    /**
-     * Interval at which completions are recorded that clear no crash, in milliseconds. Otherwise each answer to a
-     * popular part would be reported to all daemons.
-     */
-    private static final long COMPLETION_INTERVAL_MILLIS = RETENTION_MILLIS / 2;
-    /**
-     * Time after the last crash of a part before the part is stored, in milliseconds. Other daemons report within it
-     * that they received answers.
-     */
-    private static final long PART_SETTLING_MILLIS = 500;
 
-    private final Map<CrashSubject, Entry> entries = new HashMap<>();
+    private final Map<CrashSubject, CrashEntry> entries = new HashMap<>();
     private final Map<CrashSubject, Integer> pendingUpdates = new LinkedHashMap<>();
     private long lastResendMillis = Long.MIN_VALUE / 2;
     private final Set<CrashSubject> settlingParts = new LinkedHashSet<>();
     private boolean refusalsChanged;
 
-    private static final class Entry {
-        private final Map<Long, Long> crashedAt = new HashMap<>();
-        private final Map<Long, Long> learnedAt = new HashMap<>();
-        private long completedAt = Long.MIN_VALUE / 2;
-        private long reportedAt = Long.MIN_VALUE / 2;
-        private boolean crashedHere;
-        private boolean part;
-        private boolean stored;
-
-        private boolean addCrash(long crash, long atMillis, long nowMillis) {
-            if (atMillis <= completedAt || crashedAt.containsKey(crash) || crashedAt.size() >= MAX_CRASHES) {
-                return false;
-            }
-            crashedAt.put(crash, atMillis);
-            learnedAt.put(crash, nowMillis);
-            return true;
-        }
-
-        private boolean complete(long atMillis) {
-            boolean clears = crashedAt.values().removeIf(at -> at <= atMillis);
-            if (!clears && atMillis <= completedAt + COMPLETION_INTERVAL_MILLIS) {
-                return false;
-            }
-            learnedAt.keySet().retainAll(crashedAt.keySet());
-            completedAt = Math.max(completedAt, atMillis);
-            return true;
-        }
-
-        private int crashCount() {
-            return crashedAt.size();
-        }
-
-        private long lastEventMillis() {
-            long last = completedAt;
-            for (long at : crashedAt.values()) {
-                last = Math.max(last, at);
-            }
-            return last;
-        }
-
-        private boolean retained(long nowMillis) {
-            return nowMillis - lastEventMillis() <= RETENTION_MILLIS;
-        }
-
-        private boolean refused() {
-            return crashCount() >= CRASHES_TO_REFUSE;
-        }
-
-        private boolean storable(long nowMillis) {
-            boolean settled = !part
-                    || learnedAt.values().stream().allMatch(learned -> nowMillis - learned >= PART_SETTLING_MILLIS);
-            return refused() && retained(nowMillis) && settled;
-        }
-
-        private CrashReport report(CrashSubject subject, long nowMillis) {
-            ImmutableMap.Builder<Long, Long> ages = ImmutableMap.builder();
-            crashedAt.forEach((crash, at) -> ages.put(crash, Math.max(0, nowMillis - at)));
-            boolean completed = nowMillis - completedAt <= RETENTION_MILLIS;
-            return new CrashReport(
-                    subject,
-                    ages.buildOrThrow(),
-                    completed ? OptionalLong.of(Math.max(0, nowMillis - completedAt)) : OptionalLong.empty());
-        }
-    }
-
     /**
      * Records that a request was running when its target crashed. Attempts that ended in the same crash count once. An
      * attempt sent after a recorded crash of the target reached a later incarnation, which may not be listed yet, and
@@ -140,14 +55,8 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordCrash(CrashSubject subject, TargetKey target, long sentAtMillis, long nowMillis) {
-        Entry entry = getOrCreate(subject, nowMillis);
-        int incarnation = 0;
-        long crash = hash(target, incarnation);
-        while (entry.crashedAt.getOrDefault(crash, Long.MAX_VALUE) < sentAtMillis) {
-            incarnation++;
-            crash = hash(target, incarnation);
-        }
-        if (addOwnCrash(subject, entry, crash, nowMillis, nowMillis)) {
+        CrashEntry entry = getOrCreate(subject, nowMillis);
+        if (addOwnCrash(subject, entry, entry.crashHash(target, sentAtMillis), nowMillis, nowMillis)) {
             refusalsChanged |= entry.refused();
         }
     }
@@ -163,20 +72,20 @@
      * @return whether the crash was not known yet
      */
     boolean recordPartCrash(CrashSubject part, TargetKey group, long atMillis, long nowMillis) {
-        Entry entry = getOrCreate(part, nowMillis);
-        entry.part = true;
-        boolean added = addOwnCrash(part, entry, hash(group, 0), atMillis, nowMillis);
+        CrashEntry entry = getOrCreate(part, nowMillis);
+        entry.markPart();
+        boolean added = addOwnCrash(part, entry, entry.crashHash(group, Long.MIN_VALUE), atMillis, nowMillis);
         if (added && entry.refused()) {
             settlingParts.add(part);
         }
         return added;
     }
 
-    private boolean addOwnCrash(CrashSubject subject, Entry entry, long crash, long atMillis, long nowMillis) {
+    private boolean addOwnCrash(CrashSubject subject, CrashEntry entry, long crash, long atMillis, long nowMillis) {
         if (!entry.addCrash(crash, atMillis, nowMillis)) {
             return false;
         }
-        entry.crashedHere = true;
+        entry.markCrashedHere();
         pendingUpdates.put(subject, UPDATE_REPEATS);
         return true;
     }
@@ -188,7 +97,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordCompleted(CrashSubject subject, long nowMillis) {
-        Entry entry = entries.get(subject);
+        CrashEntry entry = entries.get(subject);
         if (entry != null && entry.crashCount() > 0 && complete(entry, nowMillis)) {
             pendingUpdates.put(subject, UPDATE_REPEATS);
         }
@@ -201,17 +110,62 @@
      * @param atMillis monotonic time of the answer, in milliseconds
      */
     void recordPartAnswered(CrashSubject part, long atMillis) {
-        Entry entry = entries.get(part);
+        CrashEntry entry = entries.get(part);
         if (entry != null && complete(entry, atMillis)) {
             pendingUpdates.put(part, UPDATE_REPEATS);
         }
     }
 
+    /**
+     * Takes back crashes whose targets are known to have gone on since, so that an answer that was lost does not count as
+     * a crash. Crashes count at once and are taken back later, because a request that does crash its targets must not be
+     * sent on while there is no proof yet.
+     *
+     * @param survival which targets went on
+     * @param lastProgressMillis returns when any daemon last saw progress at a target, in milliseconds
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the crashes that were taken back
+     */
+    public List<Refutation> refuteCrashes(
+            TargetSurvival survival, ToLongFunction<TargetKey> lastProgressMillis, long nowMillis) {
+        List<Refutation> refutations = new ArrayList<>();
+        entries.forEach((subject, entry) -> {
+            for (long crash : entry.crashHashes()) {
+                long learnedAtMillis = entry.learnedAtMillis(crash);
+                OptionalLong until = survival.survivedUntil(crash, learnedAtMillis, lastProgressMillis);
+                if (until.isPresent() && addSurvivor(entry, crash, until.getAsLong())) {
+                    refutations.add(new Refutation(subject, entry.crashCount(), nowMillis - learnedAtMillis));
+                    if (entry.crashedHere()) {
+                        pendingUpdates.put(subject, UPDATE_REPEATS);
+                    }
+                }
+            }
+        });
+        return refutations;
+    }
+
+    /**
+     * A crash that was taken back.
+     *
+     * @param subject what it was counted against
+     * @param crashesLeft number of crashes that the subject still has
+     * @param learnedMillisAgo time since this daemon learned of the crash, in milliseconds
+     */
+    public record Refutation(CrashSubject subject, int crashesLeft, long learnedMillisAgo) {}
+
+    /** Records a survivor. The store must learn that a subject which it lists as refused is not. */
+    private boolean addSurvivor(CrashEntry entry, long crash, long untilMillis) {
+        boolean refusedBefore = entry.refused();
+        boolean added = entry.addSurvivor(crash, untilMillis);
+        refusalsChanged |= refusedBefore && !entry.refused() && (entry.crashedHere() || entry.isStored());
+        return added;
+    }
+
     /** Records a completion. The store must not keep what this daemon wrote there and a completion has cleared. */
-    private boolean complete(Entry entry, long atMillis) {
+    private boolean complete(CrashEntry entry, long atMillis) {
         boolean recorded = entry.complete(atMillis);
-        if (entry.stored && !entry.refused()) {
-            entry.stored = false;
+        if (entry.isStored() && !entry.refused()) {
+            entry.setStored(false);
             refusalsChanged = true;
         }
         return recorded;
@@ -230,6 +184,11 @@
         int crashes() {
             return atMillis.size();
         }
+
+        /** Returns the time of the last crash. */
+        long lastMillis() {
+            return atMillis.get(atMillis.size() - 1);
+        }
     }
 
     /**
@@ -240,14 +199,11 @@
      * @return the summary, without crashes if the subject is unknown or its record has expired
      */
     Summary summary(CrashSubject subject, long nowMillis) {
-        Entry entry = entries.get(subject);
+        CrashEntry entry = entries.get(subject);
         if (entry == null || !entry.retained(nowMillis)) {
             return Summary.EMPTY;
         }
-        return new Summary(
-                entry.crashedAt.values().stream().sorted().toList(),
-                entry.learnedAt.values().stream().sorted().toList(),
-                nowMillis - entry.completedAt <= RETENTION_MILLIS);
+        return entry.summary(nowMillis);
     }
 
     /**
@@ -258,7 +214,7 @@
      * @return true if the retained crashes have reached the limit
      */
     public boolean isRefused(CrashSubject subject, long nowMillis) {
-        Entry entry = entries.get(subject);
+        CrashEntry entry = entries.get(subject);
         return entry != null && entry.refused() && entry.retained(nowMillis);
     }
 
@@ -270,7 +226,7 @@
      * @return the count, 0 if the request is unknown or its record has expired
      */
     public int crashCount(CrashSubject subject, long nowMillis) {
-        Entry entry = entries.get(subject);
+        CrashEntry entry = entries.get(subject);
         return entry == null || !entry.retained(nowMillis) ? 0 : entry.crashCount();
     }
 
@@ -282,20 +238,28 @@
      * @return whether the report contained anything new
      */
     public boolean merge(CrashReport report, long nowMillis) {
-        if (report.ageMillisByCrash().isEmpty() && !entries.containsKey(report.subject())) {
+        boolean informative = !report.ageMillisByCrash().isEmpty()
+                || !report.survivorAgeMillisByCrash().isEmpty();
+        if (!informative && !entries.containsKey(report.subject())) {
             return false;
         }
-        Entry entry = getOrCreate(report.subject(), nowMillis);
+        CrashEntry entry = getOrCreate(report.subject(), nowMillis);
         boolean refusedBefore = entry.refused();
         boolean changed = report.completedAgeMillis().isPresent()
                 && complete(entry, nowMillis - report.completedAgeMillis().getAsLong());
+        // Survivors come first, so that a sender that does not know of them cannot bring back their crashes.
+        for (Map.Entry<Long, Long> survivor : report.survivorAgeMillisByCrash().entrySet()) {
+            if (survivor.getValue() <= CrashEntry.RETENTION_MILLIS) {
+                changed |= addSurvivor(entry, survivor.getKey(), nowMillis - survivor.getValue());
+            }
+        }
         for (Map.Entry<Long, Long> crash : report.ageMillisByCrash().entrySet()) {
-            if (crash.getValue() <= RETENTION_MILLIS) {
+            if (crash.getValue() <= CrashEntry.RETENTION_MILLIS) {
                 changed |= entry.addCrash(crash.getKey(), nowMillis - crash.getValue(), nowMillis);
             }
         }
-        if (entry.crashedHere && !refusedBefore && entry.refused()) {
-            if (entry.part) {
+        if (entry.crashedHere() && !refusedBefore && entry.refused()) {
+            if (entry.isPart()) {
                 settlingParts.add(report.subject());
             } else {
                 refusalsChanged = true;
@@ -314,7 +278,7 @@
      */
     public boolean takeRefusalsChanged(long nowMillis) {
         settlingParts.removeIf(part -> {
-            Entry entry = entries.get(part);
+            CrashEntry entry = entries.get(part);
             boolean storable = entry != null && entry.storable(nowMillis);
             refusalsChanged |= storable;
             return storable || entry == null || !entry.refused();
@@ -325,19 +289,21 @@
     }
 
     /**
-     * Returns reports of the refused subjects, which the caller stores.
+     * Returns reports of the refused subjects, which the caller stores, and of those whose crashes were taken back. The
+     * latter keep a daemon that does not know this from listing them again.
      *
      * @param nowMillis current monotonic time, in milliseconds
      * @return one report for each subject, limited to those with the most recent events
      */
     public List<CrashReport> refusedRequests(long nowMillis) {
-        List<Map.Entry<CrashSubject, Entry>> refused = entries.entrySet().stream()
+        List<Map.Entry<CrashSubject, CrashEntry>> refused = entries.entrySet().stream()
                 .filter(entry -> entry.getValue().storable(nowMillis))
-                .sorted(Comparator.comparingLong((Map.Entry<CrashSubject, Entry> entry) ->
-                        -entry.getValue().lastEventMillis()))
+                .sorted(Comparator.comparing((Map.Entry<CrashSubject, CrashEntry> entry) ->
+                                !entry.getValue().refused())
+                        .thenComparingLong(entry -> -entry.getValue().lastEventMillis()))
                 .limit(MAX_STORED_REQUESTS)
                 .toList();
-        refused.forEach(entry -> entry.getValue().stored = true);
+        refused.forEach(entry -> entry.getValue().setStored(true));
         return refused.stream()
                 .map(entry -> entry.getValue().report(entry.getKey(), nowMillis))
                 .toList();
@@ -365,16 +331,16 @@
         if (nowMillis - lastResendMillis >= RESEND_INTERVAL_MILLIS) {
             lastResendMillis = nowMillis;
             entries.values().removeIf(entry -> !entry.retained(nowMillis));
-            resend(Entry::refused, nowMillis, reports);
+            resend(CrashEntry::refused, nowMillis, reports);
             resend(entry -> !entry.refused(), nowMillis, reports);
         }
         return reports;
     }
 
-    private void resend(Predicate<Entry> chosen, long nowMillis, List<CrashReport> reports) {
+    private void resend(Predicate<CrashEntry> chosen, long nowMillis, List<CrashReport> reports) {
         entries.entrySet().stream()
-                .filter(entry -> entry.getValue().reportedAt < nowMillis && chosen.test(entry.getValue()))
-                .sorted(Comparator.comparingLong(entry -> entry.getValue().reportedAt))
+                .filter(entry -> entry.getValue().reportedAtMillis() < nowMillis && chosen.test(entry.getValue()))
+                .sorted(Comparator.comparingLong(entry -> entry.getValue().reportedAtMillis()))
                 .limit(RESEND_BATCH_SIZE)
                 .map(Map.Entry::getKey)
                 .toList()
@@ -382,20 +348,20 @@
     }
 
     private void addReport(CrashSubject subject, long nowMillis, List<CrashReport> reports) {
-        Entry entry = entries.get(subject);
-        entry.reportedAt = nowMillis;
+        CrashEntry entry = entries.get(subject);
+        entry.markReported(nowMillis);
         reports.add(entry.report(subject, nowMillis));
     }
 
-    private Entry getOrCreate(CrashSubject subject, long nowMillis) {
-        Entry known = entries.get(subject);
+    private CrashEntry getOrCreate(CrashSubject subject, long nowMillis) {
+        CrashEntry known = entries.get(subject);
         if (known != null && known.retained(nowMillis)) {
             return known;
         }
         if (known == null && entries.size() >= MAX_REQUESTS) {
             evictLeastSuspected(nowMillis);
         }
-        Entry entry = new Entry();
+        CrashEntry entry = new CrashEntry();
         entries.put(subject, entry);
         return entry;
     }
@@ -405,7 +371,7 @@
         entries.values().removeIf(entry -> !entry.retained(nowMillis));
         int surplus = entries.size() - MAX_REQUESTS + MAX_REQUESTS / EVICTION_DIVISOR;
         entries.entrySet().stream()
-                .sorted(Comparator.comparingInt((Map.Entry<CrashSubject, Entry> entry) ->
+                .sorted(Comparator.comparingInt((Map.Entry<CrashSubject, CrashEntry> entry) ->
                                 entry.getValue().crashCount())
                         .thenComparingLong(entry -> entry.getValue().lastEventMillis()))
                 .limit(Math.max(0, surplus))
@@ -413,14 +379,4 @@
                 .toList()
                 .forEach(entries::remove);
     }
-
-    private static long hash(TargetKey target, int incarnation) {
-        return Hashing.sipHash24()
-                .newHasher()
-                .putUnencodedChars(target.name())
-                .putLong(target.generation())
-                .putInt(incarnation)
-                .hash()
-                .asLong();
-    }
 }
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/PromptPartCrashes.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/PromptPartCrashes.java
@@ -1,6 +1,5 @@
 package io.sesamehead.coordination.dispatch;
 
-import com.google.common.hash.Hashing;
 import io.sesamehead.state.DaemonId;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,19 +25,17 @@
     private static final long CONFIRMATION_MILLIS = 300;
     /** Age from which a crash needs no further confirmation, in milliseconds: answers have been reported by then. */
     private static final long SETTLED_MILLIS = ANSWER_VALIDITY_MILLIS + 3_000;
-    /** Time from the last crash to the next trial of a refused part, in milliseconds. Doubles with each crash. */
-    private static final long TRIAL_INTERVAL_MILLIS = 10_000;
-    /** Number of crashes after which a part is not tried again while its crashes are kept. */
-    private static final int CRASHES_TO_END_TRIALS = 5;
-    /** Interval between two trials of a part by one daemon, in milliseconds: the first has ended by then. */
-    private static final long TRIAL_SPACING_MILLIS = 3_000;
-    /** Maximum number of parts whose last answer is kept, and of those whose last trial is kept. */
+    /** Maximum number of parts whose last answer is kept. */
     private static final int MAX_PARTS = 4_096;
 
     private final CrashHistory history;
-    private final DaemonId daemon;
-    private final Map<CrashSubject, Long> answeredAt = leastRecentlyUsed();
-    private final Map<CrashSubject, Long> triedAt = leastRecentlyUsed();
+    private final CrashTrials trials;
+    private final Map<CrashSubject, Long> answeredAt = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<CrashSubject, Long> eldest) {
+            return size() > MAX_PARTS;
+        }
+    };
 
     /**
      * Creates the decisions of one daemon.
@@ -48,7 +45,7 @@
      */
     public PromptPartCrashes(CrashHistory history, DaemonId daemon) {
         this.history = history;
-        this.daemon = daemon;
+        this.trials = new CrashTrials(daemon);
     }
 
     /**
@@ -147,7 +144,7 @@
         if (summary.crashes() < needed) {
             return false;
         }
-        long latest = summary.atMillis().get(summary.crashes() - 1);
+        long latest = summary.lastMillis();
         return nowMillis - summary.learnedAtMillis().get(needed - 1) >= CONFIRMATION_MILLIS
                 || nowMillis - latest >= SETTLED_MILLIS;
     }
@@ -158,39 +155,10 @@
 
     private boolean takeTrial(CrashSubject part, long nowMillis) {
         CrashHistory.Summary summary = history.summary(part, nowMillis);
-        if (summary.crashes() >= CRASHES_TO_END_TRIALS) {
-            return false;
-        }
-        long interval = TRIAL_INTERVAL_MILLIS << (summary.crashes() - crashesToRefuse(summary));
-        long due = summary.atMillis().get(summary.crashes() - 1)
-                + interval
-                + (long) (interval * trialDelayFraction(part, summary.crashes()));
-        long last = triedAt.getOrDefault(part, Long.MIN_VALUE / 2);
-        if (nowMillis < Math.max(due, last + TRIAL_SPACING_MILLIS)) {
+        if (nowMillis < trials.dueMillis(part, summary, crashesToRefuse(summary))) {
             return false;
         }
-        triedAt.put(part, nowMillis);
+        trials.recordTrial(part, nowMillis);
         return true;
     }
-
-    /** Returns a fraction that differs between daemons, and for one daemon between trials. */
-    private double trialDelayFraction(CrashSubject part, int crashes) {
-        int hash = Hashing.murmur3_32_fixed()
-                .newHasher()
-                .putUnencodedChars(daemon.value())
-                .putLong(part.value())
-                .putInt(crashes)
-                .hash()
-                .asInt();
-        return Integer.toUnsignedLong(hash) / (double) (1L << Integer.SIZE);
-    }
-
-    private static Map<CrashSubject, Long> leastRecentlyUsed() {
-        return new LinkedHashMap<>(16, 0.75f, true) {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<CrashSubject, Long> eldest) {
-                return size() > MAX_PARTS;
-            }
-        };
-    }
 }
--- /dev/null
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
@@ -0,0 +1,200 @@
+package io.sesamehead.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.sesamehead.coordination.replica.UpstreamEntry;
+import io.sesamehead.state.DaemonId;
+import io.sesamehead.state.Endpoint;
+import io.sesamehead.state.FailureDomain;
+import io.sesamehead.state.InstanceId;
+import io.sesamehead.state.ServiceName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against taking lost answers for crashes, and against taking back crashes that happened. */
+final class TargetSurvivalTest {
+    private static final CrashSubject REQUEST = new CrashSubject(9);
+    private static final long HEARTBEAT_MILLIS = 1_200;
+    /** Time from a loss until the entry of an upstream that has crashed has been removed, in milliseconds. */
+    private static final long PROOF_MILLIS = 4_600;
+
+    private static final long STEP_MILLIS = 100;
+    private static final int TARGETS = 3;
+
+    private final CrashHistory history = new CrashHistory();
+    private final TargetSurvival survival = new TargetSurvival(HEARTBEAT_MILLIS);
+    private final RequestCrashes requests = new RequestCrashes(history, survival, new DaemonId("d"));
+    private final Map<TargetKey, Long> progress = new HashMap<>();
+    private final List<UpstreamEntry> entries = new ArrayList<>();
+    private long now;
+
+    @BeforeEach
+    void listTargets() {
+        for (int number = 0; number < TARGETS; number++) {
+            entries.add(entry(number, 1));
+        }
+        survival.observe(entries, now);
+    }
+
+    private static UpstreamEntry entry(int number, long startedAtEpochMillis) {
+        return new UpstreamEntry(
+                new InstanceId("i-" + number),
+                startedAtEpochMillis,
+                0,
+                new ServiceName("desk"),
+                new Endpoint("127.0.0.1", 80),
+                new FailureDomain("a"),
+                6,
+                false,
+                "",
+                List.of(),
+                List.of(),
+                Optional.empty());
+    }
+
+    private static TargetKey target(int number) {
+        return TargetKey.of(new InstanceId("i-" + number), 1);
+    }
+
+    private void loseAnswerAtEachTarget() {
+        for (int number = 0; number < TARGETS; number++) {
+            history.recordCrash(REQUEST, target(number), now - 20, now);
+        }
+    }
+
+    /** Lets time pass while the store answers, with progress at the first targets. */
+    private void pass(long millis, int progressing) {
+        for (long end = now + millis; now < end; now += STEP_MILLIS) {
+            for (int number = 0; number < progressing; number++) {
+                progress.put(target(number), now);
+            }
+            survival.recordListed(now);
+            refute(history);
+        }
+    }
+
+    private void refute(CrashHistory crashes) {
+        crashes.refuteCrashes(survival, key -> progress.getOrDefault(key, Long.MIN_VALUE / 2), now);
+    }
+
+    @Test
+    void lostAnswersOfTargetsThatGoOnAreTakenBack() {
+        loseAnswerAtEachTarget();
+        assertThat(requests.mustRefuse(REQUEST, now)).isTrue();
+        assertThat(requests.retryAfterMillis(REQUEST, now)).isEqualTo(PROOF_MILLIS);
+
+        pass(PROOF_MILLIS + 2 * STEP_MILLIS, TARGETS);
+
+        assertThat(history.crashCount(REQUEST, now)).isZero();
+        assertThat(requests.mustRefuse(REQUEST, now)).isFalse();
+    }
+
+    @Test
+    void crashesStayWhileTheStoreStillListsTheUpstreams() {
+        loseAnswerAtEachTarget();
+        pass(PROOF_MILLIS - STEP_MILLIS, TARGETS);
+
+        assertThat(history.isRefused(REQUEST, now)).isTrue();
+    }
+
+    /** An upstream that restarts under its id answers calls as well, but its entry shows the later start. */
+    @Test
+    void crashOfUpstreamThatComesBackUnderItsIdStays() {
+        loseAnswerAtEachTarget();
+        entries.replaceAll(entry -> entry(entries.indexOf(entry), 2));
+        survival.observe(entries, now);
+        pass(2 * PROOF_MILLIS, TARGETS);
+
+        assertThat(history.crashCount(REQUEST, now)).isEqualTo(TARGETS);
+    }
+
+    /** The entry of an upstream that was cut off or lost power may outlive it. */
+    @Test
+    void crashOfUpstreamThatIsListedAndSilentStays() {
+        loseAnswerAtEachTarget();
+        pass(2 * PROOF_MILLIS, 1);
+
+        assertThat(history.crashCount(REQUEST, now)).isEqualTo(TARGETS - 1);
+    }
+
+    /** Entries do not expire while the store is away, so that their presence proves nothing for a while. */
+    @Test
+    void crashStaysWhileTheStoreHasBeenAway() {
+        loseAnswerAtEachTarget();
+        now += 2 * PROOF_MILLIS;
+        pass(PROOF_MILLIS - 2 * STEP_MILLIS, TARGETS);
+        assertThat(history.isRefused(REQUEST, now)).isTrue();
+
+        pass(4 * STEP_MILLIS, TARGETS);
+
+        assertThat(history.isRefused(REQUEST, now)).isFalse();
+    }
+
+    /** A daemon of an earlier build, a late report or a stored object still lists crashes that were taken back. */
+    @Test
+    void reportsThatDoNotKnowOfTheSurvivorsDoNotBringCrashesBack() {
+        loseAnswerAtEachTarget();
+        List<CrashReport> old = history.nextReport(now);
+        pass(PROOF_MILLIS + 2 * STEP_MILLIS, TARGETS);
+        CrashHistory started = new CrashHistory();
+        history.nextReport(now).forEach(report -> started.merge(report, now));
+        for (CrashReport report : old) {
+            CrashReport late = report.aged(PROOF_MILLIS);
+            history.merge(late, now);
+            started.merge(late, now);
+        }
+
+        assertThat(history.crashCount(REQUEST, now)).isZero();
+        assertThat(started.crashCount(REQUEST, now)).isZero();
+    }
+
+    @Test
+    void laterCrashOfSurvivorCounts() {
+        loseAnswerAtEachTarget();
+        pass(PROOF_MILLIS + 2 * STEP_MILLIS, TARGETS);
+        loseAnswerAtEachTarget();
+        entries.clear();
+        survival.observe(entries, now);
+        pass(2 * PROOF_MILLIS, 0);
+
+        assertThat(history.isRefused(REQUEST, now)).isTrue();
+    }
+
+    /** The store keeps the survivors of a request that it lists, for daemons that start after all others have ended. */
+    @Test
+    void storedRecordTakesCrashesBack() {
+        loseAnswerAtEachTarget();
+        assertThat(history.takeRefusalsChanged(now)).isTrue();
+        List<CrashReport> stored = history.refusedRequests(now);
+        pass(PROOF_MILLIS + 2 * STEP_MILLIS, TARGETS);
+        assertThat(history.takeRefusalsChanged(now)).isTrue();
+
+        CrashHistory started = new CrashHistory();
+        history.refusedRequests(now).forEach(report -> started.merge(report, now));
+        stored.forEach(report -> started.merge(report.aged(PROOF_MILLIS), now));
+
+        assertThat(started.crashCount(REQUEST, now)).isZero();
+    }
+
+    /** At most three retries may follow the third crash; two trials leave one for a call that is on its way. */
+    @Test
+    void refusedRequestIsTriedTwice() {
+        loseAnswerAtEachTarget();
+        int trials = 0;
+        for (; now < 500_000; now += STEP_MILLIS) {
+            if (!requests.mustRefuse(REQUEST, now)) {
+                requests.recordAdmitted(REQUEST, now);
+                history.recordCrash(REQUEST, new TargetKey("trial-" + trials, 1), now, now + 1);
+                trials++;
+            }
+        }
+
+        assertThat(trials).isEqualTo(2);
+        assertThat(requests.mustRefuse(REQUEST, now)).isTrue();
+    }
+}
--- a/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/ReportCodec.java
@@ -157,7 +157,8 @@
             rows.add(new CrashReport(
                     new CrashSubject(crashed.getFingerprint()),
                     ages(crashed.getTargetsList(), crashed.getAgesMillisList()),
-                    completed));
+                    completed,
+                    ages(crashed.getSurvivorsList(), crashed.getSurvivorAgesMillisList())));
         }
         return rows;
     }
@@ -174,6 +175,8 @@
         row.ageMillisByCrash()
                 .forEach((target, age) -> crashed.addTargets(target).addAgesMillis(age));
         row.completedAgeMillis().ifPresent(age -> crashed.setCompletedAge(age + 1));
+        row.survivorAgeMillisByCrash()
+                .forEach((target, age) -> crashed.addSurvivors(target).addSurvivorAgesMillis(age));
         return crashed.build();
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
@@ -41,10 +41,11 @@
         return !trial && isPartRefused();
     }
 
-    /** Returns the part of the prompt that may crash the next target. */
-    Optional<CrashSubject> suspectedPart() {
+    /** Returns what may crash the next target: a part of the prompt, or a refused request that is tried again. */
+    Optional<CrashSubject> suspect() {
         return switch (verdict()) {
-            case PromptPartVerdict.Clear clear -> Optional.empty();
+            case PromptPartVerdict.Clear clear ->
+                environment.crashHistory().isRefused(request, now()) ? Optional.of(request) : Optional.empty();
             case PromptPartVerdict.Suspected suspected -> Optional.of(suspected.part());
             case PromptPartVerdict.Refused refused -> Optional.of(refused.part());
         };
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -18,6 +18,7 @@
 import io.sesamehead.coordination.dispatch.PeerSelector;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RateLimitShares;
+import io.sesamehead.coordination.dispatch.RequestCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.SharedRetryBudget;
 import io.sesamehead.coordination.dispatch.StatedRateLimit;
@@ -67,6 +68,7 @@
     private final BusyUpstreams busyUpstreams;
     private final Dispatcher dispatcher;
     private final CrashHistory crashHistory;
+    private final RequestCrashes requestCrashes;
     private final PromptPartCrashes partCrashes;
     private final CancelledAttempts cancelledAttempts = new CancelledAttempts();
     private final LeavingRecorder leavingRecorder;
@@ -101,6 +103,7 @@
             BusyUpstreams busyUpstreams,
             Dispatcher dispatcher,
             CrashHistory crashHistory,
+            RequestCrashes requestCrashes,
             PromptPartCrashes partCrashes,
             LeavingRecorder leavingRecorder,
             RateLimitShares rateLimitShares,
@@ -123,6 +126,7 @@
         this.busyUpstreams = busyUpstreams;
         this.dispatcher = dispatcher;
         this.crashHistory = crashHistory;
+        this.requestCrashes = requestCrashes;
         this.partCrashes = partCrashes;
         this.leavingRecorder = leavingRecorder;
         this.rateLimitShares = rateLimitShares;
@@ -182,6 +186,10 @@
         return crashHistory;
     }
 
+    RequestCrashes requestCrashes() {
+        return requestCrashes;
+    }
+
     PromptPartCrashes partCrashes() {
         return partCrashes;
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallRouter.java
@@ -83,19 +83,21 @@
             return refuse(facts, responseWriter, ErrorResponse.NO_CONFIGURATION, CONFIG_RETRY_AFTER_MILLIS);
         }
         CrashSubject subject = CrashSubject.ofCall(request.target(), tenant.map(Tenant::account), request.body());
-        if (environment.crashHistory().isRefused(subject, environment.clocks().steadyMillis())) {
+        long now = environment.clocks().steadyMillis();
+        if (environment.requestCrashes().mustRefuse(subject, now)) {
             logCrashRefusal(facts, subject);
-            return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
+            long retryAfterMillis = environment.requestCrashes().retryAfterMillis(subject, now);
+            return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, retryAfterMillis);
         }
         ImmutableList<CrashSubject> parts = facts.sharedPromptParts().stream()
                 .map(CrashSubject::ofPromptPart)
                 .collect(toImmutableList());
-        PromptPartVerdict verdict =
-                environment.partCrashes().admit(parts, environment.clocks().steadyMillis());
+        PromptPartVerdict verdict = environment.partCrashes().admit(parts, now);
         if (verdict instanceof PromptPartVerdict.Refused refused) {
             logPartRefusal(facts, refused);
             return refuse(facts, responseWriter, ErrorResponse.CRASHED_BEFORE, CRASHED_RETRY_AFTER_MILLIS);
         }
+        environment.requestCrashes().recordAdmitted(subject, now);
         environment.peerReporter().recordTraffic();
         return Optional.of(new ForwardedCall(
                 environment,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashRecorder.java
@@ -178,7 +178,10 @@
                 .anyMatch(stored -> stored.subject().equals(report.subject())
                         && stored.ageMillisByCrash()
                                 .keySet()
-                                .containsAll(report.ageMillisByCrash().keySet()));
+                                .containsAll(report.ageMillisByCrash().keySet())
+                        && stored.survivorAgeMillisByCrash()
+                                .keySet()
+                                .containsAll(report.survivorAgeMillisByCrash().keySet()));
     }
 
     private void retry(String call) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -9,16 +9,15 @@
 import io.sesamehead.coordination.catalog.RouteTable;
 import io.sesamehead.coordination.dispatch.BusyUpstreams;
 import io.sesamehead.coordination.dispatch.CrashHistory;
-import io.sesamehead.coordination.dispatch.DepartedTargets;
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RateLimitShares;
 import io.sesamehead.coordination.dispatch.RefusedConnections;
+import io.sesamehead.coordination.dispatch.RequestCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.StatedRateLimits;
-import io.sesamehead.coordination.dispatch.Target;
-import io.sesamehead.coordination.dispatch.TargetEvidence;
 import io.sesamehead.coordination.dispatch.TargetKey;
+import io.sesamehead.coordination.dispatch.TargetSurvival;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.dispatch.UpstreamCapacity;
 import io.sesamehead.coordination.drain.StopSchedule;
@@ -89,7 +88,7 @@
     private final UpstreamRegistry registry;
     private final Fleet fleet = new Fleet();
     private final TargetTable targetTable = new TargetTable();
-    private final DepartedTargets departedTargets = new DepartedTargets();
+    private final CrashEvidence crashEvidence;
     private final RateLimitShares rateLimitShares;
     private final RateLimitRecorder rateLimitRecorder;
     private final RefusedConnections refusedConnections;
@@ -168,15 +167,14 @@
         this.translator = platform.translator();
         long incarnation = random.nextLong();
         CrashHistory crashHistory = new CrashHistory();
-        PromptPartCrashes partCrashes = new PromptPartCrashes(crashHistory, new DaemonId(settings.daemon()));
+        DaemonId daemon = new DaemonId(settings.daemon());
+        PromptPartCrashes partCrashes = new PromptPartCrashes(crashHistory, daemon);
         this.lease = leaseTask(presentStore, new Incarnation(incarnation), random);
-        ReportTopology topology = new ReportTopology(new DaemonId(settings.daemon()), settings.failureDomain());
+        ReportTopology topology = new ReportTopology(daemon, settings.failureDomain());
         this.directory = new PeerDirectory(loop, clocks, settings, presentStore, topology, log);
         this.configWatch = new ConfigWatch(
                 loop, clocks, presentStore, activeConfig, settings.configConvergenceMillis(), log, this::onFleetChange);
         this.registryWatch = registryWatch(presentStore, topology, random);
-        StoreViewExchange storeViewExchange =
-                new CachedStoreViewExchange(clocks, activeConfig, configWatch, registryWatch, storeHistory, log);
         LeavingRecorder leavingRecorder = new LeavingRecorder(clocks, registry, log, this::onFleetChange);
         StatedRateLimits statedRateLimits = new StatedRateLimits();
         this.rateLimitShares = new RateLimitShares(statedRateLimits, random);
@@ -189,18 +187,20 @@
                 directory,
                 topology,
                 targetTable,
-                crashHistory,
-                partCrashes,
+                new CrashExchange(clocks, crashHistory, partCrashes, log),
                 refusedConnections,
                 rateLimitRecorder,
                 leavingRecorder,
                 modelLoads,
                 lease,
-                storeViewExchange,
+                new CachedStoreViewExchange(clocks, activeConfig, configWatch, registryWatch, storeHistory, log),
                 log);
         this.crashRecorder =
                 new CrashRecorder(loop, clocks, InstantSource.system(), presentStore, crashHistory, log, random);
-        this.environment = callEnvironment(crashHistory, partCrashes, leavingRecorder, random);
+        TargetSurvival survival = new TargetSurvival(settings.heartbeatMillis());
+        RequestCrashes requests = new RequestCrashes(crashHistory, survival, daemon);
+        this.environment = callEnvironment(crashHistory, requests, partCrashes, leavingRecorder, random);
+        this.crashEvidence = new CrashEvidence(environment, registry, crashHistory, survival, refusedConnections);
         this.silenceWatch = new SilenceWatch(environment);
         this.callerServer = new CallerServer(environment, new CallRouter(environment, random, false));
         this.peerServer = new CallerServer(environment, new CallRouter(environment, random, true));
@@ -230,6 +230,7 @@
     /** Creates the environment shared by all calls. */
     private CallEnvironment callEnvironment(
             CrashHistory crashHistory,
+            RequestCrashes requestCrashes,
             PromptPartCrashes partCrashes,
             LeavingRecorder leavingRecorder,
             RandomGenerator random) {
@@ -250,6 +251,7 @@
                 busyUpstreams,
                 dispatcher,
                 crashHistory,
+                requestCrashes,
                 partCrashes,
                 leavingRecorder,
                 rateLimitShares,
@@ -370,6 +372,7 @@
         environment.peerForwarding().probeLostPaths();
         clients.closeExpired();
         rateLimitRecorder.expire(registry::isListed, 1 + peerReporter.listedDaemons());
+        crashEvidence.refuteCrashes();
         crashRecorder.writeIfChanged();
         environment.endRefusedCalls();
         if (now - lastControlAtMillis >= CONTROL_INTERVAL_MILLIS) {
@@ -389,6 +392,7 @@
         // reaction.
         List<Runnable> reactions = List.of(
                 registryWatch::onStoreRestored,
+                crashEvidence::onStoreRestored,
                 lease::onStoreRestored,
                 configWatch::onStoreRestored,
                 crashRecorder::onStoreRestored,
@@ -397,12 +401,7 @@
     }
 
     private void onConnectionRefused(Endpoint peer) {
-        for (Target target : fleet.servingTargets()) {
-            if (target.upstream().endpoint().equals(peer)) {
-                refusedConnections.recordRefused(target.key(), clocks.steadyMillis());
-                environment.onTargetEvidence(target.key(), new TargetEvidence.ConnectionRefused());
-            }
-        }
+        crashEvidence.onConnectionRefused(peer);
     }
 
     private void runController() {
@@ -446,7 +445,7 @@
         Set<TargetKey> now = fleet.servingKeys();
         Sets.difference(now, before).forEach(key -> logTarget("serving", key, now.size()));
         Sets.difference(before, now).forEach(key -> logTarget("not-serving", key, now.size()));
-        departedTargets.update(now, registry.entries(), clocks.steadyMillis()).forEach(environment::onTargetEvidence);
+        crashEvidence.onFleetChange(now);
         targetTable.retainTargets(key -> key.isPeer() || fleet.exists(key));
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -182,7 +182,7 @@
                 route.objectiveMillis(),
                 deadlineMillis - now(),
                 environment.estimateElapsedMillis(route, facts) + now() - request.arrivedAtMillis(),
-                crashes.suspectedPart());
+                crashes.suspect());
     }
 
     /** Returns the targets that have not been tried and at which the call can end before a stopping daemon exits. */
--- a/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/PeerReporter.java
@@ -11,9 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.sesamehead.coordination.dispatch.CrashHistory;
-import io.sesamehead.coordination.dispatch.CrashReport;
-import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RefusedConnections;
 import io.sesamehead.coordination.dispatch.TargetKey;
 import io.sesamehead.coordination.dispatch.TargetReport;
@@ -63,8 +60,7 @@
     private final PeerDirectory directory;
     private final ReportTopology topology;
     private final TargetTable table;
-    private final CrashHistory crashes;
-    private final PromptPartCrashes partCrashes;
+    private final CrashExchange crashes;
     private final RefusedConnections refused;
     private final RateLimitRecorder rateLimits;
     private final LeavingRecorder leaving;
@@ -92,8 +88,7 @@
             PeerDirectory directory,
             ReportTopology topology,
             TargetTable table,
-            CrashHistory crashes,
-            PromptPartCrashes partCrashes,
+            CrashExchange crashes,
             RefusedConnections refused,
             RateLimitRecorder rateLimits,
             LeavingRecorder leaving,
@@ -109,7 +104,6 @@
         this.topology = topology;
         this.table = table;
         this.crashes = crashes;
-        this.partCrashes = partCrashes;
         this.refused = refused;
         this.rateLimits = rateLimits;
         this.leaving = leaving;
@@ -256,7 +250,7 @@
 
     /** Adds the data that every daemon needs and that is repeated in several reports. */
     private DaemonReport.Builder addBroadcastData(DaemonReport.Builder report) {
-        crashes.nextReport(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.encodeCrash(row)));
+        crashes.addTo(report);
         leaving.toAnnounce().forEach(upstream -> report.addLeaving(ReportCodec.leaving(upstream)));
         refused.recordOwnProgress(table, clocks.steadyMillis());
         refused.reports(!topology.mesh(), clocks.steadyMillis())
@@ -330,7 +324,7 @@
                 report.addTargets(ReportCodec.encodeLoad(row.minusInFlight(row.inFlight())));
             }
         }
-        crashes.nextReport(clocks.steadyMillis()).forEach(row -> report.addCrashed(ReportCodec.encodeCrash(row)));
+        crashes.addTo(report);
         rateLimits.addLimits(report);
         write(report, directory.addresses());
         channel.flush();
@@ -376,7 +370,7 @@
         if (report.getDaemon().equals(settings.daemon())) {
             return;
         }
-        mergeCrashes(report);
+        crashes.merge(report);
         rateLimits.mergeLimits(report);
         long now = clocks.steadyMillis();
         ReportCodec.decodeRefusedTargets(report).forEach(row -> refused.merge(row, now));
@@ -393,24 +387,6 @@
         ReportCodec.decodeLease(report).ifPresent(this::recordLeaseHolder);
     }
 
-    /** Merges crash reports, which count regardless of the order in which the reports arrive. */
-    private void mergeCrashes(DaemonReport report) {
-        long now = clocks.steadyMillis();
-        for (CrashReport row : ReportCodec.decodeCrashes(report)) {
-            if (partCrashes.merge(row, now)) {
-                log.write(
-                        EventLog.Component.PEER,
-                        "crash-heard",
-                        "request",
-                        row.subject(),
-                        "crashes",
-                        crashes.crashCount(row.subject(), now),
-                        "from",
-                        report.getDaemon());
-            }
-        }
-    }
-
     private void recordTargetLoads(DaemonReport report, long nowMillis) {
         DaemonId sender = new DaemonId(report.getDaemon());
         List<TargetReport> rows = ReportCodec.decodeLoads(report);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -15,8 +15,10 @@
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RateLimitShares;
+import io.sesamehead.coordination.dispatch.RequestCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.StatedRateLimits;
+import io.sesamehead.coordination.dispatch.TargetSurvival;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.dispatch.UpstreamCapacity;
 import io.sesamehead.coordination.drain.StopSchedule;
@@ -124,6 +126,7 @@
                         serviceTimes,
                         random),
                 crashHistory,
+                new RequestCrashes(crashHistory, new TargetSurvival(1_200), new DaemonId("d")),
                 new PromptPartCrashes(crashHistory, new DaemonId("d")),
                 new LeavingRecorder(clocks, registry, log, () -> {}),
                 rateLimitShares,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -24,9 +24,11 @@
 import io.sesamehead.coordination.dispatch.Dispatcher;
 import io.sesamehead.coordination.dispatch.PromptPartCrashes;
 import io.sesamehead.coordination.dispatch.RateLimitShares;
+import io.sesamehead.coordination.dispatch.RequestCrashes;
 import io.sesamehead.coordination.dispatch.ServiceTimeEstimator;
 import io.sesamehead.coordination.dispatch.StatedRateLimit;
 import io.sesamehead.coordination.dispatch.StatedRateLimits;
+import io.sesamehead.coordination.dispatch.TargetSurvival;
 import io.sesamehead.coordination.dispatch.TargetTable;
 import io.sesamehead.coordination.dispatch.UpstreamCapacity;
 import io.sesamehead.coordination.replica.UpstreamEntry;
@@ -217,6 +219,7 @@
                         serviceTimes,
                         new SplittableRandom(1)),
                 crashHistory,
+                new RequestCrashes(crashHistory, new TargetSurvival(1_200), new DaemonId("d")),
                 new PromptPartCrashes(crashHistory, new DaemonId("d")),
                 new LeavingRecorder(clocks, registry, log, () -> {}),
                 rateLimitShares,
