Apply the limits of the request that begins, not of its connection

Cause: Netty's codec takes its limits when a connection is accepted. A connection kept those of its first configuration, and one accepted before any configuration kept the defaults.

Change: CallerServer.limits() alone answers which limits hold for a request that begins now. The codec has no limit in practice; each head is measured when it is complete, and an incomplete head, chunk size or trailer ends the request once twice the limit has arrived undecoded, which is what the codec kept before (line and headers). While a request is being read, the more generous of the versions at its begin and now counts, for heads, bodies and the time to arrive. On the way this closed three related doors: a lowered limit did not hold on old connections; before the first configuration a large request was refused for good by limits that nobody had set (now 503, it has not run); a peer refused a call at the limit because of the headers that were added when it was passed on.

Evidence, on and after: openConnectionFollowsHeaderLimit 431 for 200, asksForRetryOfLargeRequestWhileNoConfigurationIsKnown 431 for 503, callWithLargestAllowedHeadIsPassedOn 502 for 200; all pass now. appliesHeaderLimitThatWasInForceWhenRequestBegan passed before too and guards the other direction. The other eleven tests of CallerConnectionTest pass unchanged, among them the refusal of a head of 4 MB.

Read and left as they are: idle limits (IdlePeriod raises them in time), time-outs and services of routes (taken when the call is admitted). Ruled out: replacing the codec when the limit changes, since it holds the methods of the requests whose responses it still has to encode.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.IdlePeriod;
+import io.sesamehead.entry.transport.RequestHeadSize;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -52,7 +53,9 @@
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
     /** Limits in force when the request that is being read began. */
-    private CallLimits requestLimits;
+    private CallLimits limitsAtBegin = CallLimits.DEFAULT;
+
+    private final RequestHeadSize headSize = new RequestHeadSize();
 
     private long lastActivityMillis;
     private IdlePeriod idlePeriod;
@@ -106,11 +109,23 @@
         lastActivityMillis = server.nowMillis();
         if (!responding && partialSinceMillis < 0) {
             partialSinceMillis = lastActivityMillis;
-            requestLimits = server.limits();
         }
+        if (head == null && headSize.isEmpty()) {
+            limitsAtBegin = server.limits();
+        }
+        if (headSize.isIncompleteHeadTooLarge(requestLimits().maxHeaderBytes())) {
+            rejectTooLarge(ErrorResponse.HEAD_TOO_LARGE);
+            return false;
+        }
+        headSize.recordReceived(byteCount);
         return true;
     }
 
+    /** Returns the limits of the request that is being read: those at its begin or the present ones, as it may know both. */
+    private CallLimits requestLimits() {
+        return limitsAtBegin.mostGenerous(server.limits());
+    }
+
     /** Bytes that stay unread turn the close into a reset, which may destroy the last response on its way. */
     private void onBytesDiscarded(int byteCount) {
         discardedBytes += byteCount;
@@ -129,6 +144,7 @@
         if (inputEnded) {
             return;
         }
+        headSize.recordDecoded();
         if (message.decoderResult().isFailure()) {
             rejectMalformed(message.decoderResult().cause());
             return;
@@ -144,10 +160,13 @@
     private void beginRequest(HttpRequest request) {
         head = request;
         headArrivedAtMillis = server.nowMillis();
-        requestLimits = server.limits();
         body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(request, 0L) > requestLimits.maxBodyBytes()) {
-            reject(ErrorResponse.BODY_TOO_LARGE);
+        if (RequestHeadSize.isTooLarge(request, requestLimits().maxHeaderBytes())) {
+            rejectTooLarge(ErrorResponse.HEAD_TOO_LARGE);
+            return;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > requestLimits().maxBodyBytes()) {
+            rejectTooLarge(ErrorResponse.BODY_TOO_LARGE);
             return;
         }
         continueExpected = HttpUtil.is100ContinueExpected(request);
@@ -164,8 +183,8 @@
 
     private void appendBody(HttpContent content) {
         ByteBuf data = content.content();
-        if (body.size() + data.readableBytes() > requestLimits.maxBodyBytes()) {
-            reject(ErrorResponse.BODY_TOO_LARGE);
+        if (body.size() + data.readableBytes() > requestLimits().maxBodyBytes()) {
+            rejectTooLarge(ErrorResponse.BODY_TOO_LARGE);
             return;
         }
         if (data.isReadable()) {
@@ -271,13 +290,18 @@
         scheduleNext();
     }
 
+    /** Rejects a request that exceeds a limit. Before the first configuration, the limits are not known. */
+    private void rejectTooLarge(ErrorResponse error) {
+        reject(server.hasConfiguration() ? error : ErrorResponse.NO_CONFIGURATION);
+    }
+
     /** Rejects an incomplete request that stopped arriving. */
     void rejectIfSlow(long nowMillis) {
         boolean incomplete = head != null || partialSinceMillis >= 0;
         boolean slow = !responding
                 && !inputEnded
                 && incomplete
-                && nowMillis - lastActivityMillis > requestLimits.headerTimeoutMillis();
+                && nowMillis - lastActivityMillis > requestLimits().headerTimeoutMillis();
         if (slow) {
             reject(ErrorResponse.SLOW_REQUEST);
         }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -15,7 +15,9 @@
 import io.netty.util.ReferenceCountUtil;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.RouteTable;
+import io.sesamehead.coordination.catalog.ServingConfig;
 import io.sesamehead.coordination.drain.StopSchedule;
+import io.sesamehead.entry.transport.RequestHeadSize;
 import io.sesamehead.state.Endpoint;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -96,7 +98,6 @@
             channel.close();
             return;
         }
-        CallLimits limits = limits();
         CallerConnection connection = new CallerConnection(this);
         channel.pipeline()
                 .addLast(new ChannelInboundHandlerAdapter() {
@@ -109,7 +110,8 @@
                         }
                     }
                 })
-                .addLast(new HttpServerCodec(limits.maxHeaderBytes(), limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                .addLast(new HttpServerCodec(
+                        RequestHeadSize.DECODER_LIMIT_BYTES, RequestHeadSize.DECODER_LIMIT_BYTES, MAX_CHUNK_BYTES))
                 .addLast(connection);
     }
 
@@ -174,13 +176,19 @@
         return router;
     }
 
+    /** Returns the limits that hold now for a request that begins. */
     CallLimits limits() {
-        return environment
+        CallLimits ofCallers = environment
                 .activeConfig()
                 .table()
                 .map(RouteTable::config)
-                .map(config -> config.limits())
+                .map(ServingConfig::limits)
                 .orElse(CallLimits.DEFAULT);
+        return router.forPeers() ? ofCallers.ofPassedOnCall() : ofCallers;
+    }
+
+    boolean hasConfiguration() {
+        return environment.activeConfig().table().isPresent();
     }
 
     long nowMillis() {
