Bound the sum of the responses that a daemon buffers

What callers saw: bodies without end from one faulty engine exhausted the heap of the machine that had called it, and the requests of other clients there ended with it. It can happen here: each body was bounded (8 MiB), their sum was not, beside a heap of 96 MB, and each was held up to three times (growing stream, its array, a copy).

Change: BufferAccount counts what responses hold, by capacity, with one limit of a quarter of the heap. At the limit the largest incomplete response of the upstream that holds most is given up, so that a faulty upstream cannot end the calls to the others; complete responses that slow callers have not read count and are kept. A body is held once. One whose stated length is too large fails at its first byte. An upstream that sent too much gets no calls from this daemon for two seconds. Bytes that are no valid response are told as faulty-response and are no longer counted as a crash: an engine that sends them goes on. The metrics response_bytes_held{kind} and responses_evicted show the account.

Ruled out: pausing the reads at the limit, since endless bodies of which none can be completed would hold everything until their deadlines; ending the largest response of all, which beside many endless ones is a sound one.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/EvidencePolicy.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/EvidencePolicy.java
@@ -20,6 +20,7 @@
         return switch (evidence) {
             case TargetEvidence.Silence silence -> reactionsToSilence(silence);
             case TargetEvidence.AttemptFailed failed -> Sets.immutableEnumSet(EvidenceReaction.COUNT_CRASH);
+            case TargetEvidence.FaultyResponse faulty -> ImmutableSet.of();
             case TargetEvidence.ConnectFailed failed -> Sets.immutableEnumSet(EvidenceReaction.PREFER_OTHERS);
             case TargetEvidence.ConnectionRefused refused ->
                 Sets.immutableEnumSet(EvidenceReaction.PREFER_OTHERS, EvidenceReaction.COUNT_CRASH);
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetEvidence.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetEvidence.java
@@ -23,6 +23,9 @@
     /** An attempt ended without a valid and complete response, for example because its connection closed. */
     record AttemptFailed() implements TargetEvidence {}
 
+    /** An attempt ended with bytes that are no valid response. The target goes on. */
+    record FaultyResponse() implements TargetEvidence {}
+
     /** A connection could not be opened, perhaps because the target is silent or its network loses packets. */
     record ConnectFailed() implements TargetEvidence {}
 
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/EvidencePolicyTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/EvidencePolicyTest.java
@@ -57,6 +57,8 @@
     /** Guards against counting crashes of sound calls because a connection timed out during a silence. */
     @Test
     void onlyRefusedConnectionCountsCrash() {
+        assertThat(EvidencePolicy.reactions(new TargetEvidence.FaultyResponse()))
+                .isEmpty();
         assertThat(EvidencePolicy.reactions(new TargetEvidence.ConnectFailed()))
                 .containsExactly(EvidenceReaction.PREFER_OTHERS);
         assertThat(EvidencePolicy.reactions(new TargetEvidence.ConnectionRefused()))
--- a/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
@@ -27,6 +27,20 @@
     /** Called when the upstream states that it did not run the call. */
     void onNotRun(HttpResponse head);
 
+    /**
+     * Called when the upstream has sent what is no valid response, so that the attempt is lost and the upstream goes on.
+     *
+     * @param reason what went wrong, for the log
+     */
+    void onFaultyResponse(String reason);
+
+    /**
+     * Called when the upstream has sent more than a response may have, or than there is memory for. The attempt is lost.
+     *
+     * @param reason what went wrong, for the log
+     */
+    void onOversizedResponse(String reason);
+
     /**
      * Called when the attempt is lost.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -30,6 +30,9 @@
     private final boolean resumed;
 
     private final EventScanner eventScanner = new EventScanner();
+    /** Body of a response that is no stream. */
+    private final ResponseBuffer buffer;
+
     private HttpConnectionPool.Exchange exchange;
     private boolean ended;
     private boolean notRun;
@@ -39,6 +42,9 @@
     private long supersededAtMillis;
     private boolean crashRecorded;
     private int eventsReceived;
+    /** Whether the upstream sent what is no valid response, so that it did not crash. */
+    private boolean faulty;
+
     private boolean advanced;
 
     /** The call of an attempt. Apart from failures, it is told of nothing that a superseded attempt receives. */
@@ -89,6 +95,7 @@
         this.sentAtMillis = now();
         this.expectedMillis = expectedMillis;
         this.resumed = resumed;
+        this.buffer = environment.responseBuffers().open(target.key().name(), this::onBufferEvicted);
     }
 
     void start(FullHttpRequest request, boolean idempotent, ExchangeListener listener) {
@@ -113,6 +120,10 @@
         return target;
     }
 
+    ResponseBuffer buffer() {
+        return buffer;
+    }
+
     TargetKey key() {
         return target.key();
     }
@@ -227,6 +238,7 @@
 
     private void markEnded() {
         ended = true;
+        buffer.release();
         recordResumed();
         environment.targetTable().recordEnded(target.key());
     }
@@ -270,7 +282,7 @@
     @Override
     public void onStreamData(byte[] bytes) {
         if (!ended && !eventScanner.feed(bytes, this::onEvent)) {
-            onFailure(true, "event exceeds the maximum size");
+            onOversizedResponse("event exceeds the maximum size");
         }
     }
 
@@ -355,6 +367,25 @@
         }
     }
 
+    @Override
+    public void onFaultyResponse(String reason) {
+        faulty = true;
+        onFailure(true, reason);
+    }
+
+    @Override
+    public void onOversizedResponse(String reason) {
+        if (!ended && !viaPeer()) {
+            environment.recordOversizedResponse(target.upstream());
+        }
+        onFaultyResponse(reason);
+    }
+
+    private void onBufferEvicted() {
+        environment.metrics().count("responses_evicted");
+        onOversizedResponse("response was given up for memory");
+    }
+
     @Override
     public void onFailure(boolean sent, String reason) {
         if (ended) {
@@ -371,6 +402,8 @@
             environment.peerForwarding().recordFailure(target);
         } else if (notRun || environment.targetTable().isPathLost(target.key(), now())) {
             environment.recordUnreachable(target);
+        } else if (faulty) {
+            environment.recordFaultyResponse(target);
         } else {
             recordCrash();
             environment.onTargetEvidence(target.key(), new TargetEvidence.AttemptFailed());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallEnvironment.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.sesamehead.coordination.buffer.BufferAccount;
 import io.sesamehead.coordination.catalog.ActiveConfig;
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.catalog.Route;
@@ -41,6 +42,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -54,6 +56,11 @@
      * this many.
      */
     private static final int MIN_DAEMONS = 12;
+    /** The part of the heap that buffered responses may hold is one over this. Requests and the rest need the others. */
+    private static final int RESPONSE_MEMORY_DIVISOR = 4;
+
+    /** Pause in calls to an upstream after a response without end, in milliseconds. */
+    private static final long OVERSIZED_PAUSE_MILLIS = 2_000;
 
     private final EntrySettings settings;
     private final EventLoop loop;
@@ -71,6 +78,8 @@
     private final RequestCrashes requestCrashes;
     private final PromptPartCrashes partCrashes;
     private final CancelledAttempts cancelledAttempts = new CancelledAttempts();
+    private final ResponseBuffer.Pool responseBuffers =
+            new ResponseBuffer.Pool(new BufferAccount(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR));
     private final LeavingRecorder leavingRecorder;
     private final RateLimitShares rateLimitShares;
     private final RateLimitRecorder rateLimitRecorder;
@@ -137,6 +146,10 @@
         this.log = log;
         this.tasks = new EventLoopTasks(loop, log);
         this.metrics = metrics;
+        for (BufferAccount.Kind kind : BufferAccount.Kind.values()) {
+            String name = "response_bytes_held{kind=\"" + kind.name().toLowerCase(Locale.ROOT) + "\"}";
+            metrics.gauge(name, () -> responseBuffers.heldBytes(kind));
+        }
         PeerSelector selector = new PeerSelector(targetTable, dispatcher);
         this.peerForwarding = new PeerForwarding(
                 clocks, fleet, targetTable, busyUpstreams, selector, peerReporter, clients, log, metrics);
@@ -210,6 +223,10 @@
         return metrics;
     }
 
+    ResponseBuffer.Pool responseBuffers() {
+        return responseBuffers;
+    }
+
     SharedRetryBudget retryBudget(ServiceName service) {
         return retryBudgets.computeIfAbsent(
                 service,
@@ -328,6 +345,24 @@
         }
     }
 
+    /** Records that an upstream has sent what is no valid response. It goes on, so that no crash is counted. */
+    void recordFaultyResponse(Target target) {
+        metrics.count("responses_faulty");
+        onTargetEvidence(target.key(), new TargetEvidence.FaultyResponse());
+        log.write(
+                EventLog.Component.GROUP,
+                "faulty-response",
+                "target",
+                target.key(),
+                "at_upstream",
+                target.upstream().id());
+    }
+
+    /** Sends an upstream no further calls for a while: the next ones would cost as much memory as the last. */
+    void recordOversizedResponse(UpstreamEntry upstream) {
+        busyUpstreams.recordBusy(upstream.id(), OVERSIZED_PAUSE_MILLIS, clocks.steadyMillis());
+    }
+
     void recordUnreachable(Target target) {
         targetTable.recordUnreachable(target.key(), clocks.steadyMillis());
         onTargetEvidence(target.key(), new TargetEvidence.ConnectFailed());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -414,6 +414,11 @@
             send(status, headers, bytes);
         }
 
+        @Override
+        public void whenWritten(Runnable action) {
+            lastWrite.ifPresentOrElse(write -> write.addListener(written -> action.run()), action);
+        }
+
         @Override
         public void begin(HttpResponseStatus status, HttpHeaders headers) {
             if (ended) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -270,6 +270,7 @@
      */
     public void start() throws InterruptedException {
         log.start();
+        new EventLoopGuard(log, Runtime.getRuntime()::halt).watch(loop);
         registerGauges();
         new StatusServer(Map.of(translator.readinessPath(), this::readinessPage))
                 .listen(loop, settings.readinessEndpoint());
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -248,7 +248,8 @@
             log.sent(attempts.size(), target, expectedMillis, lastEventId);
         }
         CallTranslator translator = viaPeer ? new PeerTranslator(environment.translator()) : environment.translator();
-        ResponseReader reader = new ResponseReader(translator, facts.requestId(), route.kind(), responseBegun, attempt);
+        ResponseReader reader = new ResponseReader(
+                translator, facts.requestId(), route.kind(), responseBegun, attempt.buffer(), attempt);
         attempt.start(
                 encoder.encode(target, deadlineMillis, lastEventId),
                 route.idempotent(),
@@ -456,7 +457,10 @@
             return;
         }
         select(attempt);
+        Runnable release =
+                environment.responseBuffers().holdComplete(attempt.key().name(), body.length);
         responseWriter.send(head.status(), EndToEndHeaders.copyOf(head.headers()), body);
+        responseWriter.whenWritten(release);
         complete(status);
     }
 
--- a/entry/src/main/java/io/sesamehead/entry/runtime/GuardedExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/GuardedExchange.java
@@ -60,6 +60,11 @@
         tasks.run(TASK, listener::onEnd, onFailure);
     }
 
+    @Override
+    public void onFaultyResponse(String reason) {
+        tasks.run(TASK, () -> listener.onFaultyResponse(reason), onFailure);
+    }
+
     @Override
     public void onFailure(boolean sent, String reason) {
         tasks.run(TASK, () -> listener.onFailure(sent, reason), onFailure);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -12,7 +12,6 @@
 import io.sesamehead.entry.port.CallTranslator;
 import io.sesamehead.entry.port.ResponseMetadata;
 import io.sesamehead.entry.transport.ExchangeListener;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 
@@ -21,15 +20,12 @@
  * upstream and is complete. Responses other than event streams are buffered in full first.
  */
 final class ResponseReader implements ExchangeListener {
-    /** Maximum size of a buffered response body, in bytes: far above the responses of the plain services. */
-    private static final int MAX_BODY_BYTES = 8_388_608;
-
     private final CallTranslator translator;
     private final String requestId;
     private final CallKind kind;
     private final boolean resumed;
     private final AttemptListener listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseBuffer body;
     private HttpResponse head;
     private ResponseMetadata facts;
     private boolean streaming;
@@ -42,14 +38,21 @@
      * @param requestId the call's id, empty if its caller stated none
      * @param kind kind of the call
      * @param resumed whether the attempt continues a stream that the caller has already begun to receive
+     * @param body buffers a response that is no stream
      * @param listener receives the outcome
      */
     ResponseReader(
-            CallTranslator translator, String requestId, CallKind kind, boolean resumed, AttemptListener listener) {
+            CallTranslator translator,
+            String requestId,
+            CallKind kind,
+            boolean resumed,
+            ResponseBuffer body,
+            AttemptListener listener) {
         this.translator = translator;
         this.requestId = requestId;
         this.kind = kind;
         this.resumed = resumed;
+        this.body = body;
         this.listener = listener;
     }
 
@@ -85,17 +88,12 @@
 
     @Override
     public void onContent(ByteBuf data) {
-        byte[] bytes = ByteBufUtil.getBytes(data);
         if (streaming) {
             streamDataSeen = true;
-            listener.onStreamData(bytes);
-            return;
-        }
-        if (body.size() + bytes.length > MAX_BODY_BYTES) {
-            listener.onFailure(true, "response body exceeds " + MAX_BODY_BYTES + " bytes");
-            return;
+            listener.onStreamData(ByteBufUtil.getBytes(data));
+        } else if (HttpUtil.getContentLength(head, 0L) > ResponseBuffer.MAX_BODY_BYTES || !body.append(data)) {
+            listener.onOversizedResponse("response body exceeds the maximum size or the memory for responses");
         }
-        body.write(bytes, 0, bytes.length);
     }
 
     @Override
@@ -105,9 +103,9 @@
         } else if (facts.notRun()) {
             listener.onNotRun(head);
         } else if (!verified()) {
-            listener.onFailure(true, "unverified upstream response");
+            listener.onFaultyResponse("unverified upstream response");
         } else {
-            listener.onResponse(head, body.toByteArray());
+            listener.onResponse(head, body.take());
         }
     }
 
@@ -132,6 +130,11 @@
         return stated && head.status().equals(HttpResponseStatus.OK);
     }
 
+    @Override
+    public void onFaultyResponse(String reason) {
+        listener.onFaultyResponse(reason);
+    }
+
     @Override
     public void onFailure(boolean sent, String reason) {
         listener.onFailure(sent, reason);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
@@ -13,6 +13,11 @@
         send(status, headers, body);
     }
 
+    /** Runs an action when the last write of the response has ended, at once if there is none. */
+    default void whenWritten(Runnable action) {
+        action.run();
+    }
+
     /** Begins a response whose body follows in chunks. */
     void begin(HttpResponseStatus status, HttpHeaders headers);
 
--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -116,7 +116,8 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail("malformed response: " + message.decoderResult().cause().getMessage());
+            failAsFaulty(
+                    "malformed response: " + message.decoderResult().cause().getMessage());
             return;
         }
         if (listener == null) {
@@ -171,7 +172,7 @@
 
     private void failIfSkippedTooMuch() {
         if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
-            fail("too many responses to other requests");
+            failAsFaulty("too many responses to other requests");
         }
     }
 
@@ -207,6 +208,14 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    private void failAsFaulty(String reason) {
+        ExchangeListener open = listener;
+        close();
+        if (open != null) {
+            open.onFaultyResponse(reason);
+        }
+    }
+
     /** Reports a failure at most once. The decoder may still emit an end of the response, which must be ignored. */
     private void fail(String reason) {
         ExchangeListener open = listener;
--- a/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
@@ -40,6 +40,15 @@
     /** Called at the end of a complete response. */
     void onEnd();
 
+    /**
+     * Called when the exchange fails because the peer has sent what is no response, or too much of it.
+     *
+     * @param reason cause of the failure
+     */
+    default void onFaultyResponse(String reason) {
+        onFailure(true, reason);
+    }
+
     /**
      * Called when the exchange fails.
      *
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.sesamehead.coordination.buffer.BufferAccount;
 import io.sesamehead.coordination.catalog.CallKind;
 import io.sesamehead.coordination.dispatch.StatedRateLimit;
 import io.sesamehead.entry.port.AttemptMetadata;
@@ -25,15 +26,21 @@
 /** Guards against forwarding responses of other calls, unsealed successes and unconfirmed refusals to a caller. */
 final class ResponseReaderTest {
     private static final String REQUEST_ID = "try-1";
+    private static final long MEMORY_BYTES = 100_000;
 
     private final RecordingListener listener = new RecordingListener();
 
     private ResponseReader reader(CallKind kind) {
-        return new ResponseReader(new TestTranslator(), REQUEST_ID, kind, false, listener);
+        return reader(kind, false);
+    }
+
+    private ResponseReader reader(CallKind kind, boolean resumed) {
+        ResponseBuffer body = new ResponseBuffer.Pool(new BufferAccount(MEMORY_BYTES)).open("upstream", () -> {});
+        return new ResponseReader(new TestTranslator(), REQUEST_ID, kind, resumed, body, listener);
     }
 
     private ResponseReader resumedStreamReader() {
-        return new ResponseReader(new TestTranslator(), REQUEST_ID, CallKind.STREAM, true, listener);
+        return reader(CallKind.STREAM, true);
     }
 
     private static HttpResponse response(int status, String... headers) {
@@ -204,6 +211,23 @@
         assertThat(listener.events).contains("ended with its connection").endsWith("ended");
     }
 
+    /** Guards against reading a body that is known to be too large, and against one that exhausts the memory. */
+    @Test
+    void failsBodyThatExceedsStatedLengthOrMemory() {
+        String length = Long.toString(ResponseBuffer.MAX_BODY_BYTES + 1L);
+        ResponseReader stated = reader(CallKind.SAFE);
+        stated.onHead(response(200, "id", REQUEST_ID, "seal", "s", "content-length", length));
+        stated.onContent(Unpooled.wrappedBuffer(new byte[1]));
+        assertThat(listener.events).containsExactly("oversized");
+
+        ResponseReader unstated = reader(CallKind.SAFE);
+        unstated.onHead(response(200, "id", REQUEST_ID, "seal", "s"));
+        for (int i = 0; i < 4; i++) {
+            unstated.onContent(Unpooled.wrappedBuffer(new byte[(int) MEMORY_BYTES / 5]));
+        }
+        assertThat(listener.events).contains("oversized", "oversized");
+    }
+
     private static final class RecordingListener implements AttemptListener {
         private final List<String> events = new ArrayList<>();
 
@@ -240,6 +264,16 @@
             events.add("notRun " + head.status().code());
         }
 
+        @Override
+        public void onFaultyResponse(String reason) {
+            onFailure(true, reason);
+        }
+
+        @Override
+        public void onOversizedResponse(String reason) {
+            events.add("oversized");
+        }
+
         @Override
         public void onFailure(boolean sent, String reason) {
             events.add("failed " + sent + " " + reason);
