Refute crashes only of targets that were seen whole, and by later evidence

Found in the read of the change, before any caller saw it. A daemon that started after the head of a group had crashed knew the group only by its other members. They go on, and their entries change as they leave, so that it would have taken back a crash that happened, and told all others. A target now counts only if it has been seen to serve, with all its upstreams. crashOfGroupThatWasNeverSeenToServeStays guards against it.

Progress and changed entries count from half a second after the loss: they may have come about before it and arrived later.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetSurvival.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetSurvival.java
@@ -25,6 +25,11 @@
     private static final int SILENT_HEARTBEATS = 3;
     /** Time that the store may take to remove such an entry and to tell of it, in milliseconds. */
     private static final long REMOVAL_DELAY_MILLIS = 1_000;
+    /**
+     * Time after a loss in which progress or a change of an entry may have come about before it, in milliseconds: bytes in
+     * buffers, reports of peers and batches of the registry arrive later.
+     */
+    private static final long EVIDENCE_LAG_MILLIS = 500;
     /** Maximum time between two answers of the store, in milliseconds: entries may stay listed while it is away. */
     private static final long MAX_ANSWER_GAP_MILLIS = 2_500;
     /** Maximum number of targets kept, several times those of a large fleet. */
@@ -55,12 +60,14 @@
     }
 
     /**
-     * Observes the entries of the registry after a change.
+     * Observes the entries of the registry after a change. Only a target that has been seen to serve is known with all its
+     * upstreams, among them one that may crash later.
      *
+     * @param servingKeys targets that now accept calls
      * @param entries all entries
      * @param nowMillis current monotonic time, in milliseconds
      */
-    public void observe(Collection<UpstreamEntry> entries, long nowMillis) {
+    public void observe(Set<TargetKey> servingKeys, Collection<UpstreamEntry> entries, long nowMillis) {
         Map<InstanceId, UpstreamEntry> before = listed;
         Map<TargetKey, Set<UpstreamIncarnation>> members = new HashMap<>();
         listed = new HashMap<>();
@@ -70,13 +77,15 @@
             if (known != null && known.incarnation().equals(entry.incarnation()) && !known.equals(entry)) {
                 changedAtMillis.put(entry.id(), nowMillis);
             }
-            members.computeIfAbsent(targetOf(entry), key -> new HashSet<>()).add(entry.incarnation());
+            TargetKey target = targetOf(entry);
+            if (servingKeys.contains(target)) {
+                members.computeIfAbsent(target, key -> new HashSet<>()).add(entry.incarnation());
+            }
         }
         changedAtMillis.keySet().retainAll(listed.keySet());
         members.forEach(this::remember);
     }
 
-    /** Members are added as they join; one that has left a group still belongs to what the group ran. */
     private void remember(TargetKey target, Set<UpstreamIncarnation> members) {
         Set<UpstreamIncarnation> known = upstreamsByTarget.get(target);
         if (known != null) {
@@ -133,10 +142,11 @@
         if (provenUntil < Math.max(learnedAtMillis, listedSinceMillis) + REMOVAL_DELAY_MILLIS) {
             return OptionalLong.empty();
         }
+        long sinceMillis = learnedAtMillis + EVIDENCE_LAG_MILLIS;
         return target(crash)
                 .filter(target -> isListed(target)
-                        && (lastProgressMillis.applyAsLong(target) > learnedAtMillis
-                                || allChangedSince(target, learnedAtMillis)))
+                        && (lastProgressMillis.applyAsLong(target) > sinceMillis
+                                || allChangedSince(target, sinceMillis)))
                 .map(target -> OptionalLong.of(provenUntil))
                 .orElse(OptionalLong.empty());
     }
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.sesamehead.coordination.replica.MemberState;
+import io.sesamehead.coordination.replica.Membership;
+import io.sesamehead.coordination.replica.ReplicaKey;
 import io.sesamehead.coordination.replica.UpstreamEntry;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.Endpoint;
@@ -10,9 +13,11 @@
 import io.sesamehead.state.ServiceName;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -38,10 +43,24 @@
         for (int number = 0; number < TARGETS; number++) {
             entries.add(entry(number, 1));
         }
-        survival.observe(entries, now);
+        observe();
+    }
+
+    private void observe() {
+        Set<TargetKey> serving = new HashSet<>();
+        entries.forEach(entry -> serving.add(TargetKey.of(entry.id(), entry.startedAtEpochMillis())));
+        survival.observe(serving, entries, now);
     }
 
     private static UpstreamEntry entry(int number, long startedAtEpochMillis) {
+        return entry(number, startedAtEpochMillis, Optional.empty());
+    }
+
+    private static UpstreamEntry member(ReplicaKey group, MemberState state) {
+        return entry(TARGETS, 1, Optional.of(new Membership(group, 1, state)));
+    }
+
+    private static UpstreamEntry entry(int number, long startedAtEpochMillis, Optional<Membership> membership) {
         return new UpstreamEntry(
                 new InstanceId("i-" + number),
                 startedAtEpochMillis,
@@ -54,7 +73,7 @@
                 "",
                 List.of(),
                 List.of(),
-                Optional.empty());
+                membership);
     }
 
     private static TargetKey target(int number) {
@@ -107,7 +126,7 @@
     void crashOfUpstreamThatComesBackUnderItsIdStays() {
         loseAnswerAtEachTarget();
         entries.replaceAll(entry -> entry(entries.indexOf(entry), 2));
-        survival.observe(entries, now);
+        observe();
         pass(2 * PROOF_MILLIS, TARGETS);
 
         assertThat(history.crashCount(REQUEST, now)).isEqualTo(TARGETS);
@@ -122,6 +141,27 @@
         assertThat(history.crashCount(REQUEST, now)).isEqualTo(TARGETS - 1);
     }
 
+    /**
+     * A daemon that starts after the head of a group has crashed sees only the other members, which go on and change their
+     * entries as they leave the group.
+     */
+    @Test
+    void crashOfGroupThatWasNeverSeenToServeStays() {
+        ReplicaKey group = new ReplicaKey("group", 7);
+        history.recordCrash(REQUEST, TargetKey.of(group), now - 20, now);
+        for (MemberState state : List.of(MemberState.READY, MemberState.CLOSING)) {
+            entries.add(member(group, state));
+            observe();
+            entries.remove(entries.size() - 1);
+            now += STEP_MILLIS;
+        }
+        entries.add(entry(TARGETS, 1));
+        observe();
+        pass(2 * PROOF_MILLIS, TARGETS);
+
+        assertThat(history.crashCount(REQUEST, now)).isEqualTo(1);
+    }
+
     /** Entries do not expire while the store is away, so that their presence proves nothing for a while. */
     @Test
     void crashStaysWhileTheStoreHasBeenAway() {
@@ -159,7 +199,7 @@
         pass(PROOF_MILLIS + 2 * STEP_MILLIS, TARGETS);
         loseAnswerAtEachTarget();
         entries.clear();
-        survival.observe(entries, now);
+        observe();
         pass(2 * PROOF_MILLIS, 0);
 
         assertThat(history.isRefused(REQUEST, now)).isTrue();
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CrashEvidence.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CrashEvidence.java
@@ -15,12 +15,16 @@
  * they went on, so that an answer was lost. Confined to the event loop.
  */
 final class CrashEvidence {
+    /** Interval at which all known crashes are judged, in milliseconds: a small part of the time that the proof takes. */
+    private static final long REFUTATION_INTERVAL_MILLIS = 250;
+
     private final CallEnvironment environment;
     private final UpstreamRegistry registry;
     private final CrashHistory history;
     private final TargetSurvival survival;
     private final RefusedConnections refusedConnections;
     private final DepartedTargets departedTargets = new DepartedTargets();
+    private long refutedAtMillis = Long.MIN_VALUE / 2;
 
     CrashEvidence(
             CallEnvironment environment,
@@ -37,7 +41,7 @@
 
     /** Handles a change of the registry or of the configuration. */
     void onFleetChange(Set<TargetKey> servingKeys) {
-        survival.observe(registry.entries(), now());
+        survival.observe(servingKeys, registry.entries(), now());
         departedTargets.update(servingKeys, registry.entries(), now()).forEach(environment::onTargetEvidence);
     }
 
@@ -59,6 +63,10 @@
     /** Takes back crashes that were counted for lost answers of targets that have gone on. */
     void refuteCrashes() {
         survival.recordListed(registry.answeredAtMillis());
+        if (now() - refutedAtMillis < REFUTATION_INTERVAL_MILLIS) {
+            return;
+        }
+        refutedAtMillis = now();
         for (CrashHistory.Refutation refutation :
                 history.refuteCrashes(survival, environment.targetTable()::lastProgressMillis, now())) {
             environment.metrics().count("crashes_refuted");
