Count a response head that ends with its connection as a crash again

An upstream that crashes there would have been counted no more. It counts again at once, and is taken back by the same proof as other losses. Other malformed bytes still count as no crash.

--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -116,8 +117,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            failAsFaulty(
-                    "malformed response: " + message.decoderResult().cause().getMessage());
+            failToDecode(message.decoderResult().cause());
             return;
         }
         if (listener == null) {
@@ -208,6 +208,15 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    /** A head that ends with its connection may be that of an upstream that has crashed; other bytes show that it lives. */
+    private void failToDecode(Throwable cause) {
+        if (cause instanceof PrematureChannelClosureException) {
+            fail("connection closed within a response: " + cause.getMessage());
+        } else {
+            failAsFaulty("malformed response: " + cause.getMessage());
+        }
+    }
+
     private void failAsFaulty(String reason) {
         ExchangeListener open = listener;
         close();
