Close the listener of a stopping daemon only when no connection waits

Callers whose connections waited to be accepted while a daemon stopped got "Connection reset" for 503. The listener was closed 50 ms after the first refusal, but the event loop accepts at most sixteen connections per iteration, and its first requests after a pause take longer than that.

The listener is now closed after an iteration that has accepted nothing. A task that is scheduled during an iteration runs after the input of the next one, so no time bound is involved. Daemons that get new connections all the time still exit at the end of the grace.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -31,15 +31,10 @@
     /** Interval of the check for idle and slow connections, in milliseconds. */
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
     /**
-     * Delay between the check that finds a connection idle and its close, in milliseconds. The event loop reads all
-     * sockets in between, so that no connection is closed whose next request has arrived.
+     * Delay between a decision to close and the close, in milliseconds. The event loop reads all sockets in between, so
+     * that no connection is closed whose next request has arrived, and accepts waiting connections.
      */
-    private static final long IDLE_CLOSE_DELAY_MILLIS = 1;
-    /**
-     * Delay between the first refusal of a stop and the close of the listener, in milliseconds. The event loop accepts the
-     * waiting connections meanwhile; the close would reset them.
-     */
-    private static final long LISTENER_CLOSE_DELAY_MILLIS = 50;
+    private static final long CLOSE_DELAY_MILLIS = 1;
     /** Retry-After value of a request rejected during the stop, in milliseconds: another daemon can take it at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
     /** Maximum number of connections waiting to be accepted. */
@@ -54,6 +49,7 @@
     private final CallRouter router;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Optional<Channel> listener = Optional.empty();
+    private long acceptedConnections;
     private OptionalLong stoppingIdleMillis = OptionalLong.empty();
 
     CallerServer(CallEnvironment environment, CallRouter router) {
@@ -88,6 +84,7 @@
 
     /** Adds the handlers of a new connection. */
     void accept(Channel channel) {
+        acceptedConnections++;
         if (router.forPeers() && !isFromPeer(channel)) {
             environment.metrics().count("connections_of_strangers");
             channel.close();
@@ -133,11 +130,27 @@
     void stopAccepting(long idleMillis) {
         if (stoppingIdleMillis.isEmpty()) {
             stoppingIdleMillis = OptionalLong.of(idleMillis);
-            tasks.schedule("close-listener", this::closeListener, LISTENER_CLOSE_DELAY_MILLIS, this::closeListener);
+            scheduleListenerClose();
         }
         closeTimedOut();
     }
 
+    private void scheduleListenerClose() {
+        long acceptedBefore = acceptedConnections;
+        tasks.schedule(
+                "close-listener", () -> closeListenerIfIdle(acceptedBefore), CLOSE_DELAY_MILLIS, this::closeListener);
+    }
+
+    /** Closes the listener, which resets the connections that wait, once the event loop has found none to accept. */
+    private void closeListenerIfIdle(long acceptedBefore) {
+        if (acceptedConnections > acceptedBefore) {
+            // The event loop accepts a limited number of connections at a time.
+            scheduleListenerClose();
+        } else {
+            closeListener();
+        }
+    }
+
     private void closeListener() {
         listener.ifPresent(Channel::close);
         listener = Optional.empty();
@@ -251,7 +264,7 @@
                 .filter(connection -> connection.isIdleTooLong(now, limits, stoppingIdleMillis))
                 .toList();
         if (!idle.isEmpty()) {
-            tasks.schedule("close-idle", () -> closeStillIdle(idle), IDLE_CLOSE_DELAY_MILLIS, () -> {});
+            tasks.schedule("close-idle", () -> closeStillIdle(idle), CLOSE_DELAY_MILLIS, () -> {});
         }
     }
 
