Prefer targets that a request is not known to have crashed

A request crashes desk-4, and its next attempt goes to desk-4 seven milliseconds later, which is still listed. The successor of desk-4 listens at the same address, so the attempt reaches it and loses its answer. The loss counts as a second crash of desk-4, and no later entry of desk-4 can refute it. Here the successor had lived on.

Such attempts gain nothing for the caller either: a target that has just lost an attempt has either crashed or lost an answer. A request now goes to the targets at which no crash of it is known, and to the others if those have no place, also when a second attempt runs beside a silent one.

Ruled out: taking the successor at the address as the one that was reached, because it may itself have been replaced before it was listed.

Left: where no other target has a place, a loss at an unlisted successor still counts for ten minutes.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
@@ -76,6 +76,11 @@
         return crash;
     }
 
+    /** Returns whether the last loss at a target counts as a crash. */
+    boolean hasCrashAt(TargetKey target) {
+        return crashes.containsKey(crashHash(target, Long.MIN_VALUE));
+    }
+
     /**
      * Records that a target went on after a loss there.
      *
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashHistory.java
@@ -230,6 +230,26 @@
         return entry == null || !entry.retained(nowMillis) ? 0 : entry.crashCount();
     }
 
+    /**
+     * Returns the targets at which no crash of a request is known. A crashed target is listed for a while, and its
+     * successor may listen at the same address: an answer that the successor loses would count as another crash of the
+     * target, which no later entry of the target can refute.
+     *
+     * @param request the subject of the request
+     * @param targets the targets
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the other targets, in the same order
+     */
+    public List<Target> targetsWithoutCrash(CrashSubject request, List<Target> targets, long nowMillis) {
+        CrashEntry entry = entries.get(request);
+        if (entry == null || !entry.retained(nowMillis)) {
+            return targets;
+        }
+        return targets.stream()
+                .filter(target -> !entry.hasCrashAt(target.key()))
+                .toList();
+    }
+
     /**
      * Merges a report from another daemon or from the store. Duplicate and late reports have no effect.
      *
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -64,6 +64,24 @@
         this.random = random;
     }
 
+    /**
+     * Chooses the target of a call, among the other targets if the preferred ones have no place, or refuses the call.
+     *
+     * @param request the call
+     * @param preferred some of the targets
+     * @param targets targets that serve the call and have not been tried
+     * @param nowMillis current monotonic time, in milliseconds
+     * @return the decision
+     */
+    public DispatchDecision decide(
+            DispatchRequest request, List<Target> preferred, List<Target> targets, long nowMillis) {
+        DispatchDecision decision = decide(request, preferred, nowMillis);
+        boolean othersLeft = preferred.size() < targets.size();
+        return decision instanceof DispatchDecision.Refuse && othersLeft
+                ? decide(request, targets, nowMillis)
+                : decision;
+    }
+
     /**
      * Chooses the target of a call or refuses the call.
      *
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -76,6 +76,29 @@
         assertThat(chosen(FRESH, busy, idle)).isEqualTo(idle.key());
     }
 
+    /** Guards against losses at the successor of a crashed target, which count as crashes and cannot be refuted. */
+    @Test
+    void avoidsTargetThatRequestCrashedWhileOthersHavePlace() {
+        CrashSubject crashing = new CrashSubject(9);
+        Target crashed = target(1, "a");
+        Target other = target(2, "b");
+        load(other, 6);
+        CrashHistory history = new CrashHistory();
+        history.recordCrash(crashing, crashed.key(), NOW - 20, NOW);
+        List<Target> targets = List.of(crashed, other);
+
+        List<Target> preferred = history.targetsWithoutCrash(crashing, targets, NOW);
+        assertThat(dispatcher.decide(FRESH, preferred, targets, NOW))
+                .isInstanceOfSatisfying(
+                        DispatchDecision.Send.class,
+                        send -> assertThat(send.target()).isEqualTo(other));
+        load(other, 2 * SLOTS);
+        assertThat(dispatcher.decide(FRESH, preferred, targets, NOW))
+                .isInstanceOfSatisfying(
+                        DispatchDecision.Send.class,
+                        send -> assertThat(send.target()).isEqualTo(crashed));
+    }
+
     /** 100 daemons each place one call based on the same aggregates, which lag behind several calls to a target. */
     @Test
     void spreadsCallsOfDaemonsWithSameAggregates() {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallCrashes.java
@@ -4,6 +4,7 @@
 import io.sesamehead.coordination.dispatch.CrashSubject;
 import io.sesamehead.coordination.dispatch.PromptPartVerdict;
 import io.sesamehead.coordination.dispatch.Target;
+import java.util.List;
 import java.util.Optional;
 
 /** Records the crashes and answers of one call's attempts and tells whether it may still be sent. */
@@ -51,6 +52,11 @@
         };
     }
 
+    /** Returns the targets at which no crash of the request is known. */
+    List<Target> targetsWithoutCrash(List<Target> targets) {
+        return environment.crashHistory().targetsWithoutCrash(request, targets, now());
+    }
+
     /**
      * Records that a target crashed while it ran an attempt. A call that has completed at another target since is not the
      * cause.
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -122,9 +122,7 @@
         }
         chooseRetryService();
         List<Target> candidates = untriedTargets(service);
-        Optional<DispatchDecision.Send> decision = switch (environment
-                .dispatcher()
-                .decide(dispatchRequest(), candidates, now())) {
+        Optional<DispatchDecision.Send> decision = switch (decide(dispatchRequest(), candidates)) {
             case DispatchDecision.Send send -> Optional.of(send);
             case DispatchDecision.Refuse refuse ->
                 leastLoadedIfBegun(candidates).or(this::selectPeer).map(target -> new DispatchDecision.Send(target, 0));
@@ -170,12 +168,18 @@
     private void dispatch() {
         List<Target> candidates = untriedTargets(service);
         DispatchRequest dispatchRequest = dispatchRequest();
-        switch (environment.dispatcher().decide(dispatchRequest, candidates, now())) {
+        switch (decide(dispatchRequest, candidates)) {
             case DispatchDecision.Send send -> send(send.target(), send.expectedMillis());
             case DispatchDecision.Refuse refuse -> queueOrRefuse(dispatchRequest, refuse, candidates);
         }
     }
 
+    private DispatchDecision decide(DispatchRequest dispatchRequest, List<Target> candidates) {
+        return environment
+                .dispatcher()
+                .decide(dispatchRequest, crashes.targetsWithoutCrash(candidates), candidates, now());
+    }
+
     private DispatchRequest dispatchRequest() {
         return new DispatchRequest(
                 facts.promptTokens(),
