Release the body of a request from its idle connection

A connection kept the buffer of its last body, up to twice the size of the body, until its next request began; the call kept a copy besides. A hundred kept connections exhausted the heap of 96 MB while few calls were open.

The connection now lets go of the buffer when the request is complete, so that only open calls hold bodies.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -201,11 +201,14 @@
         HttpRequest request = head;
         head = null;
         partialSinceMillis = -1;
-        boolean hasBody = body.size() > 0
+        byte[] bytes = body.toByteArray();
+        // Otherwise a kept connection would hold the body while it is idle.
+        body = null;
+        boolean hasBody = bytes.length > 0
                 || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 || HttpUtil.isTransferEncodingChunked(request);
         pendingRequests.add(new CallRequest(
-                request.method(), request.uri(), request.headers(), body.toByteArray(), hasBody, headArrivedAtMillis));
+                request.method(), request.uri(), request.headers(), bytes, hasBody, headArrivedAtMillis));
         if (!keepAlive(request.headers())) {
             endInput();
         } else if (pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
