Keep late reports from bringing refuted crashes back

What callers would see: a request that has lost three answers is refused for minutes at some daemons, or at all, although its targets live and others have proved it.

Cause: a report states ages, and the receiver adds its own time, so that a datagram that waits (a late one, or the queue of a paused daemon) makes a crash as much younger. One that waits for more than a second makes the crash younger than its survivor. Daemons then tell both, each hop moves both times alike, and the crash returns after each refutation. A daemon learned of it anew each time, so that its own proof, which takes 4.6 s, never began. In a trace all twelve daemons had crashes a millisecond younger than their survivors, 58 s after the loss, learned 4 to 18 ms before.

Now - a crash that is stated up to three seconds younger than its survivor is the same one, - the earliest time that a report states for a crash counts (for requests; the time of a part's crash says which answers prove something), and - a crash that returns keeps the time at which it was first learned of, or its own if that is later, so that the next proof refutes it.

Soundness: a loss by a daemon that knows of the earlier one has a hash of its own. Only a daemon that has heard of neither the loss nor the survivor can count a crash of the same target under the same hash; within three seconds it is now taken for the survived one.

TargetSurvivalTest#lateReportDoesNotBringBackCrashesThatWereRefuted fails without the change. Reports and stored objects keep their form.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
@@ -34,11 +34,19 @@
      */
     private static final long PART_SETTLING_MILLIS = 500;
 
+    /**
+     * Time by which reports may be late, in milliseconds: a crash that a report states this much later than its survivor is
+     * the same one.
+     */
+    private static final long LATE_REPORT_MILLIS = 3_000;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Map<Long, Crash> crashes = new HashMap<>();
     /** Times until which targets are known to have gone on, by the hash of the crash that was counted there. */
     private final Map<Long, Long> survivedUntil = new HashMap<>();
+    /** When this daemon first learned of the crashes that survivors have refuted. */
+    private final Map<Long, Long> refutedLearnedAt = new HashMap<>();
 
     private long completedAt = NEVER;
     private long reportedAt = NEVER;
@@ -49,14 +57,29 @@
     /** A crash, and when this daemon learned of it. */
     private record Crash(long atMillis, long learnedAtMillis) {}
 
+    /**
+     * Adds a crash, or corrects the time of one that is known.
+     *
+     * @return whether the crash is new
+     */
     boolean addCrash(long crash, long atMillis, long nowMillis) {
-        if (atMillis <= completedAt
-                || atMillis <= survivedUntil.getOrDefault(crash, NEVER)
-                || crashes.containsKey(crash)
-                || crashes.size() >= MAX_CRASHES) {
+        Crash known = crashes.get(crash);
+        if (known != null) {
+            if (!part) {
+                // A report that was delayed states a later time than the others.
+                crashes.put(crash, new Crash(Math.min(known.atMillis(), atMillis), known.learnedAtMillis()));
+            }
             return false;
         }
-        crashes.put(crash, new Crash(atMillis, nowMillis));
+        if (atMillis <= completedAt || isSurvived(crash, atMillis) || crashes.size() >= MAX_CRASHES) {
+            return false;
+        }
+        // Reports that arrive late make a refuted crash seem younger than its survivor. Were it learned anew each time
+        // it
+        // returns, the time without it would never be long enough for another proof.
+        Long learnedBefore = refutedLearnedAt.get(crash);
+        long learnedAtMillis = learnedBefore == null ? nowMillis : Math.max(learnedBefore, atMillis);
+        crashes.put(crash, new Crash(atMillis, learnedAtMillis));
         return true;
     }
 
@@ -87,22 +110,26 @@
      * @return whether this is new
      */
     boolean addSurvivor(long crash, long untilMillis) {
-        if (untilMillis <= survivedUntil.getOrDefault(crash, NEVER)) {
-            return false;
-        }
-        boolean known = survivedUntil.put(crash, untilMillis) != null;
+        boolean known = survivedUntil.containsKey(crash);
+        survivedUntil.merge(crash, untilMillis, Math::max);
         Crash recorded = crashes.get(crash);
-        boolean refutes = recorded != null && recorded.atMillis() <= untilMillis;
+        boolean refutes = recorded != null && isSurvived(crash, recorded.atMillis());
         if (refutes) {
             crashes.remove(crash);
+            refutedLearnedAt.putIfAbsent(crash, recorded.learnedAtMillis());
         }
         if (survivedUntil.size() > MAX_CRASHES) {
             survivedUntil.remove(Collections.min(survivedUntil.entrySet(), Map.Entry.comparingByValue())
                     .getKey());
+            refutedLearnedAt.keySet().retainAll(survivedUntil.keySet());
         }
         return refutes || !known;
     }
 
+    private boolean isSurvived(long crash, long atMillis) {
+        return atMillis <= survivedUntil.getOrDefault(crash, NEVER) + LATE_REPORT_MILLIS;
+    }
+
     boolean complete(long atMillis) {
         boolean clears = crashes.values().removeIf(crash -> crash.atMillis() <= atMillis);
         if (!clears && atMillis <= completedAt + COMPLETION_INTERVAL_MILLIS) {
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
@@ -28,6 +28,9 @@
     /** Time from a loss until the entry of an upstream that has crashed has been removed, in milliseconds. */
     private static final long PROOF_MILLIS = 4_600;
 
+    /** Time by which a report is late, in milliseconds. */
+    private static final long LATE_MILLIS = 2_500;
+
     private static final long STEP_MILLIS = 100;
     private static final int TARGETS = 3;
 
@@ -113,6 +116,23 @@
         assertThat(requests.mustRefuse(REQUEST, now)).isFalse();
     }
 
+    /** Guards against delayed reports that make refuted crashes seem younger than their survivors, again and again. */
+    @Test
+    void lateReportDoesNotBringBackCrashesThatWereRefuted() {
+        CrashHistory late = new CrashHistory();
+        loseAnswerAtEachTarget();
+        List<CrashReport> delayed = history.nextReport(now);
+        pass(LATE_MILLIS, TARGETS);
+        delayed.forEach(report -> late.merge(report, now));
+        pass(PROOF_MILLIS - LATE_MILLIS + 2 * STEP_MILLIS, TARGETS);
+
+        late.nextReport(now).forEach(report -> history.merge(report, now));
+        assertThat(history.crashCount(REQUEST, now)).isZero();
+
+        history.refusedRequests(now).forEach(report -> late.merge(report, now));
+        assertThat(late.crashCount(REQUEST, now)).isZero();
+    }
+
     @Test
     void crashesStayWhileTheStoreStillListsTheUpstreams() {
         loseAnswerAtEachTarget();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CrashReportSimulation.java
@@ -73,7 +73,11 @@
         }
 
         boolean caughtUp(long now) {
-            return running(now) && now >= disturbedUntil + PROPAGATION_MILLIS;
+            return running(now) && undisturbedSince(now - PROPAGATION_MILLIS);
+        }
+
+        boolean undisturbedSince(long millis) {
+            return millis >= disturbedUntil;
         }
     }
 
