--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
@@ -74,9 +74,7 @@
         if (atMillis <= completedAt || isSurvived(crash, atMillis) || crashes.size() >= MAX_CRASHES) {
             return false;
         }
-        // Reports that arrive late make a refuted crash seem younger than its survivor. Were it learned anew each time
-        // it
-        // returns, the time without it would never be long enough for another proof.
+        // A refuted crash that returns with late reports is not learned anew, so that the next proof refutes it.
         Long learnedBefore = refutedLearnedAt.get(crash);
         long learnedAtMillis = learnedBefore == null ? nowMillis : Math.max(learnedBefore, atMillis);
         crashes.put(crash, new Crash(atMillis, learnedAtMillis));
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -215,8 +215,7 @@
             channel.config().setAutoRead(false);
         }
         // The caller may have closed the connection after the request. The event loop reads the socket until it is
-        // empty
-        // before it runs tasks, so startNext sees the close.
+        // empty before it runs tasks, so startNext sees the close.
         scheduleNext();
     }
 
