Keep crashes although another daemon states that they are old

What callers could have got: a request that crashes engines is sent again too early. Since the earliest time that any report stated for a crash replaced the known one. A daemon that reads the store with a clock that is ahead makes stored crashes as much older, tells them so, and all daemons would have forgotten the crash, or have taken an earlier completion for a later one.

The first time now decides how long a crash is kept and what clears it. The earliest one, at most 20 s before it, is only told and compared with survivors.

Read with it: a call with a suspected part goes again to the target that all daemons choose, also where its request has lost an answer; since it could have gone to a second one. DispatcherTest#sendsCallWithSuspectedPart- ToSameTargetWhateverWasLostThere fails before.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/CrashEntry.java
@@ -39,6 +39,8 @@
      * the same one.
      */
     private static final long LATE_REPORT_MILLIS = 3_000;
+    /** Maximum time for which reports may wait in the queue of a paused daemon, in milliseconds. */
+    private static final long MAX_PAUSE_MILLIS = 20_000;
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -54,21 +56,31 @@
     private boolean part;
     private boolean stored;
 
-    /** A crash, and when this daemon learned of it. */
-    private record Crash(long atMillis, long learnedAtMillis) {}
+    /**
+     * A crash.
+     *
+     * @param atMillis when it happened, as far as this daemon first learned
+     * @param earliestMillis earliest time that a report has stated, by which it is told and compared with survivors. A wrong
+     *     clock of another daemon may have made it too early, so the crash is kept and cleared by its first time
+     * @param learnedAtMillis when this daemon learned of it
+     */
+    private record Crash(long atMillis, long earliestMillis, long learnedAtMillis) {
+        private Crash withStated(long millis) {
+            boolean plausible = millis >= atMillis - MAX_PAUSE_MILLIS;
+            return plausible ? new Crash(atMillis, Math.min(earliestMillis, millis), learnedAtMillis) : this;
+        }
+    }
 
     /**
-     * Adds a crash, or corrects the time of one that is known.
+     * Adds a crash, or notes another time that is stated for one.
      *
      * @return whether the crash is new
      */
     boolean addCrash(long crash, long atMillis, long nowMillis) {
         Crash known = crashes.get(crash);
         if (known != null) {
-            if (!part) {
-                // A report that was delayed states a later time than the others.
-                crashes.put(crash, new Crash(Math.min(known.atMillis(), atMillis), known.learnedAtMillis()));
-            }
+            // A report that was delayed states a later time than the others.
+            crashes.put(crash, known.withStated(atMillis));
             return false;
         }
         if (atMillis <= completedAt || isSurvived(crash, atMillis) || crashes.size() >= MAX_CRASHES) {
@@ -77,7 +89,7 @@
         // A refuted crash that returns with late reports is not learned anew, so that the next proof refutes it.
         Long learnedBefore = refutedLearnedAt.get(crash);
         long learnedAtMillis = learnedBefore == null ? nowMillis : Math.max(learnedBefore, atMillis);
-        crashes.put(crash, new Crash(atMillis, learnedAtMillis));
+        crashes.put(crash, new Crash(atMillis, atMillis, learnedAtMillis));
         return true;
     }
 
@@ -111,7 +123,7 @@
         boolean known = survivedUntil.containsKey(crash);
         survivedUntil.merge(crash, untilMillis, Math::max);
         Crash recorded = crashes.get(crash);
-        boolean refutes = recorded != null && isSurvived(crash, recorded.atMillis());
+        boolean refutes = recorded != null && isSurvived(crash, recorded.earliestMillis());
         if (refutes) {
             crashes.remove(crash);
             refutedLearnedAt.putIfAbsent(crash, recorded.learnedAtMillis());
@@ -182,7 +194,7 @@
 
     CrashReport report(CrashSubject subject, long nowMillis) {
         ImmutableMap.Builder<Long, Long> ages = ImmutableMap.builder();
-        crashes.forEach((hash, crash) -> ages.put(hash, Math.max(0, nowMillis - crash.atMillis())));
+        crashes.forEach((hash, crash) -> ages.put(hash, Math.max(0, nowMillis - crash.earliestMillis())));
         ImmutableMap.Builder<Long, Long> survivorAges = ImmutableMap.builder();
         survivedUntil.forEach((hash, until) -> survivorAges.put(hash, Math.max(0, nowMillis - until)));
         boolean completed = nowMillis - completedAt <= RETENTION_MILLIS;
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -65,7 +65,8 @@
     }
 
     /**
-     * Chooses the target of a call, among the other targets if the preferred ones have no place, or refuses the call.
+     * Chooses the target of a call, among the other targets if the preferred ones have no place, or refuses the call. The
+     * preference does not hold for a call with a suspected part.
      *
      * @param request the call
      * @param preferred some of the targets
@@ -75,11 +76,12 @@
      */
     public DispatchDecision decide(
             DispatchRequest request, List<Target> preferred, List<Target> targets, long nowMillis) {
+        // Calls that may crash their target go to the one that all daemons choose, whatever was lost there.
+        if (request.suspectedPart().isPresent() || preferred.size() == targets.size()) {
+            return decide(request, targets, nowMillis);
+        }
         DispatchDecision decision = decide(request, preferred, nowMillis);
-        boolean othersLeft = preferred.size() < targets.size();
-        return decision instanceof DispatchDecision.Refuse && othersLeft
-                ? decide(request, targets, nowMillis)
-                : decision;
+        return decision instanceof DispatchDecision.Refuse ? decide(request, targets, nowMillis) : decision;
     }
 
     /**
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/DispatcherTest.java
@@ -99,6 +99,22 @@
                         send -> assertThat(send.target()).isEqualTo(crashed));
     }
 
+    /** Guards against calls with a suspected part that go to several targets because of what was lost before. */
+    @Test
+    void sendsCallWithSuspectedPartToSameTargetWhateverWasLostThere() {
+        DispatchRequest suspected = new DispatchRequest(1_400, 300, 8_000, 0, Optional.of(new CrashSubject(5)));
+        List<Target> targets = List.of(target(1, "a"), target(2, "a"), target(3, "a"));
+        TargetKey isolated = chosen(suspected, targets.toArray(Target[]::new));
+        List<Target> others = targets.stream()
+                .filter(target -> !target.key().equals(isolated))
+                .toList();
+
+        assertThat(dispatcher.decide(suspected, others, targets, NOW))
+                .isInstanceOfSatisfying(
+                        DispatchDecision.Send.class,
+                        send -> assertThat(send.target().key()).isEqualTo(isolated));
+    }
+
     /** 100 daemons each place one call based on the same aggregates, which lag behind several calls to a target. */
     @Test
     void spreadsCallsOfDaemonsWithSameAggregates() {
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/TargetSurvivalTest.java
@@ -133,6 +133,20 @@
         assertThat(late.crashCount(REQUEST, now)).isZero();
     }
 
+    /** Guards against a daemon whose wrong clock makes stored crashes so old that all daemons forget them early. */
+    @Test
+    void crashesAreKeptAlthoughAnotherDaemonStatesThatTheyAreOld() {
+        loseAnswerAtEachTarget();
+        List<CrashReport> aged = history.nextReport(now).stream()
+                .map(report -> report.aged(CrashEntry.RETENTION_MILLIS - STEP_MILLIS))
+                .toList();
+
+        aged.forEach(report -> history.merge(report, now));
+        now += CrashEntry.RETENTION_MILLIS / 2;
+
+        assertThat(history.isRefused(REQUEST, now)).isTrue();
+    }
+
     @Test
     void crashesStayWhileTheStoreStillListsTheUpstreams() {
         loseAnswerAtEachTarget();
