--- a/core/src/main/java/io/sesamehead/coordination/membership/ReportTopology.java
+++ b/core/src/main/java/io/sesamehead/coordination/membership/ReportTopology.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.sesamehead.state.DaemonId;
 import io.sesamehead.state.FailureDomain;
 import java.util.ArrayList;
@@ -144,7 +145,7 @@
      */
     public Set<DaemonId> reporters(long nowMillis) {
         reporters.values().removeIf(lastMessageMillis -> nowMillis - lastMessageMillis > SENDER_TIMEOUT_MILLIS);
-        return Set.copyOf(reporters.keySet());
+        return ImmutableSet.copyOf(reporters.keySet());
     }
 
     /**
