--- a/review/standin-2/io/review/LateOrders.java
+++ b/review/standin-2/io/review/LateOrders.java
@@ -85,7 +85,7 @@
         Ports ports = new Ports();
         int storePort = ports.next(1);
         store.listen("127.0.0.1", storePort);
-        store.put("config", "main", Config.pool());
+        store.put("config", "main", Config.pool(3));
         for (String name : List.of("i-a", "i-b", "i-c")) {
             engine(name, ports, List.of()).start();
         }
