Take no engine into two groups after late orders

The members of a group that was given up before it opened were ordered elsewhere while a later controller could still adopt and open it.

Change: departures come from entries, which count the orders begun. A join states the number in the entry that it is based on (expected), so it takes effect at most once and not after another order; 409 is no longer a refusal of the group. Members of a group that was given up leave it first.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -2,19 +2,22 @@
 
 import io.sesamehead.state.InstanceId;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Dissolves a group that has lost a member or stopped. Every member is ordered to leave, which also shows which members
- * are alive. A member may join another group only after it has left this one and the head can no longer serve: the head
- * has left, has restarted, has reported the loss itself, or has had enough time to detect it.
+ * are alive. A member may join another group only after its registry entry shows that it has left this one and the head
+ * can no longer serve: the head has left, has restarted, has reported the loss itself, or has had enough time to detect
+ * it.
+ *
+ * <p>The answer to a leave order does not prove that the member has left. It may be a second copy of an earlier answer,
+ * and an earlier join that is executed late makes the upstream a member again. Entries count the orders that the
+ * upstream has begun, so the later of two entries is known whenever they were read.
  */
 final class DissolvingReplica {
-    /** Initial interval at which an unanswered order is resent, in milliseconds; it doubles with each resend. */
+    /** Initial interval at which a leave order without a visible effect is resent, in milliseconds; it then doubles. */
     private static final long INITIAL_RESEND_MILLIS = 350;
     /**
      * Maximum resend interval, in milliseconds. It is short so that an upstream that becomes reachable again before its
@@ -27,25 +30,36 @@
     static final long DETECTION_MARGIN_MILLIS = 700;
 
     private final ReplicaKey key;
-    private Optional<InstanceId> head = Optional.empty();
-    private long headStartedAtEpochMillis;
-    private long headOrdersBegun;
     private final long stallMillis;
-    private final Map<InstanceId, Long> startTimes = new HashMap<>();
+    private Optional<InstanceId> head = Optional.empty();
+    private final Map<InstanceId, LastListed> lastListed = new HashMap<>();
     private final Map<InstanceId, SentLeave> leaveOrders = new HashMap<>();
-    private final Set<InstanceId> departed = new HashSet<>();
-    private long memberLostAtMillis;
-    private boolean headKnownStopped;
+    /** Members of which an entry newer than their last one in the group names another group or none, with the time. */
+    private final Map<InstanceId, Long> departedAtMillis = new HashMap<>();
+
+    private boolean leaveAnswered;
+    private boolean headStopped;
 
     private record SentLeave(long sentAtMillis, long resendAfterMillis) {}
 
+    /** The incarnation of a member, and the orders that it had begun, in the last entry that names the group. */
+    private record LastListed(long startedAtEpochMillis, long ordersBegun) {
+        static LastListed of(UpstreamEntry entry) {
+            return new LastListed(entry.startedAtEpochMillis(), entry.ordersBegun());
+        }
+    }
+
     DissolvingReplica(Replica replica, long stallMillis) {
         this.key = replica.key();
         this.stallMillis = stallMillis;
-        recordMembers(replica.members());
-        // A member that the registry does not list may still be connected to the head, so only an answered leave order
-        // counts as a loss.
-        this.memberLostAtMillis = Long.MAX_VALUE;
+        replica.members().forEach(member -> recordListed(member, 0));
+    }
+
+    /** Returns the task for a group whose head has never received an open order. */
+    static DissolvingReplica neverOpened(Replica replica, long stallMillis) {
+        DissolvingReplica group = new DissolvingReplica(replica, stallMillis);
+        group.headStopped = true;
+        return group;
     }
 
     ReplicaKey key() {
@@ -56,25 +70,30 @@
         if (!(action instanceof ReplicaAction.Leave leave)) {
             return;
         }
-        boolean memberLeft = result == OrderResult.ACCEPTED || result == OrderResult.NO_SUCH_UPSTREAM;
-        if (!memberLeft) {
-            return;
+        switch (result) {
+            case ACCEPTED -> leaveAnswered = true;
+            case NO_SUCH_UPSTREAM -> {
+                // Another process at the address proves that this incarnation has ended.
+                leaveAnswered = true;
+                recordDeparted(leave.target(), nowMillis);
+            }
+            case REFUSED, FENCED, STATE_CHANGED, UNKNOWN -> {}
         }
-        departed.add(leave.target());
-        if (head.filter(leave.target()::equals).isPresent()) {
-            headKnownStopped = true;
-        } else {
-            memberLostAtMillis = Math.min(memberLostAtMillis, nowMillis);
+    }
+
+    /** Records the current entries of the members and of the upstreams that have been members. */
+    void observe(List<UpstreamEntry> members, Map<InstanceId, UpstreamEntry> entries, long nowMillis) {
+        members.forEach(member -> recordListed(member, nowMillis));
+        for (InstanceId id : lastListed.keySet()) {
+            UpstreamEntry entry = entries.get(id);
+            if (entry != null && !isListed(entry) && isNewer(entry)) {
+                recordDeparted(id, nowMillis);
+            }
         }
     }
 
-    void advance(
-            List<UpstreamEntry> members,
-            Map<InstanceId, UpstreamEntry> entries,
-            long nowMillis,
-            List<ReplicaAction> actions) {
-        recordMembers(members);
-        updateHead(entries);
+    /** Orders the listed members to leave. */
+    void orderLeaves(List<UpstreamEntry> members, long nowMillis, List<ReplicaAction> actions) {
         for (UpstreamEntry member : members) {
             sendLeaveIfDue(member.id(), nowMillis, actions);
         }
@@ -83,25 +102,19 @@
     /**
      * Returns whether any member is known to have left.
      *
-     * @return true once a leave order has been answered
+     * @return true while an entry shows that a member has left, or its incarnation has ended
      */
     boolean anyMemberLeft() {
-        return !departed.isEmpty();
+        return !departedAtMillis.isEmpty();
     }
 
     /**
-     * Adds the listed members. Some may have been unreachable together with their failure domain when dissolving
-     * started.
+     * Returns whether any member may have left.
+     *
+     * @return true also once a leave order has been answered
      */
-    private void recordMembers(List<UpstreamEntry> members) {
-        for (UpstreamEntry member : members) {
-            startTimes.putIfAbsent(member.id(), member.startedAtEpochMillis());
-            if (head.isEmpty() && member.membership().orElseThrow().head()) {
-                head = Optional.of(member.id());
-                headStartedAtEpochMillis = member.startedAtEpochMillis();
-                headOrdersBegun = member.ordersBegun();
-            }
-        }
+    boolean mayHaveLostMember() {
+        return leaveAnswered || anyMemberLeft();
     }
 
     /**
@@ -111,7 +124,7 @@
      * @return true if {@link #blocksJoin} covers the upstream
      */
     boolean hasMember(InstanceId id) {
-        return startTimes.containsKey(id);
+        return lastListed.containsKey(id);
     }
 
     /**
@@ -119,16 +132,15 @@
      *
      * @param entry the upstream
      * @param nowMillis current monotonic time, in milliseconds
-     * @return true for a member that has not left, or whose head may still be serving
+     * @return true for a member that is listed in the group, or whose head may still be serving
      */
     boolean blocksJoin(UpstreamEntry entry, long nowMillis) {
-        Long startedAtEpochMillis = startTimes.get(entry.id());
-        if (startedAtEpochMillis == null || startedAtEpochMillis != entry.startedAtEpochMillis()) {
-            return false;
+        if (isListed(entry)) {
+            return true;
         }
-        boolean member =
-                entry.membership().map(Membership::replica).filter(key::equals).isPresent();
-        return (member && !departed.contains(entry.id())) || !headStopped(nowMillis);
+        LastListed last = lastListed.get(entry.id());
+        boolean sameIncarnation = last != null && last.startedAtEpochMillis() == entry.startedAtEpochMillis();
+        return sameIncarnation && !headStopped(nowMillis);
     }
 
     /**
@@ -138,34 +150,60 @@
      * @return true if the head is known to have stopped or has had enough time to detect the loss
      */
     boolean headStopped(long nowMillis) {
-        if (headKnownStopped) {
+        if (headStopped) {
             return true;
         }
-        return memberLostAtMillis != Long.MAX_VALUE
-                && nowMillis >= memberLostAtMillis + stallMillis + DETECTION_MARGIN_MILLIS;
+        // A member that the registry does not list may still be connected to the head, so it does not count as a loss.
+        return departedAtMillis.values().stream()
+                .anyMatch(atMillis -> nowMillis >= atMillis + stallMillis + DETECTION_MARGIN_MILLIS);
     }
 
-    private void updateHead(Map<InstanceId, UpstreamEntry> entries) {
-        if (head.isEmpty()) {
-            return;
+    private boolean isListed(UpstreamEntry entry) {
+        return entry.membership().map(Membership::replica).filter(key::equals).isPresent();
+    }
+
+    /** Returns whether an entry was written after the last known one that names the group. */
+    private boolean isNewer(UpstreamEntry entry) {
+        LastListed last = lastListed.get(entry.id());
+        return last == null
+                || entry.startedAtEpochMillis() != last.startedAtEpochMillis()
+                || entry.ordersBegun() > last.ordersBegun();
+    }
+
+    /**
+     * Records an entry that names the group. It may be the first one of a member that was unreachable together with its
+     * failure domain when dissolving started, or of one that an order executed late has made a member again.
+     */
+    private void recordListed(UpstreamEntry member, long nowMillis) {
+        Membership membership = member.membership().orElseThrow();
+        if (membership.head()) {
+            head = Optional.of(member.id());
         }
-        UpstreamEntry entry = entries.get(head.get());
-        if (entry == null) {
-            return;
+        if (isNewer(member)) {
+            if (departedAtMillis.remove(member.id()) != null) {
+                leaveOrders.remove(member.id());
+            }
+            if (membership.head()) {
+                // It may be open again, and detects the absence of the others only from now on.
+                headStopped = false;
+                departedAtMillis.replaceAll((id, atMillis) -> nowMillis);
+            }
+            lastListed.put(member.id(), LastListed.of(member));
         }
-        boolean restarted = entry.startedAtEpochMillis() != headStartedAtEpochMillis;
-        Optional<Membership> own =
-                entry.membership().filter(membership -> membership.replica().equals(key));
-        // An entry written before the head joined names no group either, so the order count must have grown.
-        boolean leftGroup = own.isEmpty() && entry.ordersBegun() > headOrdersBegun;
-        boolean stopped = own.isPresent() && own.get().state() == MemberState.BROKEN;
-        if (restarted || leftGroup || stopped) {
-            headKnownStopped = true;
+        if (membership.head() && membership.state() == MemberState.BROKEN) {
+            headStopped = true;
+        }
+    }
+
+    private void recordDeparted(InstanceId id, long nowMillis) {
+        departedAtMillis.putIfAbsent(id, nowMillis);
+        if (head.filter(id::equals).isPresent()) {
+            headStopped = true;
         }
     }
 
     private void sendLeaveIfDue(InstanceId id, long nowMillis, List<ReplicaAction> actions) {
-        if (departed.contains(id)) {
+        if (departedAtMillis.containsKey(id)) {
             return;
         }
         SentLeave last = leaveOrders.get(id);
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -29,6 +30,12 @@
      */
     private static final long LEAVING_GRACE_MILLIS = 1_500;
 
+    /**
+     * Time for which an upstream is excluded if it rejects joins based on an entry that then doesn't change, in
+     * milliseconds. An upstream that copies a model has begun an order that its entry shows once the copy is complete.
+     */
+    private static final long OUTDATED_ENTRY_MILLIS = 15_000;
+
     private static final long UNSET_MILLIS = Long.MIN_VALUE;
 
     private final long controllerEpoch;
@@ -42,8 +49,10 @@
     private final Map<ReplicaKey, DissolvingReplica> kept = new HashMap<>();
 
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
-    /** Groups given up before their head can have opened. Their members may join other groups immediately. */
-    private final Set<ReplicaKey> abandoned = new HashSet<>();
+    /** Groups given up before their head can have opened. Members that have left them need not wait for the head. */
+    private final Set<ReplicaKey> neverOpened = new HashSet<>();
+
+    private final Map<InstanceId, OutdatedEntry> outdated = new HashMap<>();
 
     private final GroupPeaks peaks = new GroupPeaks();
     private final ModelUtilization utilization = new ModelUtilization();
@@ -57,6 +66,8 @@
     private PlanSummary summary = new PlanSummary(0, 0, 0, 0, 0, 0, 0);
     private Supplier<IdleUpstreams> idle = () -> IdleUpstreams.NONE;
 
+    private record OutdatedEntry(long ordersBegun, long expiresAtMillis) {}
+
     /**
      * Creates a planner for one lease epoch.
      *
@@ -87,7 +98,7 @@
         Map<ReplicaKey, Replica> replicas = ReplicaIndex.of(view.entries());
         advanceForming(view, replicas, byId, nowMillis, actions);
         List<CountedGroup> groups = inspectExisting(view, replicas, byId, nowMillis);
-        advanceDissolving(replicas, byId, nowMillis, actions);
+        orderLeaves(replicas, nowMillis, actions);
         peaks.update(groups, Sets.union(replicas.keySet(), forming.keySet()), dissolving.keySet());
         Map<String, Integer> healthy = GroupPeaks.capacity(groups);
         utilization.update(view, healthy, nowMillis);
@@ -123,7 +134,7 @@
             case UNKNOWN -> reachability.recordNoAnswer(action.target(), nowMillis);
             case NO_SUCH_UPSTREAM -> reachability.recordAbsent(action.target(), nowMillis);
             case REFUSED -> reachability.recordAbsent(action.target(), nowMillis);
-            case ACCEPTED, FENCED -> reachability.recordAnswer(action.target());
+            case ACCEPTED, STATE_CHANGED, FENCED -> reachability.recordAnswer(action.target());
         }
         switch (action) {
             case ReplicaAction.Join join -> formingOf(join.replica()).ifPresent(group -> group.onResult(join, result));
@@ -163,7 +174,7 @@
         for (UpstreamEntry entry : view.entries()) {
             boolean serves = entry.membership()
                     .map(Membership::replica)
-                    .filter(key -> !dissolving.containsKey(key) && !abandoned.contains(key))
+                    .filter(key -> !dissolving.containsKey(key))
                     .isPresent();
             if (!serves && !assigned.contains(entry.id()) && !freeIds.contains(entry.id())) {
                 held++;
@@ -194,7 +205,7 @@
             return;
         }
         group.onResult(leave, result, nowMillis);
-        if (group.anyMemberLeft() && kept.remove(key) != null) {
+        if (group.mayHaveLostMember() && kept.remove(key) != null) {
             dissolving.put(key, group);
         }
     }
@@ -205,30 +216,36 @@
             Map<InstanceId, UpstreamEntry> byId,
             long nowMillis,
             List<ReplicaAction> actions) {
+        Predicate<UpstreamEntry> mayJoin = entry -> mayJoin(view, replicas, entry, nowMillis);
         for (FormingReplica group : List.copyOf(forming.values())) {
             FormingReplica.Progress progress = view.lost().contains(group.key())
                     ? FormingReplica.Progress.FAILED
-                    : group.advance(byId, nowMillis, actions);
+                    : group.advance(byId, mayJoin, nowMillis, actions);
             switch (progress) {
                 case WAITING -> {}
                 case SERVING -> forming.remove(group.key());
-                case FAILED -> giveUp(group, replicas);
+                case FAILED -> giveUp(group, replicas, nowMillis);
             }
         }
     }
 
-    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas) {
+    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         forming.remove(group.key());
-        if (!group.mayBeOpen()) {
-            abandoned.add(group.key());
-            return;
-        }
+        group.outdatedCounts()
+                .forEach((id, count) -> outdated.put(id, new OutdatedEntry(count, nowMillis + OUTDATED_ENTRY_MILLIS)));
         Replica replica = replicas.getOrDefault(group.key(), new Replica(group.key(), List.of()));
-        dissolve(replica);
+        if (group.mayBeOpen()) {
+            dissolve(replica);
+        } else {
+            // A later controller may adopt the group and open its head as long as the members are listed in it.
+            neverOpened.add(group.key());
+            dissolving.put(group.key(), DissolvingReplica.neverOpened(replica, stallMillis));
+        }
     }
 
     private void dissolve(Replica replica) {
         kept.remove(replica.key());
+        neverOpened.remove(replica.key());
         dissolving.computeIfAbsent(replica.key(), key -> new DissolvingReplica(replica, stallMillis));
     }
 
@@ -239,6 +256,7 @@
         leavingSince.keySet().retainAll(replicas.keySet());
         kept.keySet().retainAll(replicas.keySet());
         for (DissolvingReplica group : List.copyOf(dissolving.values())) {
+            group.observe(members(replicas, group.key()), byId, nowMillis);
             if (dissolvingDone(view, group, replicas.get(group.key()), nowMillis)) {
                 dissolving.remove(group.key());
                 if (replicas.containsKey(group.key())) {
@@ -246,10 +264,9 @@
                 }
             }
         }
-        abandoned.retainAll(replicas.keySet());
         for (Replica replica : replicas.values()) {
             ReplicaKey key = replica.key();
-            if (forming.containsKey(key) || dissolving.containsKey(key) || abandoned.contains(key)) {
+            if (forming.containsKey(key) || dissolving.containsKey(key)) {
                 continue;
             }
             boolean evacuated = replica.head().filter(view::isEvacuated).isPresent();
@@ -275,7 +292,7 @@
                 .flatMap(view.engine()::model)
                 .filter(model -> listed.serving(model.groupSize()))
                 .isPresent();
-        return serves && !group.anyMemberLeft() && !view.lost().contains(group.key());
+        return serves && !group.mayHaveLostMember() && !view.lost().contains(group.key());
     }
 
     private Optional<String> inspect(FleetView view, Replica replica, long nowMillis) {
@@ -314,23 +331,24 @@
     }
 
     private void adopt(Replica replica, ModelProfile model, long nowMillis) {
+        neverOpened.remove(replica.key());
         forming.put(
                 replica.key(),
                 new FormingReplica(
                         replica.key(), model.name(), replica.members(), nowMillis, model.loadMillis(), true));
     }
 
-    private void advanceDissolving(
-            Map<ReplicaKey, Replica> replicas,
-            Map<InstanceId, UpstreamEntry> byId,
-            long nowMillis,
-            List<ReplicaAction> actions) {
+    private void orderLeaves(Map<ReplicaKey, Replica> replicas, long nowMillis, List<ReplicaAction> actions) {
         for (DissolvingReplica group : dissolving.values()) {
-            Replica replica = replicas.get(group.key());
-            group.advance(replica == null ? List.of() : replica.members(), byId, nowMillis, actions);
+            group.orderLeaves(members(replicas, group.key()), nowMillis, actions);
         }
     }
 
+    private static List<UpstreamEntry> members(Map<ReplicaKey, Replica> replicas, ReplicaKey key) {
+        Replica replica = replicas.get(key);
+        return replica == null ? List.of() : replica.members();
+    }
+
     /** Returns the upstreams that may join a group, and adds those that could if their domain were not evacuated. */
     private List<UpstreamEntry> freeUpstreams(
             FleetView view, Map<ReplicaKey, Replica> replicas, long nowMillis, List<UpstreamEntry> idleEvacuated) {
@@ -338,7 +356,8 @@
         forming.values().forEach(group -> assigned.addAll(group.members()));
         List<UpstreamEntry> free = new ArrayList<>();
         for (UpstreamEntry entry : view.entries()) {
-            boolean usable = !entry.leaving() && reachability.reachable(entry.id(), nowMillis);
+            boolean usable =
+                    !entry.leaving() && reachability.reachable(entry.id(), nowMillis) && !isOutdated(entry, nowMillis);
             if (usable && !assigned.contains(entry.id()) && mayJoin(view, replicas, entry, nowMillis)) {
                 (view.isEvacuated(entry) ? idleEvacuated : free).add(entry);
             }
@@ -346,29 +365,42 @@
         return free;
     }
 
+    /** Whether joins based on an entry are known to be rejected because the upstream has begun other orders since. */
+    private boolean isOutdated(UpstreamEntry entry, long nowMillis) {
+        OutdatedEntry known = outdated.get(entry.id());
+        if (known == null) {
+            return false;
+        }
+        if (known.ordersBegun() != entry.ordersBegun() || nowMillis >= known.expiresAtMillis()) {
+            outdated.remove(entry.id());
+            return false;
+        }
+        return true;
+    }
+
     private boolean mayJoin(FleetView view, Map<ReplicaKey, Replica> replicas, UpstreamEntry entry, long nowMillis) {
         for (DissolvingReplica group : dissolving.values()) {
             if (group.blocksJoin(entry, nowMillis)) {
                 return false;
             }
         }
-        Optional<ReplicaKey> key = entry.membership().map(Membership::replica);
-        if (key.isPresent()) {
-            return abandoned.contains(key.get()) || dissolving.containsKey(key.get());
-        }
-        return nowMillis >= unseenHeadsStoppedAtMillis && formerHeadStopped(view, replicas, entry, nowMillis);
+        return entry.membership().isEmpty()
+                && nowMillis >= unseenHeadsStoppedAtMillis
+                && formerHeadStopped(view, replicas, entry, nowMillis);
     }
 
     /** Returns whether the head of the group that an upstream has left can no longer serve. */
     private boolean formerHeadStopped(
             FleetView view, Map<ReplicaKey, Replica> replicas, UpstreamEntry entry, long nowMillis) {
         Optional<FormerGroups.FormerGroup> former = view.formerGroups().formerGroup(entry);
-        if (former.isEmpty() || former.get().headLeft()) {
+        if (former.isEmpty()
+                || former.get().headLeft()
+                || neverOpened.contains(former.get().replica())) {
             return true;
         }
         DissolvingReplica dissolvingGroup = dissolving.get(former.get().replica());
         if (dissolvingGroup != null && dissolvingGroup.hasMember(entry.id())) {
-            // DissolvingReplica.blocksJoin has already decided, from order results that are newer than the registry.
+            // DissolvingReplica.blocksJoin has already decided, from the entries of all members.
             return true;
         }
         boolean reportsLoss = Optional.ofNullable(replicas.get(former.get().replica()))
--- a/core/src/main/java/io/sesamehead/coordination/replica/FormerGroups.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormerGroups.java
@@ -67,6 +67,7 @@
             }
             leftGroup = sameIncarnation && now.isEmpty() ? leftGroup : Optional.empty();
         }
+        entry.membership().filter(Membership::head).ifPresent(membership -> recordHeadReturn(membership, nowMillis));
         lastSeen.put(entry.id(), new Observation(entry, nowMillis, leftGroup));
         evictExpired(nowMillis);
     }
@@ -105,6 +106,16 @@
                         new MemberLoss(old.firstAtMillis(), now.lastAtMillis(), old.headLeft() || now.headLeft()));
     }
 
+    /**
+     * Orders that are executed late can make a head that has left a member again. It then detects the losses from now
+     * on.
+     */
+    private void recordHeadReturn(Membership membership, long nowMillis) {
+        losses.computeIfPresent(
+                membership.replica(),
+                (replica, loss) -> loss.headLeft() ? new MemberLoss(nowMillis, nowMillis, false) : loss);
+    }
+
     private void evictExpired(long nowMillis) {
         if (nowMillis - evictedAtMillis < EVICTION_INTERVAL_MILLIS) {
             return;
--- a/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
@@ -3,10 +3,9 @@
 import io.sesamehead.state.InstanceId;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Predicate;
 
 /** Forms a group: sends the join orders, then opens the head once all members are ready. */
 final class FormingReplica {
@@ -31,12 +30,16 @@
     private final List<InstanceId> members;
     private final Map<InstanceId, Long> startTimes;
     private final long deadlineMillis;
-    private final Map<InstanceId, Long> joinSentAtMillis = new HashMap<>();
+    private final Map<InstanceId, SentJoin> sentJoins = new HashMap<>();
     private final Map<InstanceId, Integer> joinAttempts = new HashMap<>();
-    private final Set<InstanceId> accepted = new HashSet<>();
     private long openSentAtMillis = Long.MIN_VALUE;
     private boolean openSent;
     private boolean refused;
+    /** By member, the number of begun orders with which it has rejected a join as outdated. */
+    private final Map<InstanceId, Long> outdatedCounts = new HashMap<>();
+
+    /** The last join order to a member, and the number of begun orders in the entry that it was based on. */
+    private record SentJoin(long ordersBegun, long sentAtMillis) {}
 
     FormingReplica(
             ReplicaKey key,
@@ -76,17 +79,37 @@
         return openSent;
     }
 
+    /** Returns, by member, the number of begun orders with which it has rejected a join as outdated. */
+    Map<InstanceId, Long> outdatedCounts() {
+        return outdatedCounts;
+    }
+
     void onResult(ReplicaAction action, OrderResult result) {
         if (action instanceof ReplicaAction.Join join) {
             switch (result) {
-                case ACCEPTED -> accepted.add(join.target());
+                // Only the member's entry shows that it has joined; an answer may belong to an earlier order.
+                case ACCEPTED -> {}
+                case STATE_CHANGED -> recordOutdated(join.target());
                 case REFUSED, NO_SUCH_UPSTREAM -> refused = true;
-                case FENCED, UNKNOWN -> joinSentAtMillis.remove(join.target());
+                case FENCED, UNKNOWN -> sentJoins.remove(join.target());
             }
         }
     }
 
-    Progress advance(Map<InstanceId, UpstreamEntry> entries, long nowMillis, List<ReplicaAction> actions) {
+    /**
+     * Sends the orders that are due.
+     *
+     * @param entries the current registry entries
+     * @param mayJoin whether an upstream that is not a member yet may join a group. It is tested before each join, since
+     *     an earlier order that is executed late can put the upstream into another group in the meantime
+     * @param nowMillis current monotonic time, in milliseconds
+     * @param actions receives the orders
+     */
+    Progress advance(
+            Map<InstanceId, UpstreamEntry> entries,
+            Predicate<UpstreamEntry> mayJoin,
+            long nowMillis,
+            List<ReplicaAction> actions) {
         if (refused || nowMillis > deadlineMillis) {
             return Progress.FAILED;
         }
@@ -98,7 +121,7 @@
             }
             if (isMember(entry)) {
                 joined.add(entry);
-            } else if (!sendJoinIfDue(id, nowMillis, actions)) {
+            } else if (!mayJoin.test(entry) || !sendJoinIfDue(entry, nowMillis, actions)) {
                 return Progress.FAILED;
             }
         }
@@ -121,15 +144,23 @@
                 .anyMatch(entry -> entry.membership().orElseThrow().state() == MemberState.BROKEN);
     }
 
-    private boolean sendJoinIfDue(InstanceId id, long nowMillis, List<ReplicaAction> actions) {
-        Long sentAt = joinSentAtMillis.get(id);
-        if (sentAt != null && nowMillis - sentAt < RESEND_MILLIS) {
+    private void recordOutdated(InstanceId id) {
+        SentJoin sent = sentJoins.get(id);
+        if (sent != null) {
+            outdatedCounts.put(id, sent.ordersBegun());
+        }
+    }
+
+    private boolean sendJoinIfDue(UpstreamEntry entry, long nowMillis, List<ReplicaAction> actions) {
+        InstanceId id = entry.id();
+        SentJoin last = sentJoins.get(id);
+        if (last != null && nowMillis - last.sentAtMillis() < RESEND_MILLIS) {
             return true;
         }
         if (joinAttempts.merge(id, 1, Integer::sum) > MAX_JOIN_ATTEMPTS) {
             return false;
         }
-        joinSentAtMillis.put(id, nowMillis);
+        sentJoins.put(id, new SentJoin(entry.ordersBegun(), nowMillis));
         actions.add(new ReplicaAction.Join(id, key, model, members));
         return true;
     }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -37,6 +37,8 @@
     private final Set<ReplicaKey> lost = new HashSet<>();
     private final Map<InstanceId, Long> silentUntil = new HashMap<>();
     private final Map<InstanceId, List<ReplicaAction>> lateOrders = new HashMap<>();
+    private final Set<InstanceId> answeringWithoutLeaving = new HashSet<>();
+    private final Set<InstanceId> rejectingJoins = new HashSet<>();
     private final Set<TargetKey> called = new HashSet<>();
     private final TargetTable calls = new TargetTable();
     final List<ReplicaAction> orders = new ArrayList<>();
@@ -102,6 +104,21 @@
         silentUntil.put(id, now + millis);
     }
 
+    /** Lets an engine answer leave orders as if it had begun them, which it has not. */
+    void answerLeavesWithoutLeaving(InstanceId id) {
+        answeringWithoutLeaving.add(id);
+    }
+
+    /** Lets an engine reject joins as if it had begun an order that its entry does not show yet. */
+    void rejectJoins(InstanceId id) {
+        rejectingJoins.add(id);
+    }
+
+    /** Lets an engine execute leave orders again. */
+    void executeLeaves(InstanceId id) {
+        answeringWithoutLeaving.remove(id);
+    }
+
     /** Adds evidence that a group is lost. */
     void addLost(ReplicaKey key) {
         lost.add(key);
@@ -184,6 +201,24 @@
         return entries.get(id);
     }
 
+    /** Returns the entry that an engine has once it has left its group. */
+    UpstreamEntry withoutGroup(InstanceId id) {
+        UpstreamEntry entry = entries.get(id);
+        return new UpstreamEntry(
+                id,
+                entry.startedAtEpochMillis(),
+                entry.ordersBegun() + 1,
+                entry.service(),
+                entry.endpoint(),
+                entry.failureDomain(),
+                entry.slots(),
+                entry.leaving(),
+                entry.fabricDomain(),
+                entry.staged(),
+                entry.loaded(),
+                Optional.empty());
+    }
+
     List<Replica> serving(ModelProfile model) {
         return ReplicaIndex.of(entries.values()).values().stream()
                 .filter(replica ->
@@ -204,6 +239,12 @@
             unanswered++;
             return OrderResult.UNKNOWN;
         }
+        if (action instanceof ReplicaAction.Leave && answeringWithoutLeaving.contains(action.target())) {
+            return OrderResult.ACCEPTED;
+        }
+        if (action instanceof ReplicaAction.Join && rejectingJoins.contains(action.target())) {
+            return OrderResult.STATE_CHANGED;
+        }
         switch (action) {
             case ReplicaAction.Join join -> join(entry, join);
             case ReplicaAction.Open open -> state(entry, MemberState.OPEN);
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.sesamehead.state.InstanceId;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -239,6 +241,124 @@
         assertThat(engines.violations).isEmpty();
     }
 
+    /** Forms one group of the small model from three engines, the only ones. */
+    private static Replica formOnlyGroup(FakeEngines three, FleetPlanner own) {
+        three.addDomains(1, FakeEngines.SMALL.groupSize());
+        three.run(own, WARM_UP_MILLIS);
+        three.traffic = true;
+        return three.serving(FakeEngines.SMALL).get(0);
+    }
+
+    /**
+     * Guards against ordering an open head into another group: a join and an open that are executed late, after the head
+     * has answered the order to leave, make it the serving head of its group again.
+     */
+    @Test
+    void returnedHeadLeavesAgainBeforeItJoinsAnotherGroup() {
+        FakeEngines three = new FakeEngines();
+        Replica group = formOnlyGroup(three, planner);
+        InstanceId head = group.members().get(0).id();
+        ReplicaAction join = three.orders.stream()
+                .filter(order ->
+                        order instanceof ReplicaAction.Join && order.target().equals(head))
+                .findFirst()
+                .orElseThrow();
+
+        three.kill(group.members().get(1).id());
+        three.run(planner, 300);
+        assertThat(three.entry(head).membership()).isEmpty();
+        three.orders.clear();
+        three.execute(join);
+        three.execute(new ReplicaAction.Open(head, group.key()));
+        three.addSpares(group.members().get(0).fabricDomain(), 1, "small");
+        three.run(planner, 3_000);
+
+        assertThat(three.violations).isEmpty();
+        assertThat(leaveOrders(three, group.key())).isPositive();
+        assertThat(three.serving(FakeEngines.SMALL)).hasSize(1);
+    }
+
+    /**
+     * Guards against taking the answer to an order to leave as proof that the head has left: it may be a second copy of
+     * an earlier answer.
+     */
+    @Test
+    void headThatHasOnlyAnsweredIsNotOrderedIntoAnotherGroup() {
+        FakeEngines three = new FakeEngines();
+        Replica group = formOnlyGroup(three, planner);
+        InstanceId head = group.members().get(0).id();
+        three.answerLeavesWithoutLeaving(head);
+
+        three.kill(group.members().get(1).id());
+        three.addSpares(group.members().get(0).fabricDomain(), 1, "small");
+        three.run(planner, 3_000);
+        assertThat(three.violations).isEmpty();
+        assertThat(three.entry(head).membership().map(Membership::replica)).contains(group.key());
+
+        three.executeLeaves(head);
+        three.run(planner, 5_000);
+        assertThat(three.violations).isEmpty();
+        assertThat(three.serving(FakeEngines.SMALL)).hasSize(1);
+    }
+
+    /**
+     * Guards against a repeated join to an upstream that an order executed late has put into another group in the
+     * meantime.
+     */
+    @Test
+    void joinIsNotRepeatedToUpstreamThatHasReturnedToOtherGroup() {
+        start();
+        Replica group = engines.serving(FakeEngines.SMALL).get(0);
+        List<UpstreamEntry> members = group.members().stream()
+                .map(member -> engines.withoutGroup(member.id()))
+                .toList();
+        FormingReplica forming =
+                new FormingReplica(ReplicaKey.of("small", 99), "small", members, engines.now, 12_000, false);
+        Map<InstanceId, UpstreamEntry> entries = new HashMap<>();
+        members.forEach(member -> entries.put(member.id(), member));
+        List<ReplicaAction> orders = new ArrayList<>();
+        forming.advance(entries, entry -> entry.membership().isEmpty(), engines.now, orders);
+        assertThat(orders).hasSize(members.size());
+        orders.clear();
+        entries.put(group.members().get(0).id(), group.members().get(0));
+
+        assertThat(forming.advance(entries, entry -> entry.membership().isEmpty(), engines.now + 400, orders))
+                .isEqualTo(FormingReplica.Progress.FAILED);
+        assertThat(orders)
+                .noneMatch(order -> order.target().equals(group.members().get(0).id()));
+    }
+
+    /**
+     * Guards against groups that are planned again and again with an upstream that rejects every join: it copies a
+     * model, and its entry does not count that order before the copy is complete.
+     */
+    @Test
+    void upstreamThatRejectsJoinsAsOutdatedIsReplaced() {
+        FakeEngines three = new FakeEngines();
+        Replica group = formOnlyGroup(three, planner);
+        String domain = group.members().get(0).fabricDomain();
+        three.addSpares(domain, 1, "small");
+        InstanceId rejecting = new InstanceId("spare-" + domain + "-3");
+        three.rejectJoins(rejecting);
+
+        three.kill(group.members().get(1).id());
+        three.orders.clear();
+        three.run(planner, 6_000);
+        assertThat(joinOrders(three, rejecting)).isBetween(1L, 4L);
+        three.addSpares(domain, 1, "small");
+        three.run(planner, 6_000);
+
+        assertThat(joinOrders(three, rejecting)).isLessThanOrEqualTo(4);
+        assertThat(three.serving(FakeEngines.SMALL)).hasSize(1);
+    }
+
+    private static long joinOrders(FakeEngines engines, InstanceId target) {
+        return engines.orders.stream()
+                .filter(order ->
+                        order instanceof ReplicaAction.Join && order.target().equals(target))
+                .count();
+    }
+
     @Test
     void newHolderAdoptsServingGroupsWithoutOrders() {
         start();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ControllerChangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ControllerChangeTest.java
@@ -4,7 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Guards against an engine that joins a group while the head of its previous group still serves. This can come about
@@ -16,13 +17,15 @@
     private static final int ENGINES_PER_DOMAIN = 7;
     private static final long DURATION_MILLIS = 40_000;
 
-    @Test
-    void noJoinWhileFormerHeadServes() {
+    @ParameterizedTest
+    @CsvSource({"8, 1000000, true", "3, 6, true", "8, 1000000, false"})
+    void noJoinWhileFormerHeadServes(int noAnswerOneIn, int otherAnswerOneIn, boolean conditional) {
+        var orderFaults = new EngineSimulation.OrderFaults(noAnswerOneIn, otherAnswerOneIn, conditional);
         List<String> violations = new ArrayList<>();
         int joins = 0;
         int serving = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            EngineSimulation simulation = new EngineSimulation(seed, DOMAINS, ENGINES_PER_DOMAIN);
+            EngineSimulation simulation = new EngineSimulation(seed, DOMAINS, ENGINES_PER_DOMAIN, orderFaults);
             simulation.run(DURATION_MILLIS);
             for (String violation : simulation.violations) {
                 violations.add("seed " + seed + " at " + violation);
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
@@ -19,13 +19,16 @@
 import io.sesamehead.state.StoreRevision;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /**
  * Simulates engines under successive controllers. The engines' registry entries are delayed or stale; the engines
@@ -46,6 +49,7 @@
             new EngineProfile(18, List.of(MODEL), 6, 0.06, 50_000, 7, 100, 100, 300);
 
     private final SplittableRandom random;
+    private final OrderFaults orderFaults;
     private final List<Engine> engines = new ArrayList<>();
     private final Map<String, StoredObject<UpstreamEntry>> registryObjects = new LinkedHashMap<>();
     private final List<Daemon> daemons = new ArrayList<>();
@@ -106,8 +110,18 @@
         private long readAtMillis;
     }
 
-    EngineSimulation(long seed, int domains, int enginesPerDomain) {
+    /**
+     * Faults of orders. Half of the orders without an answer are executed seconds later.
+     *
+     * @param noAnswerOneIn one order in so many gets no answer
+     * @param otherAnswerOneIn one order in so many that are executed seconds later gets the answer of an earlier one
+     * @param conditional whether engines know the number of orders that a join is conditional on
+     */
+    record OrderFaults(int noAnswerOneIn, int otherAnswerOneIn, boolean conditional) {}
+
+    EngineSimulation(long seed, int domains, int enginesPerDomain, OrderFaults orderFaults) {
         random = new SplittableRandom(seed);
+        this.orderFaults = orderFaults;
         for (int domain = 0; domain < domains; domain++) {
             for (int engine = 0; engine < enginesPerDomain; engine++) {
                 engines.add(new Engine(new InstanceId("e" + domain + "-" + engine), "d" + domain));
@@ -178,34 +192,42 @@
                     true,
                     holder.registry.formerGroups(),
                     firstStart);
+            Map<InstanceId, UpstreamEntry> byId = new HashMap<>();
+            view.entries().forEach(entry -> byId.put(entry.id(), entry));
             for (ReplicaAction action : planner.plan(view, now)) {
-                send(planner, action, fence);
+                UpstreamEntry target = byId.get(action.target());
+                OptionalLong expected = orderFaults.conditional() && action instanceof ReplicaAction.Join
+                        ? OptionalLong.of(target.ordersBegun())
+                        : OptionalLong.empty();
+                send(action, fence, expected, result -> planner.onResult(action, result, now));
             }
         }
     }
 
-    private void send(FleetPlanner planner, ReplicaAction action, long fence) {
+    private void send(ReplicaAction action, long fence, OptionalLong expected, Consumer<OrderResult> done) {
         Engine engine = engine(action.target());
         if (engine.partitioned) {
-            schedule(ORDER_TIMEOUT_MILLIS, () -> planner.onResult(action, OrderResult.UNKNOWN, now));
+            schedule(ORDER_TIMEOUT_MILLIS, () -> done.accept(OrderResult.UNKNOWN));
             return;
         }
-        boolean lost = faults && random.nextInt(8) == 0;
+        boolean lost = faults && random.nextInt(orderFaults.noAnswerOneIn()) == 0;
         if (!engine.alive || lost) {
-            schedule(ORDER_TIMEOUT_MILLIS, () -> planner.onResult(action, OrderResult.UNKNOWN, now));
-            if (engine.alive && random.nextBoolean()) {
-                schedule(random.nextLong(2_000, 12_000), () -> execute(engine, action, fence));
+            boolean late = engine.alive && random.nextBoolean();
+            boolean otherAnswer = late && random.nextInt(orderFaults.otherAnswerOneIn()) == 0;
+            schedule(ORDER_TIMEOUT_MILLIS, () -> done.accept(otherAnswer ? OrderResult.ACCEPTED : OrderResult.UNKNOWN));
+            if (late) {
+                schedule(random.nextLong(2_000, 12_000), () -> execute(engine, action, fence, expected));
             }
             return;
         }
         long delay = random.nextLong(5, 100);
         schedule(delay, () -> {
-            OrderResult result = engine.alive ? execute(engine, action, fence) : OrderResult.UNKNOWN;
-            schedule(delay, () -> planner.onResult(action, result, now));
+            OrderResult result = engine.alive ? execute(engine, action, fence, expected) : OrderResult.UNKNOWN;
+            schedule(delay, () -> done.accept(result));
         });
     }
 
-    private OrderResult execute(Engine engine, ReplicaAction action, long fence) {
+    private OrderResult execute(Engine engine, ReplicaAction action, long fence, OptionalLong expected) {
         if (!engine.alive) {
             return OrderResult.UNKNOWN;
         }
@@ -213,6 +235,9 @@
             return action instanceof ReplicaAction.Join ? OrderResult.REFUSED : OrderResult.FENCED;
         }
         engine.highestFence = fence;
+        if (expected.isPresent() && expected.getAsLong() != engine.orders) {
+            return OrderResult.STATE_CHANGED;
+        }
         return switch (action) {
             case ReplicaAction.Join join -> join(engine, join);
             case ReplicaAction.Open open -> open(engine, open.replica());
