Spend the drain time once between the store and the last send

Cause: RegistryWatch accepted a relay's view up to 2.4 s old and took each one for current for another 0.7 s, with no regard to the drain time, and a report that said nothing new made an old view younger. The age was counted from the arrival of the store's response, not from the relay's request.

Change: a relayed view is valid until its age leaves time for one query of the store and a retry within bounds.drain_ms. The age counts from the request, or from the end of a full wait. An old view is refreshed at once, and the wait of a watch ends in time for the daemons that learn of it.

Ruled out: a response that comes late or lacks the change; a shorter age for all deployments.

--- a/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
+++ b/entry/src/main/java/io/sesamehead/entry/port/EntrySettings.java
@@ -22,6 +22,7 @@
  * @param configConvergenceMillis time within which a configuration must take effect, in milliseconds
  * @param shutdownGraceMillis time between the shutdown request and the forced kill, in milliseconds
  * @param stallDetectionMillis time within which the head of a group detects a missing member, in milliseconds
+ * @param upstreamDrainMillis time for which a draining upstream serves on after the store knows of it, in milliseconds
  * @param bootstrap whether this is the first start of the deployment
  * @param retryRatio retries allowed per call
  * @param extraRetriesPerWindow additional retries allowed per window across all daemons
@@ -41,6 +42,7 @@
         long configConvergenceMillis,
         long shutdownGraceMillis,
         long stallDetectionMillis,
+        long upstreamDrainMillis,
         boolean bootstrap,
         double retryRatio,
         double extraRetriesPerWindow,
@@ -110,6 +112,7 @@
      * @param configConvergenceMillis time within which a configuration must take effect, in milliseconds
      * @param shutdownGraceMillis time between the shutdown request and the forced kill, in milliseconds
      * @param stallDetectionMillis time within which the head of a group detects a missing member, in milliseconds
+     * @param upstreamDrainMillis time for which a draining upstream serves on after the store knows of it, in milliseconds
      * @param bootstrap whether this is the first start of the deployment
      * @param retryRatio retries allowed per call
      * @param extraRetriesPerWindow additional retries allowed per window across all daemons
@@ -128,6 +131,7 @@
             long configConvergenceMillis,
             long shutdownGraceMillis,
             long stallDetectionMillis,
+            long upstreamDrainMillis,
             boolean bootstrap,
             double retryRatio,
             double extraRetriesPerWindow,
@@ -145,6 +149,7 @@
                 configConvergenceMillis,
                 shutdownGraceMillis,
                 stallDetectionMillis,
+                upstreamDrainMillis,
                 bootstrap,
                 retryRatio,
                 extraRetriesPerWindow,
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -192,6 +192,7 @@
                 clocks,
                 presentStore,
                 registry,
+                settings.upstreamDrainMillis(),
                 log,
                 this::onFleetChange,
                 () -> lease.epoch().isPresent(),
--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -33,10 +33,16 @@
     private static final long RETRY_DELAY_MILLIS = 150;
     /** Retry delay with relays, in milliseconds. Keeps the request rate of all daemons below the store's limit. */
     private static final long RELAYED_RETRY_DELAY_MILLIS = 600;
-    /**
-     * Maximum age of a relay's view that is accepted, in milliseconds. Covers a watch, a batch delay and two reports.
-     */
+    /** Response time of a slow store, in milliseconds. */
+    private static final long SLOW_RESPONSE_MILLIS = 250;
+    /** Part of the drain time that is left to query the store, and once more if it rejects the query. */
+    private static final long STORE_QUERY_MILLIS = RELAYED_RETRY_DELAY_MILLIS + 2 * SLOW_RESPONSE_MILLIS;
+    /** Maximum age of a relay's view that counts as current, in milliseconds, however long upstreams drain. */
     private static final long MAX_RELAYED_AGE_MILLIS = 2_400;
+    /** Part of the age of a relayed view that two report intervals and the delivery take, in milliseconds. */
+    private static final long REPORTING_MILLIS = 400;
+    /** Fraction of a full wait that an empty response confirms. The store's clock may run slightly fast. */
+    private static final double CONFIRMED_WAIT_FRACTION = 0.95;
     /**
      * Time without a complete view from a relay after which the store is queried, in milliseconds. Four report
      * intervals.
@@ -64,6 +70,7 @@
     private final Clocks clocks;
     private final ObjectStore store;
     private final UpstreamRegistry registry;
+    private final long relayedAgeLimitMillis;
     private final EventLog log;
     private final Runnable onChange;
     private final BooleanSupplier isController;
@@ -71,23 +78,35 @@
     private final RandomGenerator random;
     private final RecentChanges recent = new RecentChanges();
     private boolean relayReportReceived;
-    private long relayCurrentAtMillis = NEVER;
+    private long relayReportedAtMillis = NEVER;
+    /** Latest time as of which a relay's view was the store's. */
+    private long relayAsOfMillis = NEVER;
+
     private StoreRevision revision = StoreRevision.NONE;
     private boolean restored;
     private boolean triedStaleListing;
     private long confirmedAtMillis = NEVER;
-    /** Latest time at which the known revision was the store's; never for a listing that may be old. */
+    /** Latest time as of which the known revision was the store's; never for a listing that may be old. */
     private long currentAtMillis = NEVER;
 
     private boolean refreshing;
     private boolean failing;
     private long failingSinceMillis;
 
+    /**
+     * Creates a watch.
+     *
+     * @param drainMillis time for which a draining upstream serves on after the store knows of it, in milliseconds
+     * @param onChange runs after changes
+     * @param isController whether this daemon holds the controller lease, and asks the store itself
+     * @param isLargeFleet whether current listings of all daemons would exceed the store's rate
+     */
     RegistryWatch(
             EventLoop loop,
             Clocks clocks,
             ObjectStore store,
             UpstreamRegistry registry,
+            long drainMillis,
             EventLog log,
             Runnable onChange,
             BooleanSupplier isController,
@@ -98,6 +117,7 @@
         this.clocks = clocks;
         this.store = store;
         this.registry = registry;
+        this.relayedAgeLimitMillis = Math.clamp(drainMillis - STORE_QUERY_MILLIS, 0, MAX_RELAYED_AGE_MILLIS);
         this.log = log;
         this.onChange = onChange;
         this.isController = isController;
@@ -124,7 +144,8 @@
         triedStaleListing = controller;
         refreshing = false;
         revision = StoreRevision.NONE;
-        relayCurrentAtMillis = NEVER;
+        relayReportedAtMillis = NEVER;
+        relayAsOfMillis = NEVER;
         confirmedAtMillis = NEVER;
         currentAtMillis = NEVER;
         recent.clear();
@@ -170,7 +191,7 @@
      */
     void onRelayedChanges(StoreRevision relayRevision, long ageMillis, RecentChanges.Delta changes) {
         long now = clocks.steadyMillis();
-        if (!listed() || relayRevision.era() != revision.era() || ageMillis > MAX_RELAYED_AGE_MILLIS) {
+        if (!listed() || relayRevision.era() != revision.era() || ageMillis > relayedAgeLimitMillis) {
             return;
         }
         relayReportReceived = true;
@@ -182,8 +203,9 @@
             revision = relayRevision;
         }
         if (relayRevision.compareTo(revision) <= 0) {
-            relayCurrentAtMillis = now;
-            recordAnswer(now - ageMillis);
+            relayReportedAtMillis = now;
+            relayAsOfMillis = Math.max(relayAsOfMillis, now - ageMillis);
+            recordAnswer(now - ageMillis, now - ageMillis);
         }
     }
 
@@ -228,7 +250,7 @@
     /** Changes that another response has overtaken are discarded; the next refresh requests them again. */
     private void onRefreshAnswer(StoreRevision since, long requestedAtMillis, ChangeBatch<UpstreamEntry> changes) {
         if (since.equals(revision)) {
-            applyBatch(since, changes);
+            applyBatch(since, changes, requestedAtMillis);
         }
         if (changes.revision().compareTo(revision) <= 0) {
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
@@ -236,7 +258,12 @@
     }
 
     private boolean relayIsCurrent() {
-        return listed() && clocks.steadyMillis() - relayCurrentAtMillis <= RELAY_TIMEOUT_MILLIS;
+        return listed() && millisUntilRelayIsOld(clocks.steadyMillis()) >= 0;
+    }
+
+    private long millisUntilRelayIsOld(long nowMillis) {
+        return Math.min(relayReportedAtMillis + RELAY_TIMEOUT_MILLIS, relayAsOfMillis + relayedAgeLimitMillis)
+                - nowMillis;
     }
 
     private void resume() {
@@ -289,7 +316,7 @@
         if (mayBeOld) {
             currentAtMillis = NEVER;
         } else {
-            recordAnswer(clocks.steadyMillis());
+            recordAnswer(requestedAtMillis, clocks.steadyMillis());
             confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         }
         recent.clear();
@@ -316,30 +343,46 @@
     /** Watches the store, or waits while a relay reports all changes. */
     private void watch() {
         if (!isController.getAsBoolean() && relayIsCurrent()) {
-            sequence.schedule(this::watch, RELAY_CHECK_INTERVAL_MILLIS);
+            long untilOldMillis = millisUntilRelayIsOld(clocks.steadyMillis()) + 1;
+            sequence.schedule(this::watch, Math.min(RELAY_CHECK_INTERVAL_MILLIS, untilOldMillis));
             return;
         }
         StoreRevision since = revision;
         long requestedAtMillis = clocks.steadyMillis();
+        long waitMillis = watchTimeoutMillis(requestedAtMillis);
         store.watch(
                 ObjectKind.UPSTREAMS,
                 since,
-                WATCH_TIMEOUT_MILLIS,
-                sequence.callback(answer -> onChanges(since, requestedAtMillis, answer)));
+                waitMillis,
+                sequence.callback(answer -> onChanges(since, requestedAtMillis, waitMillis, answer)));
+    }
+
+    /**
+     * Returns the wait after which the response still comes before the view is too old for the daemons that learn of it
+     * from this one. A view that is too old already is refreshed at once.
+     */
+    private long watchTimeoutMillis(long nowMillis) {
+        long untilOldMillis = currentAtMillis + relayedAgeLimitMillis - REPORTING_MILLIS - nowMillis;
+        return Math.clamp(untilOldMillis, REFRESH_TIMEOUT_MILLIS, WATCH_TIMEOUT_MILLIS);
     }
 
     private void onChanges(
-            StoreRevision since, long requestedAtMillis, StoreResult<ChangeBatch<UpstreamEntry>> answer) {
+            StoreRevision since,
+            long requestedAtMillis,
+            long waitMillis,
+            StoreResult<ChangeBatch<UpstreamEntry>> answer) {
         if (!(answer instanceof StoreResult.Ok<ChangeBatch<UpstreamEntry>>(ChangeBatch<UpstreamEntry> changes))) {
             retry(answer);
             return;
         }
         if (changes.revision().compareTo(revision) < 0) {
-            recordAnswer(clocks.steadyMillis());
+            recordAnswer(requestedAtMillis, clocks.steadyMillis());
             watch();
             return;
         }
-        applyBatch(since, changes);
+        boolean waited = changes.changes().isEmpty() && clocks.steadyMillis() - requestedAtMillis >= waitMillis;
+        long confirmedWaitMillis = waited ? (long) (waitMillis * CONFIRMED_WAIT_FRACTION) : 0;
+        applyBatch(since, changes, requestedAtMillis + confirmedWaitMillis);
         confirmedAtMillis = Math.max(confirmedAtMillis, requestedAtMillis);
         if (changes.changes().isEmpty()) {
             watch();
@@ -349,19 +392,19 @@
         sequence.schedule(this::watch, delayMillis);
     }
 
-    private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes) {
+    private void applyBatch(StoreRevision since, ChangeBatch<UpstreamEntry> changes, long asOfMillis) {
         long now = clocks.steadyMillis();
         // The changes since a listing that may be old include those that the copy of a restored store contains.
         boolean present = hasBeenCurrent();
-        recordAnswer(now);
+        recordAnswer(asOfMillis, now);
         // A batch that fails is read again: its revision counts only once all of it has been applied.
         apply(changes.changes(), present, now);
         recent.add(since, changes, now);
         revision = changes.revision();
     }
 
-    private void recordAnswer(long answeredAtMillis) {
-        currentAtMillis = Math.max(currentAtMillis, answeredAtMillis);
+    private void recordAnswer(long asOfMillis, long answeredAtMillis) {
+        currentAtMillis = Math.max(currentAtMillis, asOfMillis);
         registry.recordStoreAnswer(
                 answeredAtMillis, failing && answeredAtMillis - failingSinceMillis > MAX_TRANSIENT_FAILURE_MILLIS);
         if (failing) {
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -38,6 +38,8 @@
 import java.util.function.LongConsumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against daemons that all query the store, and against data from a relay that is older than its stated age. */
 final class CachedStoreViewExchangeTest {
@@ -46,6 +48,8 @@
     private static final long KEY_LEASE_MILLIS = 3_600;
     /** Documented time within which a configuration must be active, in milliseconds. */
     private static final long CONVERGE_MILLIS = 2_000;
+    /** Documented time for which a draining upstream serves on, in milliseconds. */
+    private static final long DRAIN_MILLIS = 2_000;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeClocks clocks = new FakeClocks(1_000_000);
@@ -84,6 +88,7 @@
                     clocks,
                     present,
                     registry,
+                    DRAIN_MILLIS,
                     log,
                     this::onChange,
                     () -> false,
@@ -372,6 +377,41 @@
         assertThat(follower.activeConfig.fresh(clocks.now)).isTrue();
     }
 
+    /**
+     * Guards against requests to an upstream that has drained and left: its report does not reach a relay that the store
+     * does not answer, and the relay's last view must not count as current until the drain time is over.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void learnsOfDrainInTimeWhileRelayIsCutOff(int rejections) {
+        for (int round = 0; round < 30; round++) {
+            relay.store.down = true;
+            String drained = "i-" + round;
+            storeContents.leave(drained);
+            follower.store.rejections = rejections;
+            long reportedAtMillis = clocks.now;
+            while (!follower.entry(drained).orElseThrow().leaving()) {
+                run(STEP_MILLIS);
+                assertThat(clocks.now - reportedAtMillis).as("round %s", round).isLessThan(DRAIN_MILLIS);
+            }
+            relay.store.down = false;
+            // Lets each round begin in another phase of watches and reports.
+            run(3_000 + round * STEP_MILLIS);
+        }
+    }
+
+    /** Guards against an age that is counted from the arrival of a response, which the store may have given earlier. */
+    @Test
+    void tellsAgeSinceRequestOfSlowResponse() {
+        relay.store.responseMillis = 400;
+        storeContents.put("i-3", MemberState.OPEN);
+        while (relay.upstreams.revision().compareTo(storeContents.revision) < 0) {
+            run(STEP_MILLIS);
+        }
+
+        assertThat(relay.storeViews.view().getRegistryAgeMillis()).isGreaterThanOrEqualTo(400);
+    }
+
     @Test
     void queriesStoreWhenRelayIsSilent() {
         relaySilent = true;
@@ -526,6 +566,8 @@
         private int calls;
         private LongConsumer onEra = era -> {};
         private boolean down;
+        private int rejections;
+        private long responseMillis;
 
         @Override
         @SuppressWarnings("unchecked")
@@ -552,6 +594,11 @@
         public <T> void watch(
                 ObjectKind<T> kind, StoreRevision from, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done) {
             calls++;
+            if (rejections > 0 && kind instanceof ObjectKind.Upstreams) {
+                rejections--;
+                done.accept(new StoreResult.NoResponse<>("rejected"));
+                return;
+            }
             answerWatch(kind, from, clocks.now + waitMillis, done);
         }
 
@@ -581,7 +628,13 @@
             }
             if (!changes.isEmpty() || clocks.now >= until) {
                 onEra.accept(storeContents.revision.era());
-                done.accept(new StoreResult.Ok<>(new ChangeBatch<>(changes, storeContents.revision)));
+                StoreResult<ChangeBatch<T>> answer =
+                        new StoreResult.Ok<>(new ChangeBatch<>(changes, storeContents.revision));
+                if (responseMillis > 0) {
+                    channel.eventLoop().schedule(() -> done.accept(answer), responseMillis, TimeUnit.MILLISECONDS);
+                    return;
+                }
+                done.accept(answer);
                 return;
             }
             channel.eventLoop()
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallerConnectionFailureTest.java
@@ -101,7 +101,7 @@
 
     private CallerServer server(EmbeddedChannel channel) {
         EntrySettings settings = new EntrySettings(
-                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
         TargetTable targetTable = new TargetTable();
         BusyUpstreams busyUpstreams = new BusyUpstreams();
         StatedRateLimits rateLimits = new StatedRateLimits();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/EvacuationWatchTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EvacuationWatchTest.java
@@ -77,6 +77,7 @@
                             clocks,
                             present,
                             new UpstreamRegistry(1_200),
+                            2_000,
                             log,
                             () -> {},
                             () -> false,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -194,7 +194,7 @@
 
     private CallEnvironment environment(Endpoint endpoint) {
         EntrySettings settings = new EntrySettings(
-                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, true, 0, 0, 1, 1);
+                "d", DOMAIN, ENDPOINT, ENDPOINT, Optional.empty(), ENDPOINT, 1, 1, 1, 1, 1, 1, true, 0, 0, 1, 1);
         Clocks clocks = new SystemClocks();
         EventLog log = new EventLog(clocks);
         TargetTable targetTable = new TargetTable();
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerDirectoryTest.java
@@ -41,8 +41,8 @@
         store.daemonCount = 5;
         FailureDomain domain = new FailureDomain("a");
         Endpoint own = new Endpoint("127.0.0.1", 1);
-        EntrySettings settings =
-                new EntrySettings("self", domain, own, own, Optional.empty(), own, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
+        EntrySettings settings = new EntrySettings(
+                "self", domain, own, own, Optional.empty(), own, 1, 1, 1, 1, 1, 1, true, 0, 0, 1, 1_200);
         directory = new PeerDirectory(
                 channel.eventLoop(),
                 clocks,
--- a/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/PeerReporterTest.java
@@ -131,6 +131,7 @@
                 1,
                 1,
                 1,
+                1,
                 true,
                 0,
                 0,
