Send joins without a condition again

The condition and the handling of its rejection are taken back. The field is now called writes. Another order to a head that has answered a leave and is listed later restarts the detection time only in that case, since entries also change for other reasons.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -13,8 +13,8 @@
  * it.
  *
  * <p>The answer to a leave order does not prove that the member has left. It may be a second copy of an earlier answer,
- * and an earlier join that is executed late makes the upstream a member again. Entries count the orders that the
- * upstream has begun, so the later of two entries is known whenever they were read.
+ * and an earlier join that is executed late makes the upstream a member again. Upstreams number their entries, so the
+ * later of two is known whenever they were read.
  */
 final class DissolvingReplica {
     /** Initial interval at which a leave order without a visible effect is resent, in milliseconds; it then doubles. */
@@ -38,14 +38,15 @@
     private final Map<InstanceId, Long> departedAtMillis = new HashMap<>();
 
     private boolean leaveAnswered;
+    private boolean headAnsweredLeave;
     private boolean headStopped;
 
     private record SentLeave(long sentAtMillis, long resendAfterMillis) {}
 
-    /** The incarnation of a member, and the orders that it had begun, in the last entry that names the group. */
-    private record LastListed(long startedAtEpochMillis, long ordersBegun) {
+    /** The incarnation of a member and the number of its last entry that names the group. */
+    private record LastListed(long startedAtEpochMillis, long writes) {
         static LastListed of(UpstreamEntry entry) {
-            return new LastListed(entry.startedAtEpochMillis(), entry.ordersBegun());
+            return new LastListed(entry.startedAtEpochMillis(), entry.writes());
         }
     }
 
@@ -71,13 +72,16 @@
             return;
         }
         switch (result) {
-            case ACCEPTED -> leaveAnswered = true;
+            case ACCEPTED -> {
+                leaveAnswered = true;
+                headAnsweredLeave |= isHead(leave.target());
+            }
             case NO_SUCH_UPSTREAM -> {
                 // Another process at the address proves that this incarnation has ended.
                 leaveAnswered = true;
                 recordDeparted(leave.target(), nowMillis);
             }
-            case REFUSED, FENCED, STATE_CHANGED, UNKNOWN -> {}
+            case REFUSED, FENCED, UNKNOWN -> {}
         }
     }
 
@@ -158,6 +162,10 @@
                 .anyMatch(atMillis -> nowMillis >= atMillis + stallMillis + DETECTION_MARGIN_MILLIS);
     }
 
+    private boolean isHead(InstanceId id) {
+        return head.filter(id::equals).isPresent();
+    }
+
     private boolean isListed(UpstreamEntry entry) {
         return entry.membership().map(Membership::replica).filter(key::equals).isPresent();
     }
@@ -167,7 +175,7 @@
         LastListed last = lastListed.get(entry.id());
         return last == null
                 || entry.startedAtEpochMillis() != last.startedAtEpochMillis()
-                || entry.ordersBegun() > last.ordersBegun();
+                || entry.writes() > last.writes();
     }
 
     /**
@@ -180,11 +188,13 @@
             head = Optional.of(member.id());
         }
         if (isNewer(member)) {
-            if (departedAtMillis.remove(member.id()) != null) {
+            boolean returned = departedAtMillis.remove(member.id()) != null;
+            if (returned) {
                 leaveOrders.remove(member.id());
             }
-            if (membership.head()) {
+            if (membership.head() && (returned || headAnsweredLeave)) {
                 // It may be open again, and detects the absence of the others only from now on.
+                headAnsweredLeave = false;
                 headStopped = false;
                 departedAtMillis.replaceAll((id, atMillis) -> nowMillis);
             }
@@ -197,7 +207,7 @@
 
     private void recordDeparted(InstanceId id, long nowMillis) {
         departedAtMillis.putIfAbsent(id, nowMillis);
-        if (head.filter(id::equals).isPresent()) {
+        if (isHead(id)) {
             headStopped = true;
         }
     }
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -30,12 +30,6 @@
      */
     private static final long LEAVING_GRACE_MILLIS = 1_500;
 
-    /**
-     * Time for which an upstream is excluded if it rejects joins based on an entry that then doesn't change, in
-     * milliseconds. An upstream that copies a model has begun an order that its entry shows once the copy is complete.
-     */
-    private static final long OUTDATED_ENTRY_MILLIS = 15_000;
-
     private static final long UNSET_MILLIS = Long.MIN_VALUE;
 
     private final long controllerEpoch;
@@ -52,8 +46,6 @@
     /** Groups given up before their head can have opened. Members that have left them need not wait for the head. */
     private final Set<ReplicaKey> neverOpened = new HashSet<>();
 
-    private final Map<InstanceId, OutdatedEntry> outdated = new HashMap<>();
-
     private final GroupPeaks peaks = new GroupPeaks();
     private final ModelUtilization utilization = new ModelUtilization();
     /**
@@ -66,8 +58,6 @@
     private PlanSummary summary = new PlanSummary(0, 0, 0, 0, 0, 0, 0);
     private Supplier<IdleUpstreams> idle = () -> IdleUpstreams.NONE;
 
-    private record OutdatedEntry(long ordersBegun, long expiresAtMillis) {}
-
     /**
      * Creates a planner for one lease epoch.
      *
@@ -134,7 +124,7 @@
             case UNKNOWN -> reachability.recordNoAnswer(action.target(), nowMillis);
             case NO_SUCH_UPSTREAM -> reachability.recordAbsent(action.target(), nowMillis);
             case REFUSED -> reachability.recordAbsent(action.target(), nowMillis);
-            case ACCEPTED, STATE_CHANGED, FENCED -> reachability.recordAnswer(action.target());
+            case ACCEPTED, FENCED -> reachability.recordAnswer(action.target());
         }
         switch (action) {
             case ReplicaAction.Join join -> formingOf(join.replica()).ifPresent(group -> group.onResult(join, result));
@@ -224,15 +214,13 @@
             switch (progress) {
                 case WAITING -> {}
                 case SERVING -> forming.remove(group.key());
-                case FAILED -> giveUp(group, replicas, nowMillis);
+                case FAILED -> giveUp(group, replicas);
             }
         }
     }
 
-    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas, long nowMillis) {
+    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas) {
         forming.remove(group.key());
-        group.outdatedCounts()
-                .forEach((id, count) -> outdated.put(id, new OutdatedEntry(count, nowMillis + OUTDATED_ENTRY_MILLIS)));
         Replica replica = replicas.getOrDefault(group.key(), new Replica(group.key(), List.of()));
         if (group.mayBeOpen()) {
             dissolve(replica);
@@ -356,8 +344,7 @@
         forming.values().forEach(group -> assigned.addAll(group.members()));
         List<UpstreamEntry> free = new ArrayList<>();
         for (UpstreamEntry entry : view.entries()) {
-            boolean usable =
-                    !entry.leaving() && reachability.reachable(entry.id(), nowMillis) && !isOutdated(entry, nowMillis);
+            boolean usable = !entry.leaving() && reachability.reachable(entry.id(), nowMillis);
             if (usable && !assigned.contains(entry.id()) && mayJoin(view, replicas, entry, nowMillis)) {
                 (view.isEvacuated(entry) ? idleEvacuated : free).add(entry);
             }
@@ -365,19 +352,6 @@
         return free;
     }
 
-    /** Whether joins based on an entry are known to be rejected because the upstream has begun other orders since. */
-    private boolean isOutdated(UpstreamEntry entry, long nowMillis) {
-        OutdatedEntry known = outdated.get(entry.id());
-        if (known == null) {
-            return false;
-        }
-        if (known.ordersBegun() != entry.ordersBegun() || nowMillis >= known.expiresAtMillis()) {
-            outdated.remove(entry.id());
-            return false;
-        }
-        return true;
-    }
-
     private boolean mayJoin(FleetView view, Map<ReplicaKey, Replica> replicas, UpstreamEntry entry, long nowMillis) {
         for (DissolvingReplica group : dissolving.values()) {
             if (group.blocksJoin(entry, nowMillis)) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
@@ -30,16 +30,11 @@
     private final List<InstanceId> members;
     private final Map<InstanceId, Long> startTimes;
     private final long deadlineMillis;
-    private final Map<InstanceId, SentJoin> sentJoins = new HashMap<>();
+    private final Map<InstanceId, Long> joinSentAtMillis = new HashMap<>();
     private final Map<InstanceId, Integer> joinAttempts = new HashMap<>();
     private long openSentAtMillis = Long.MIN_VALUE;
     private boolean openSent;
     private boolean refused;
-    /** By member, the number of begun orders with which it has rejected a join as outdated. */
-    private final Map<InstanceId, Long> outdatedCounts = new HashMap<>();
-
-    /** The last join order to a member, and the number of begun orders in the entry that it was based on. */
-    private record SentJoin(long ordersBegun, long sentAtMillis) {}
 
     FormingReplica(
             ReplicaKey key,
@@ -79,19 +74,13 @@
         return openSent;
     }
 
-    /** Returns, by member, the number of begun orders with which it has rejected a join as outdated. */
-    Map<InstanceId, Long> outdatedCounts() {
-        return outdatedCounts;
-    }
-
     void onResult(ReplicaAction action, OrderResult result) {
         if (action instanceof ReplicaAction.Join join) {
             switch (result) {
                 // Only the member's entry shows that it has joined; an answer may belong to an earlier order.
                 case ACCEPTED -> {}
-                case STATE_CHANGED -> recordOutdated(join.target());
                 case REFUSED, NO_SUCH_UPSTREAM -> refused = true;
-                case FENCED, UNKNOWN -> sentJoins.remove(join.target());
+                case FENCED, UNKNOWN -> joinSentAtMillis.remove(join.target());
             }
         }
     }
@@ -121,7 +110,7 @@
             }
             if (isMember(entry)) {
                 joined.add(entry);
-            } else if (!mayJoin.test(entry) || !sendJoinIfDue(entry, nowMillis, actions)) {
+            } else if (!mayJoin.test(entry) || !sendJoinIfDue(id, nowMillis, actions)) {
                 return Progress.FAILED;
             }
         }
@@ -144,23 +133,15 @@
                 .anyMatch(entry -> entry.membership().orElseThrow().state() == MemberState.BROKEN);
     }
 
-    private void recordOutdated(InstanceId id) {
-        SentJoin sent = sentJoins.get(id);
-        if (sent != null) {
-            outdatedCounts.put(id, sent.ordersBegun());
-        }
-    }
-
-    private boolean sendJoinIfDue(UpstreamEntry entry, long nowMillis, List<ReplicaAction> actions) {
-        InstanceId id = entry.id();
-        SentJoin last = sentJoins.get(id);
-        if (last != null && nowMillis - last.sentAtMillis() < RESEND_MILLIS) {
+    private boolean sendJoinIfDue(InstanceId id, long nowMillis, List<ReplicaAction> actions) {
+        Long sentAt = joinSentAtMillis.get(id);
+        if (sentAt != null && nowMillis - sentAt < RESEND_MILLIS) {
             return true;
         }
         if (joinAttempts.merge(id, 1, Integer::sum) > MAX_JOIN_ATTEMPTS) {
             return false;
         }
-        sentJoins.put(id, new SentJoin(entry.ordersBegun(), nowMillis));
+        joinSentAtMillis.put(id, nowMillis);
         actions.add(new ReplicaAction.Join(id, key, model, members));
         return true;
     }
--- a/core/src/main/java/io/sesamehead/coordination/replica/OrderResult.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/OrderResult.java
@@ -6,8 +6,6 @@
     ACCEPTED,
     /** The order is not valid in the upstream's current state. */
     REFUSED,
-    /** The upstream has begun another number of orders than the order is conditional on, or its state does not fit. */
-    STATE_CHANGED,
     /** The upstream has seen a higher fencing token. */
     FENCED,
     /** No process listens at the address, or a different upstream does. */
--- a/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/UpstreamEntry.java
@@ -13,7 +13,7 @@
  *
  * @param id id of the upstream
  * @param startedAtEpochMillis start time, in milliseconds since the epoch; distinguishes two incarnations with one id
- * @param ordersBegun number of orders that it has started to execute since its start
+ * @param writes number of entries that it has written since its start, this one included
  * @param service the service it runs
  * @param endpoint the address it listens on
  * @param failureDomain its failure domain
@@ -28,7 +28,7 @@
 public record UpstreamEntry(
         InstanceId id,
         long startedAtEpochMillis,
-        long ordersBegun,
+        long writes,
         ServiceName service,
         Endpoint endpoint,
         FailureDomain failureDomain,
@@ -41,7 +41,7 @@
         OptionalLong coldMillis) {
     /** Copies the lists and rejects numbers out of range. */
     public UpstreamEntry {
-        if (startedAtEpochMillis < 0 || ordersBegun < 0 || slots < 1) {
+        if (startedAtEpochMillis < 0 || writes < 0 || slots < 1) {
             throw new IllegalArgumentException("expected a start time, a number of orders and at least one slot");
         }
         staged = List.copyOf(staged);
@@ -53,7 +53,7 @@
      *
      * @param id id of the upstream
      * @param startedAtEpochMillis start time, in milliseconds since the epoch
-     * @param ordersBegun number of orders that it has started to execute since its start
+     * @param writes number of entries that it has written since its start, this one included
      * @param service the service it runs
      * @param endpoint the address it listens on
      * @param failureDomain its failure domain
@@ -67,7 +67,7 @@
     public UpstreamEntry(
             InstanceId id,
             long startedAtEpochMillis,
-            long ordersBegun,
+            long writes,
             ServiceName service,
             Endpoint endpoint,
             FailureDomain failureDomain,
@@ -80,7 +80,7 @@
         this(
                 id,
                 startedAtEpochMillis,
-                ordersBegun,
+                writes,
                 service,
                 endpoint,
                 failureDomain,
@@ -113,8 +113,8 @@
         if (startedAtEpochMillis != other.startedAtEpochMillis) {
             return startedAtEpochMillis < other.startedAtEpochMillis;
         }
-        if (ordersBegun != other.ordersBegun) {
-            return ordersBegun < other.ordersBegun;
+        if (writes != other.writes) {
+            return writes < other.writes;
         }
         // An upstream that has announced its shutdown does not serve again before it restarts.
         return (!leaving && other.leaving) || earlierState(other);
@@ -129,7 +129,7 @@
         return new UpstreamEntry(
                 id,
                 startedAtEpochMillis,
-                ordersBegun,
+                writes,
                 service,
                 endpoint,
                 failureDomain,
--- a/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/UpstreamRecordCodec.java
@@ -83,7 +83,7 @@
     private static UpstreamRecord record(UpstreamEntry entry) {
         UpstreamRecord.Builder record = UpstreamRecord.newBuilder()
                 .setStartedAtMillis(entry.startedAtEpochMillis())
-                .setOrdersBegun(entry.ordersBegun())
+                .setOrdersBegun(entry.writes())
                 .setService(entry.service().value())
                 .setHost(entry.endpoint().host())
                 .setPort(entry.endpoint().port())
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -199,7 +199,7 @@
             return;
         }
         metrics.count("orders_sent{kind=\"" + kind(action) + "\"}");
-        log.write(EventLog.Component.ORDER, "sent", "fence", epoch, "begun", target.ordersBegun(), "order", action);
+        log.write(EventLog.Component.ORDER, "sent", "fence", epoch, "entry", target.writes(), "order", action);
         ordersInFlight++;
         orders.send(target, action, epoch, result -> onResult(planner, action, result));
     }
