Train the class-data archive with calls

Cause: the archive was written by a daemon that had run for two seconds without a platform.

Change: deploy/build.sh runs the daemon with stand-ins and calls (ArchiveTraining) first.

Not touched: the interpreted call path, the processor time without calls, the order of work within the loop.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,7 +11,6 @@
 program=target/entry.jar
 archive=target/entry.jsa
 training=target/training
-training_seconds=2
 
 build_jars() {
   rm -rf platform/target/libraries
@@ -42,20 +41,14 @@
     --output "$image" > /dev/null
 }
 
-# Runs the daemon for a moment without a platform; the classes that it loads go into the archive when it stops.
+# Runs the daemon with stand-ins for the platform, a peer and engines; the classes that it loads go into the archive when
+# it stops.
 build_archive() {
-  cat > "$training/settings.json" <<SETTINGS
-{"node": "training", "zone": "z", "ip": "127.0.0.1", "internal_ports": [17340, 17355],
- "listen": {"front": "127.0.0.1:18227", "ready": "127.0.0.1:18220", "control": "127.0.0.1:18229"},
- "provider": {"address": "127.0.0.1:18223"}, "bounds": {"grace_s": 3}}
-SETTINGS
   rm -f "$archive"
-  SESAMEHEAD_BOOT="$training/settings.json" "$image/bin/java" $java_options \
-    -XX:ArchiveClassesAtExit="$archive" -jar "$program" > "$training/output" 2>&1 &
-  pid=$!
-  sleep "$training_seconds"
-  kill -TERM "$pid"
-  wait "$pid" || echo "no class-data archive: the training run failed, see $training/output" >&2
+  "$JAVA_HOME/bin/java" -cp "platform/target/test-classes:$(ls "$libraries"/*.jar | tr '\n' ':')" \
+    io.sesamehead.platform.ArchiveTraining "$training" \
+    "$image/bin/java" $java_options -XX:ArchiveClassesAtExit="$archive" -jar "$program" > "$training/output" 2>&1 ||
+    echo "no class-data archive: the training run failed, see $training/output" >&2
 }
 
 build_jars
