Keep forming a group whose members answer while their entries are late

Attempts now count without an answer only. formingGroupWaitsForLateEntriesOfMembersThatAnswer fails before (FAILED after 1.4 s) and passes.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
@@ -11,7 +11,7 @@
 final class FormingReplica {
     /** Interval at which an order without a visible effect is resent, in milliseconds. */
     private static final long RESEND_MILLIS = 350;
-    /** Maximum number of join orders sent to one member before the group is given up. */
+    /** Maximum number of join orders sent to one member without an answer before the group is given up. */
     private static final int MAX_JOIN_ATTEMPTS = 4;
     /** Time that forming may take in addition to a load that shares the weight store with others, in milliseconds. */
     private static final long EXTRA_FORMING_MILLIS = 5_000;
@@ -77,8 +77,9 @@
     void onResult(ReplicaAction action, OrderResult result) {
         if (action instanceof ReplicaAction.Join join) {
             switch (result) {
-                // Only the member's entry shows that it has joined; an answer may belong to an earlier order.
-                case ACCEPTED -> {}
+                // Only the member's entry shows that it has joined; an answer may belong to an earlier order. The entry
+                // may be late while the store is slow, so a member that answers is not given up before the deadline.
+                case ACCEPTED -> joinAttempts.remove(join.target());
                 case REFUSED, NO_SUCH_UPSTREAM -> refused = true;
                 case FENCED, UNKNOWN -> joinSentAtMillis.remove(join.target());
             }
