Ask the store after 1.2 s of a relay's silence at the latest

A view of 1.9 s left 1.1 s for the query, which is used up if a response is late. A relay that reaches the store tells views of a few hundred milliseconds, so the limit is now 1.2 s wherever the drain time allows it. Not traced: that the responses were late is only suspected.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -37,8 +37,11 @@
     private static final long SLOW_RESPONSE_MILLIS = 250;
     /** Part of the drain time that is left to query the store, and once more if it rejects the query. */
     private static final long STORE_QUERY_MILLIS = RELAYED_RETRY_DELAY_MILLIS + 2 * SLOW_RESPONSE_MILLIS;
-    /** Maximum age of a relay's view that counts as current, in milliseconds, however long upstreams drain. */
-    private static final long MAX_RELAYED_AGE_MILLIS = 2_400;
+    /**
+     * Maximum age of a relay's view that counts as current, in milliseconds, however long upstreams drain. With a drain
+     * time of 3 s, it also leaves time to repeat a query that gets no response.
+     */
+    private static final long MAX_RELAYED_AGE_MILLIS = 1_200;
     /** Part of the age of a relayed view that two report intervals and the delivery take, in milliseconds. */
     private static final long REPORTING_MILLIS = 400;
     /** Fraction of a full wait that an empty response confirms. The store's clock may run slightly fast. */
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -48,8 +48,8 @@
     private static final long KEY_LEASE_MILLIS = 3_600;
     /** Documented time within which a configuration must be active, in milliseconds. */
     private static final long CONVERGE_MILLIS = 2_000;
-    /** Documented time for which a draining upstream serves on, in milliseconds. */
-    private static final long DRAIN_MILLIS = 2_000;
+    /** Time in which a request to the store ends without a response, in milliseconds. */
+    private static final long RESPONSE_TIMEOUT_MILLIS = 600;
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeClocks clocks = new FakeClocks(1_000_000);
@@ -58,6 +58,9 @@
     private TestDaemon follower;
     private boolean relaySilent;
     private boolean largeFleet;
+    /** Documented time for which a draining upstream serves on, in milliseconds. */
+    private long drainMillis = 2_000;
+
     private long stampMillis;
     private boolean watchesFail;
 
@@ -88,7 +91,7 @@
                     clocks,
                     present,
                     registry,
-                    DRAIN_MILLIS,
+                    drainMillis,
                     log,
                     this::onChange,
                     () -> false,
@@ -384,15 +387,33 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1})
     void learnsOfDrainInTimeWhileRelayIsCutOff(int rejections) {
+        checkDrains(() -> follower.store.rejections = rejections);
+    }
+
+    /** Guards against the same if the first query of the store gets no response, with a drain time of 3 s. */
+    @Test
+    void learnsOfDrainInTimeAfterQueryWithoutResponse() {
+        drainMillis = 3_000;
+        relay = new TestDaemon();
+        follower = new TestDaemon();
+        run(3_000);
+
+        checkDrains(() -> follower.store.lostResponses = 1);
+    }
+
+    private void checkDrains(Runnable beforeEach) {
         for (int round = 0; round < 30; round++) {
+            // The relay's view is as recent as it can be when the relay is cut off.
+            storeContents.put("i-39", round % 2 == 0 ? MemberState.OPEN : MemberState.READY);
+            run(REPORT_MILLIS);
             relay.store.down = true;
             String drained = "i-" + round;
             storeContents.leave(drained);
-            follower.store.rejections = rejections;
+            beforeEach.run();
             long reportedAtMillis = clocks.now;
             while (!follower.entry(drained).orElseThrow().leaving()) {
                 run(STEP_MILLIS);
-                assertThat(clocks.now - reportedAtMillis).as("round %s", round).isLessThan(DRAIN_MILLIS);
+                assertThat(clocks.now - reportedAtMillis).as("round %s", round).isLessThan(drainMillis);
             }
             relay.store.down = false;
             // Lets each round begin in another phase of watches and reports.
@@ -567,6 +588,7 @@
         private LongConsumer onEra = era -> {};
         private boolean down;
         private int rejections;
+        private int lostResponses;
         private long responseMillis;
 
         @Override
@@ -599,6 +621,12 @@
                 done.accept(new StoreResult.NoResponse<>("rejected"));
                 return;
             }
+            if (lostResponses > 0 && kind instanceof ObjectKind.Upstreams) {
+                lostResponses--;
+                Runnable timeout = () -> done.accept(new StoreResult.NoResponse<>("timeout"));
+                channel.eventLoop().schedule(timeout, waitMillis + RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
             answerWatch(kind, from, clocks.now + waitMillis, done);
         }
 
