Keep a pause between queries of the store whatever the drain time

A recent view now waits 300 ms at least. queriesStoreWithPausesWhateverTheDrainTime guards against it.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -17,6 +17,11 @@
 final class RegistryWatch {
     /** Maximum wait of a watch, in milliseconds. A connection that went silent is detected within the drain bound. */
     private static final long WATCH_TIMEOUT_MILLIS = 1_200;
+    /**
+     * Minimum wait of a watch while the view is recent, in milliseconds. With a short drain time, a daemon would otherwise
+     * query the store without a pause.
+     */
+    private static final long MIN_WATCH_TIMEOUT_MILLIS = 300;
     /** Delay before the next watch after changes, in milliseconds. Changes close together are read in one call. */
     private static final long BATCH_DELAY_MILLIS = 200;
     /**
@@ -366,7 +371,9 @@
      */
     private long watchTimeoutMillis(long nowMillis) {
         long untilOldMillis = currentAtMillis + relayedAgeLimitMillis - REPORTING_MILLIS - nowMillis;
-        return Math.clamp(untilOldMillis, REFRESH_TIMEOUT_MILLIS, WATCH_TIMEOUT_MILLIS);
+        boolean recent = nowMillis - currentAtMillis <= MIN_WATCH_TIMEOUT_MILLIS;
+        return Math.clamp(
+                untilOldMillis, recent ? MIN_WATCH_TIMEOUT_MILLIS : REFRESH_TIMEOUT_MILLIS, WATCH_TIMEOUT_MILLIS);
     }
 
     private void onChanges(
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -401,6 +401,19 @@
         checkDrains(() -> follower.store.lostResponses = 1);
     }
 
+    /** Guards against queries without a pause where upstreams drain for less time than a query and its retry take. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1_000, 1_500})
+    void queriesStoreWithPausesWhateverTheDrainTime(long millis) {
+        drainMillis = millis;
+        TestDaemon daemon = new TestDaemon();
+        run(1_000);
+        int before = daemon.store.calls;
+        run(10_000);
+
+        assertThat(daemon.store.calls - before).isLessThan(10_000 / 100);
+    }
+
     private void checkDrains(Runnable beforeEach) {
         for (int round = 0; round < 30; round++) {
             // The relay's view is as recent as it can be when the relay is cut off.
