Keep the retry delay of daemons with relays when the relay's view is old

Cause: since a report counted as that of a relay only if its view was recent enough. With a short drain time, or a relay that learns late, a daemon then retried the store each 150 ms in an outage instead of each 600 ms, and so would all daemons of a large fleet, which the delay is there to prevent.

Change: any report of the present history counts. The drain tests now begin with a relay whose view is as recent as its batch delay allows; before, it was as old as its watch, which made them easier.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/RegistryWatch.java
@@ -199,10 +199,14 @@
      */
     void onRelayedChanges(StoreRevision relayRevision, long ageMillis, RecentChanges.Delta changes) {
         long now = clocks.steadyMillis();
-        if (!listed() || relayRevision.era() != revision.era() || ageMillis > relayedAgeLimitMillis) {
+        if (!listed() || relayRevision.era() != revision.era()) {
             return;
         }
+        // Also with an old view there is a relay, so that many daemons query the store while it is down.
         relayReportReceived = true;
+        if (ageMillis > relayedAgeLimitMillis) {
+            return;
+        }
         if (relayRevision.compareTo(revision) > 0 && changes.sinceRevision().compareTo(revision) <= 0) {
             List<ChangeBatch.Change<UpstreamEntry>> unknown = changes.changes().stream()
                     .filter(change -> change.object().revision().compareTo(revision) > 0)
--- a/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CachedStoreViewExchangeTest.java
@@ -414,11 +414,29 @@
         assertThat(daemon.store.calls - before).isLessThan(10_000 / 100);
     }
 
+    /** Guards against many daemons that query a store in an outage at the rate of daemons without relays. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 2_000})
+    void queriesStoreInOutageAtTheRateOfDaemonsWithRelays(long millis) {
+        drainMillis = millis;
+        relay = new TestDaemon();
+        follower = new TestDaemon();
+        run(3_000);
+        relay.store.down = true;
+        follower.store.down = true;
+        int before = follower.store.registryWatches;
+        run(6_000);
+
+        assertThat(follower.store.registryWatches - before).isLessThan(6_000 / 500);
+    }
+
     private void checkDrains(Runnable beforeEach) {
         for (int round = 0; round < 30; round++) {
-            // The relay's view is as recent as it can be when the relay is cut off.
-            storeContents.put("i-39", round % 2 == 0 ? MemberState.OPEN : MemberState.READY);
-            run(REPORT_MILLIS);
+            // Without changes the relay's view is as old as its watch, and the follower asks the store early.
+            for (int change = 0; change < 20; change++) {
+                storeContents.put("i-39", change % 2 == 0 ? MemberState.OPEN : MemberState.READY);
+                run(2 * STEP_MILLIS);
+            }
             relay.store.down = true;
             String drained = "i-" + round;
             storeContents.leave(drained);
@@ -598,6 +616,7 @@
     private final class FakeStore implements ObjectStore {
         private Optional<Listing<UpstreamEntry>> oldListing = Optional.empty();
         private int calls;
+        private int registryWatches;
         private LongConsumer onEra = era -> {};
         private boolean down;
         private int rejections;
@@ -629,6 +648,7 @@
         public <T> void watch(
                 ObjectKind<T> kind, StoreRevision from, long waitMillis, Consumer<StoreResult<ChangeBatch<T>>> done) {
             calls++;
+            registryWatches += kind instanceof ObjectKind.Upstreams ? 1 : 0;
             if (rejections > 0 && kind instanceof ObjectKind.Upstreams) {
                 rejections--;
                 done.accept(new StoreResult.NoResponse<>("rejected"));
