Believe only the second answer of another process at an upstream's address

Cause: 421 to an order to leave proved that the member's incarnation had ended, also where it was the second copy of the answer to an order for an earlier incarnation.

Waiting for entries instead was weighed: the entry of a process that has ended stays for three heartbeats, and the others would wait as long.

Measured: FleetPlannerTest#headIsNotTakenForEndedAfterOneAnswerOfAnotherProcess fails with one answer and passes with two.

--- a/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/DissolvingReplica.java
@@ -2,9 +2,11 @@
 
 import io.sesamehead.state.InstanceId;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Dissolves a group that has lost a member or stopped. Every member is ordered to leave, which also shows which members
@@ -37,6 +39,9 @@
     /** Members of which an entry newer than their last one in the group names another group or none, with the time. */
     private final Map<InstanceId, Long> departedAtMillis = new HashMap<>();
 
+    /** Members of which the last answered order was answered by another process at their address. */
+    private final Set<InstanceId> answeredByOther = new HashSet<>();
+
     private boolean leaveAnswered;
     private boolean headAnsweredLeave;
     private boolean headStopped;
@@ -73,13 +78,17 @@
         }
         switch (result) {
             case ACCEPTED -> {
+                answeredByOther.remove(leave.target());
                 leaveAnswered = true;
                 headAnsweredLeave |= isHead(leave.target());
             }
             case NO_SUCH_UPSTREAM -> {
-                // Another process at the address proves that this incarnation has ended.
                 leaveAnswered = true;
-                recordDeparted(leave.target(), nowMillis);
+                // Another process at the address proves that this incarnation has ended, but one such answer may be a
+                // second copy of that to an order for an earlier incarnation.
+                if (!answeredByOther.add(leave.target())) {
+                    recordDeparted(leave.target(), nowMillis);
+                }
             }
             case REFUSED, CONFLICT, FENCED, UNKNOWN -> {}
         }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FakeEngines.java
@@ -38,6 +38,7 @@
     private final Map<InstanceId, Long> silentUntil = new HashMap<>();
     private final Map<InstanceId, List<ReplicaAction>> lateOrders = new HashMap<>();
     private final Set<InstanceId> answeringWithoutLeaving = new HashSet<>();
+    private final Set<InstanceId> answeringOnceAsOther = new HashSet<>();
     private final Set<TargetKey> called = new HashSet<>();
     private final TargetTable calls = new TargetTable();
     final List<ReplicaAction> orders = new ArrayList<>();
@@ -108,6 +109,11 @@
         answeringWithoutLeaving.add(id);
     }
 
+    /** Lets the answer to the next leave order to an engine be the copy of one to an order for another process. */
+    void answerOnceAsOther(InstanceId id) {
+        answeringOnceAsOther.add(id);
+    }
+
     /** Lets an engine execute leave orders again. */
     void executeLeaves(InstanceId id) {
         answeringWithoutLeaving.remove(id);
@@ -237,6 +243,9 @@
             unanswered++;
             return OrderResult.UNKNOWN;
         }
+        if (action instanceof ReplicaAction.Leave && answeringOnceAsOther.remove(action.target())) {
+            return OrderResult.NO_SUCH_UPSTREAM;
+        }
         if (action instanceof ReplicaAction.Leave && answeringWithoutLeaving.contains(action.target())) {
             return OrderResult.ACCEPTED;
         }
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -301,6 +301,30 @@
         assertThat(three.serving(FakeEngines.SMALL)).hasSize(1);
     }
 
+    /**
+     * Guards against taking the second copy of an earlier answer, that of another process at the address, as proof that
+     * the head has ended.
+     */
+    @Test
+    void headIsNotTakenForEndedAfterOneAnswerOfAnotherProcess() {
+        FakeEngines three = new FakeEngines();
+        Replica group = formOnlyGroup(three, planner);
+        InstanceId head = group.members().get(0).id();
+        three.answerOnceAsOther(head);
+        three.answerLeavesWithoutLeaving(head);
+
+        three.kill(group.members().get(1).id());
+        three.addSpares(group.members().get(0).fabricDomain(), 2, "small");
+        three.run(planner, 2_500);
+
+        assertThat(three.violations).isEmpty();
+        assertThat(leaveOrders(three, group.key())).isPositive();
+        assertThat(three.orders)
+                .noneMatch(order -> order instanceof ReplicaAction.Join join
+                        && join.members().contains(group.members().get(2).id())
+                        && !join.replica().equals(group.key()));
+    }
+
     /**
      * Guards against a repeated join to an upstream that an order executed late has put into another group in the
      * meantime.
