Test that members leave a group that is given up, and bound what is kept of it

And the groups given up were kept for the whole term of a controller.

Change: FleetPlannerTest#membersOfGroupThatIsGivenUpLeaveItFirst. A group that was given up is forgotten once its members have left it for as long as a head needs to detect a loss, since they may join by then anyway.

Measured: the test fails if members are ordered elsewhere at once, and if they wait for a head that was never opened; it passes as it is.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -43,8 +43,11 @@
     private final Map<ReplicaKey, DissolvingReplica> kept = new HashMap<>();
 
     private final Map<ReplicaKey, Long> leavingSince = new HashMap<>();
-    /** Groups given up before their head can have opened. Members that have left them need not wait for the head. */
-    private final Set<ReplicaKey> neverOpened = new HashSet<>();
+    /**
+     * Groups given up before their head can have opened, with the last time at which they were being dissolved. Members
+     * that have left them need not wait for the head.
+     */
+    private final Map<ReplicaKey, Long> neverOpened = new HashMap<>();
 
     private final GroupPeaks peaks = new GroupPeaks();
     private final ModelUtilization utilization = new ModelUtilization();
@@ -213,19 +216,19 @@
             switch (progress) {
                 case WAITING -> {}
                 case SERVING -> forming.remove(group.key());
-                case FAILED -> giveUp(group, replicas);
+                case FAILED -> giveUp(group, replicas, nowMillis);
             }
         }
     }
 
-    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas) {
+    private void giveUp(FormingReplica group, Map<ReplicaKey, Replica> replicas, long nowMillis) {
         forming.remove(group.key());
         Replica replica = replicas.getOrDefault(group.key(), new Replica(group.key(), List.of()));
         if (group.mayBeOpen()) {
             dissolve(replica);
         } else {
             // A later controller may adopt the group and open its head as long as the members are listed in it.
-            neverOpened.add(group.key());
+            neverOpened.put(group.key(), nowMillis);
             dissolving.put(group.key(), DissolvingReplica.neverOpened(replica, stallMillis));
         }
     }
@@ -251,6 +254,9 @@
                 }
             }
         }
+        neverOpened.replaceAll((key, atMillis) -> dissolving.containsKey(key) ? nowMillis : atMillis);
+        // Members that left earlier may join by now, whether the head was opened or not.
+        neverOpened.values().removeIf(atMillis -> nowMillis - atMillis > lossDetectionMillis());
         for (Replica replica : replicas.values()) {
             ReplicaKey key = replica.key();
             if (forming.containsKey(key) || dissolving.containsKey(key)) {
@@ -368,7 +374,7 @@
         Optional<FormerGroups.FormerGroup> former = view.formerGroups().formerGroup(entry);
         if (former.isEmpty()
                 || former.get().headLeft()
-                || neverOpened.contains(former.get().replica())) {
+                || neverOpened.containsKey(former.get().replica())) {
             return true;
         }
         DissolvingReplica dissolvingGroup = dissolving.get(former.get().replica());
--- a/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/replica/FleetPlannerTest.java
@@ -325,6 +325,34 @@
                         && !join.replica().equals(group.key()));
     }
 
+    /**
+     * Guards against a group that a later controller adopts and opens while this one orders its members into others: the
+     * members of a group that is given up leave it first, and need not wait for a head that was never opened.
+     */
+    @Test
+    void membersOfGroupThatIsGivenUpLeaveItFirst() {
+        FakeEngines three = new FakeEngines();
+        three.addDomains(1, FakeEngines.SMALL.groupSize());
+        InstanceId silent = new InstanceId("e0-0");
+        three.kill(silent);
+        three.run(planner, 1_000);
+        three.dropFromRegistry(silent);
+        three.addSpares(three.entry(new InstanceId("e0-1")).fabricDomain(), 1, "small");
+        three.run(planner, 1_500);
+
+        List<ReplicaAction> orders = three.orders.stream()
+                .filter(order -> order.target().equals(new InstanceId("e0-1")))
+                .toList();
+        assertThat(orders.stream().map(Object::getClass).distinct().toList())
+                .startsWith(ReplicaAction.Join.class, ReplicaAction.Leave.class);
+        ReplicaKey givenUp = ((ReplicaAction.Join) orders.get(0)).replica();
+        int leave = orders.indexOf(new ReplicaAction.Leave(new InstanceId("e0-1"), givenUp));
+        assertThat(orders.subList(0, leave))
+                .allMatch(order -> order instanceof ReplicaAction.Join join
+                        && join.replica().equals(givenUp));
+        assertThat(orders.subList(leave, orders.size())).anyMatch(order -> order instanceof ReplicaAction.Join);
+    }
+
     /**
      * Guards against a repeated join to an upstream that an order executed late has put into another group in the
      * meantime.
