Number entries in the simulation as upstreams do

Entries of different states had one number, and a reordered older one could pass for the newer.

Change: each entry that an engine writes has the next number.

--- a/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/EngineSimulation.java
@@ -65,7 +65,7 @@
         private final InstanceId id;
         private final String domain;
         private long startedAtMillis = 1;
-        private long orders;
+        private long writes;
         private long highestEpoch;
         private long highestFence;
         private boolean alive = true;
@@ -231,7 +231,6 @@
             case ReplicaAction.Open open -> open(engine, open.replica());
             case ReplicaAction.Leave leave -> {
                 if (engine.isMemberOf(leave.replica())) {
-                    engine.orders++;
                     set(engine, Optional.empty());
                 }
                 yield OrderResult.ACCEPTED;
@@ -253,7 +252,6 @@
                 .ifPresent(last -> violations.add(
                         now + ": " + engine.id + " joins " + join.replica() + " while " + last + " serves"));
         joins++;
-        engine.orders++;
         engine.highestEpoch = join.replica().epoch();
         engine.group = join.members();
         engine.lastGroup = Optional.of(join.replica());
@@ -273,7 +271,6 @@
             return OrderResult.REFUSED;
         }
         if (engine.membership.orElseThrow().state() == MemberState.READY && engine.openAtMillis == Long.MAX_VALUE) {
-            engine.orders++;
             engine.openAtMillis = now + 300;
         }
         return OrderResult.ACCEPTED;
@@ -346,7 +343,7 @@
         }
         engine.alive = true;
         engine.startedAtMillis = now + 10;
-        engine.orders = 0;
+        engine.writes = 0;
         engine.highestEpoch = 0;
         engine.highestFence = 0;
         engine.group = List.of();
@@ -360,6 +357,7 @@
         UpstreamEntry current = entry(engine);
         engine.previousEntry = current.startedAtEpochMillis() == engine.startedAtMillis ? current : null;
         engine.membership = membership;
+        engine.writes++;
         if (engine.reachesRegistry()) {
             write(engine, entry(engine));
         }
@@ -367,7 +365,12 @@
 
     private void heartbeat(Engine engine) {
         boolean stale = faults && engine.previousEntry != null && random.nextInt(12) == 0;
-        write(engine, stale ? engine.previousEntry : entry(engine));
+        if (stale) {
+            write(engine, engine.previousEntry);
+        } else {
+            engine.writes++;
+            write(engine, entry(engine));
+        }
     }
 
     private void write(Engine engine, UpstreamEntry entry) {
@@ -381,7 +384,7 @@
         return new UpstreamEntry(
                 engine.id,
                 engine.startedAtMillis,
-                engine.orders,
+                engine.writes,
                 new ServiceName("pool"),
                 new Endpoint("127.0.0.1", 80),
                 new FailureDomain("a"),
