--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -361,7 +361,7 @@
         tasks.repeat("tick", this::tick, TICK_INTERVAL_MILLIS);
     }
 
-    /** Begins a graceful stop; the process exits by {@link GracefulStop}. */
+    /** Begins a graceful stop, at the end of which the process exits, see {@link GracefulStop}. */
     public void stop() {
         loop.execute(stop::begin);
     }
