Say what the number of warm-up calls is good for

The comment claimed that most methods of the call path are compiled after 60 calls, which no run has shown; 60 calls have 540 events, above the 200 runs after which the compiler takes a method. Comment only; formatter and linter pass.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallWarmUp.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallWarmUp.java
@@ -31,7 +31,7 @@
 final class CallWarmUp {
     private static final String LOOPBACK = "127.0.0.1";
     private static final String TASK = "warm-up";
-    /** Number of calls, after which most methods of the call path are compiled. */
+    /** Number of calls. Together their streams have enough events for the code of events to be compiled. */
     private static final int CALLS = 60;
     /** Time after which no further call is sent, in milliseconds. */
     private static final long MAX_DURATION_MILLIS = 12_000;
