--- a/entry/src/test/java/io/sesamehead/entry/runtime/CallWarmUpTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/CallWarmUpTest.java
@@ -30,7 +30,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Guards against a warm-up that delays callers, never ends or calls an upstream that does not answer for ever. */
+/** Guards against a warm-up that delays callers, never ends, or goes on although its calls fail. */
 @Timeout(30)
 final class CallWarmUpTest {
     private static final Endpoint ENDPOINT = new Endpoint("127.0.0.1", 1);
