Log the parts of a call's delay, the delay of the event loop and free copies

The `ended` line now has the time until the first send, between sends, and until the first event or answer was read; one line each 2 s has how late the event loop runs; the `plan` line has the free upstreams by fabric domain and staged model. No line is added for an event. No decision changes.

--- a/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
+++ b/core/src/main/java/io/sesamehead/coordination/replica/FleetPlanner.java
@@ -60,6 +60,7 @@
     private long groupsFormed;
     private PlanSummary summary = new PlanSummary(0, 0, 0, 0, 0, 0, 0);
     private Supplier<IdleUpstreams> idle = () -> IdleUpstreams.NONE;
+    private Supplier<FreeCopies> freeCopies = () -> FreeCopies.NONE;
 
     /**
      * Creates a planner for one lease epoch.
@@ -112,6 +113,7 @@
         }
         summary = summarize(view, serving, free, idleEvacuated);
         idle = () -> IdleUpstreams.of(view, free, idleEvacuated.size());
+        freeCopies = () -> FreeCopies.of(view, free);
         return actions;
     }
 
@@ -154,6 +156,15 @@
         return idle.get();
     }
 
+    /**
+     * Returns which models were on the hosts of free upstreams after the last call of {@link #plan}.
+     *
+     * @return numbers by fabric domain and model
+     */
+    public FreeCopies freeCopies() {
+        return freeCopies.get();
+    }
+
     private PlanSummary summarize(
             FleetView view, int serving, List<UpstreamEntry> usable, List<UpstreamEntry> idleEvacuated) {
         List<UpstreamEntry> free = new ArrayList<>(usable);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -15,6 +15,11 @@
     private final CallMetadata facts;
     private final Route route;
     private final long arrivedAtMillis;
+    /** When the first attempt was sent, and when the first event or answer came, or -1. */
+    private long firstSentAtMillis = -1;
+
+    private long lastSentAtMillis = -1;
+    private long firstEventAtMillis = -1;
 
     CallLog(CallEnvironment environment, CallMetadata facts, Route route, long arrivedAtMillis) {
         this.environment = environment;
@@ -24,6 +29,7 @@
     }
 
     void sent(int attempt, Target target, long expectedMillis, Optional<String> lastEventId) {
+        recordSent();
         write(
                 "sent",
                 "attempt",
@@ -45,10 +51,25 @@
     }
 
     void passedOn(int attempt, Target peer, Optional<String> lastEventId) {
+        recordSent();
         environment.metrics().count("calls_passed_on");
         write("passed-on", "attempt", attempt, "peer", peer.key(), "after", lastEventId.orElse("-"));
     }
 
+    private void recordSent() {
+        lastSentAtMillis = environment.clocks().steadyMillis();
+        if (firstSentAtMillis < 0) {
+            firstSentAtMillis = lastSentAtMillis;
+        }
+    }
+
+    /** Records that the first event of a stream, or a complete answer, has come from an upstream. */
+    void answerBegun() {
+        if (firstEventAtMillis < 0) {
+            firstEventAtMillis = environment.clocks().steadyMillis();
+        }
+    }
+
     void secondAttempt(TargetKey silent, Optional<String> lastEventId) {
         write("second-attempt", "target", silent, "after", lastEventId.orElse("-"));
     }
@@ -95,7 +116,20 @@
 
     void ended(int status, int attempts) {
         countOutcome(status / 100 + "xx");
-        write("ended", "status", status, "took_ms", tookMillis(), "attempts", attempts);
+        write(
+                "ended",
+                "status",
+                status,
+                "took_ms",
+                tookMillis(),
+                "send_ms",
+                firstSentAtMillis - arrivedAtMillis,
+                "again_ms",
+                lastSentAtMillis - firstSentAtMillis,
+                "upstream_ms",
+                firstEventAtMillis - lastSentAtMillis,
+                "attempts",
+                attempts);
     }
 
     void failed(String outcome, String reason, List<TargetKey> triedTargets, int attemptsRun) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ControllerTerm.java
@@ -166,6 +166,8 @@
                 view.lost().size(),
                 "idle",
                 planner.idleUpstreams(),
+                "free_copies",
+                planner.freeCopies(),
                 "demand",
                 view.demand());
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -61,12 +61,15 @@
     private static final long MAX_WATCH_SILENCE_MILLIS = 1_400;
     /** Interval of the log line with the counts of store calls, in milliseconds. */
     private static final long STORE_CALLS_LOG_INTERVAL_MILLIS = 10_000;
+    /** Interval of the log line with the delay of the event loop, in milliseconds. */
+    private static final long LOOP_DELAY_LOG_INTERVAL_MILLIS = 2_000;
 
     private final EntrySettings settings;
     private final EventLoop loop;
     private final Clocks clocks;
     private final EventLog log;
     private final EventLoopTasks tasks;
+    private final LoopDelay loopDelay;
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final ActiveConfig activeConfig;
     private final UpstreamRegistry registry;
@@ -138,6 +141,7 @@
         this.loop = loop;
         this.log = new EventLog(clocks);
         this.tasks = new EventLoopTasks(loop, log);
+        this.loopDelay = new LoopDelay(log);
         this.registry = new UpstreamRegistry(settings.heartbeatMillis());
         this.activeConfig = new ActiveConfig(settings.keyRevocationMillis() - MAX_WATCH_SILENCE_MILLIS);
         this.coldUpstreams = ColdUpstreamRecorder.coldUpstreams(settings);
@@ -358,6 +362,7 @@
             lease.start();
         });
         tasks.repeat("log-store-calls", store::logCalls, STORE_CALLS_LOG_INTERVAL_MILLIS);
+        tasks.repeat("log-loop-delay", loopDelay::logAndReset, LOOP_DELAY_LOG_INTERVAL_MILLIS);
         tasks.repeat("tick", this::tick, TICK_INTERVAL_MILLIS);
     }
 
@@ -378,6 +383,7 @@
         long now = clocks.steadyMillis();
         long lateMillis = now - lastTickAtMillis - TICK_INTERVAL_MILLIS;
         lastTickAtMillis = now;
+        loopDelay.record(lateMillis);
         if (lateMillis > PAUSE_THRESHOLD_MILLIS) {
             targetTable.compensatePause(lateMillis);
             log.write(EventLog.Component.DAEMON, "paused", "ms", lateMillis);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -415,6 +415,7 @@
             return false;
         }
         select(attempt);
+        log.answerBegun();
         if (event.id().isPresent()) {
             lastEventId = event.id();
             lastEventNumber = number;
@@ -463,6 +464,7 @@
             return;
         }
         select(attempt);
+        log.answerBegun();
         Runnable release =
                 environment.responseBuffers().holdComplete(attempt.key().name(), body.length);
         responseWriter.send(head.status(), EndToEndHeaders.copyOf(head.headers()), body);
