Send the events of one read as one buffer, and work less for each event

An event was framed by the codec as three buffers, written and flushed by itself, its id found by a regular expression over a copy of its text. Now what one read of an upstream brings is one chunk in one buffer, flushed at the end of that read, so that no event waits for another connection. The id is found in the bytes. The key of a target compares its fields itself, and the tick and the reports of peers work out the limits of silence only for targets that made no progress for 400 ms.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/SilenceLimits.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/SilenceLimits.java
@@ -9,7 +9,7 @@
  */
 public record SilenceLimits(long ownMillis, long anywhereMillis, long lostMillis) {
     /** Limit for the calls of all daemons at a group, in milliseconds: seven event intervals. */
-    private static final long STALL_MILLIS = 400;
+    static final long STALL_MILLIS = 400;
     /**
      * Limit for the calls of this daemon at a group, in milliseconds: allows for the retransmission of a lost packet.
      */
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetKey.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetKey.java
@@ -63,6 +63,17 @@
         return new ReplicaKey(name, generation);
     }
 
+    // Compared for each event of a stream; the methods that a record generates take several times as long.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TargetKey key && generation == key.generation && name.equals(key.name);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * name.hashCode() + Long.hashCode(generation);
+    }
+
     @Override
     public String toString() {
         return name + "/" + generation;
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -140,7 +140,8 @@
                 peerSuspicions.merge(row.key(), 1, Integer::sum);
                 peerSuspectedSince.putIfAbsent(row.key(), nowMillis);
             }
-            if (row.silentMillis() <= limits(row.key()).anywhereMillis()) {
+            if (row.silentMillis() <= SilenceLimits.STALL_MILLIS
+                    || row.silentMillis() <= limits(row.key()).anywhereMillis()) {
                 endSuspicion(row.key());
             }
         }
@@ -293,7 +294,7 @@
             if (state.waiting() == 0) {
                 return;
             }
-            Set<EvidenceReaction> reactions = EvidencePolicy.reactions(silence(key, nowMillis));
+            Set<EvidenceReaction> reactions = reactionsToSilence(key, nowMillis);
             if (reactions.contains(EvidenceReaction.PREFER_OTHERS)) {
                 state.suspectUntil(nowMillis + SUSPICION_MILLIS);
             }
@@ -321,12 +322,26 @@
         }
         lostUntil.values().removeIf(end -> nowMillis >= end);
         for (TargetKey key : inFlightSince.keySet()) {
-            if (EvidencePolicy.justifies(silence(key, nowMillis), EvidenceReaction.REPLACE)) {
+            if (reactionsToSilence(key, nowMillis).contains(EvidenceReaction.REPLACE)) {
                 lostUntil.put(key, nowMillis + SUSPICION_MILLIS);
             }
         }
     }
 
+    private Set<EvidenceReaction> reactionsToSilence(TargetKey key, long nowMillis) {
+        // Nearly all targets have just made progress, and their limits need not be known then.
+        return maxSilentMillis(key, nowMillis) <= SilenceLimits.STALL_MILLIS
+                ? Set.of()
+                : EvidencePolicy.reactions(silence(key, nowMillis));
+    }
+
+    /** Returns an upper bound of both times of {@link #silence}: the time since the last progress. */
+    private long maxSilentMillis(TargetKey key, long nowMillis) {
+        LocalCalls state = local.get(key);
+        boolean own = state != null && state.waiting() > 0;
+        return nowMillis - (own ? state.lastProgressMillis() : lastProgressMillis(key));
+    }
+
     /**
      * Returns the silence of a target.
      *
--- a/entry/src/main/java/io/sesamehead/entry/protocol/EventScanner.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/EventScanner.java
@@ -8,7 +8,10 @@
 
 /** Splits the body of an event stream into whole events and buffers the bytes of an incomplete one. */
 public final class EventScanner {
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    /** Number of digits that any number fits a long with. */
+    private static final int MAX_NUMBER_DIGITS = 18;
+
     private static final int INITIAL_BYTES = 1_024;
     /** Maximum event size in bytes, far above the event size of any model. */
     private static final int MAX_EVENT_BYTES = 1_048_576;
@@ -30,11 +33,16 @@
          * @return the number, or empty if the id is missing or not numeric
          */
         public OptionalLong numericId() {
-            boolean digits = id.isPresent()
-                    && !id.get().isEmpty()
-                    && id.get().length() < 19
-                    && id.get().chars().allMatch(Character::isDigit);
-            return digits ? OptionalLong.of(Long.parseLong(id.get())) : OptionalLong.empty();
+            if (id.isEmpty() || id.get().isEmpty() || id.get().length() > MAX_NUMBER_DIGITS) {
+                return OptionalLong.empty();
+            }
+            String text = id.get();
+            for (int i = 0; i < text.length(); i++) {
+                if (!Character.isDigit(text.charAt(i))) {
+                    return OptionalLong.empty();
+                }
+            }
+            return OptionalLong.of(Long.parseLong(text));
         }
     }
 
@@ -92,12 +100,26 @@
     }
 
     private static Optional<String> idOf(byte[] bytes) {
-        String text = new String(bytes, StandardCharsets.UTF_8);
-        for (String line : text.split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                return Optional.of(line.substring(ID_FIELD.length()).trim());
+        for (int start = 0; start < bytes.length; start = lineEnd(bytes, start) + 1) {
+            if (startsWithIdField(bytes, start)) {
+                int from = start + ID_FIELD.length;
+                String value = new String(bytes, from, lineEnd(bytes, start) - from, StandardCharsets.UTF_8);
+                return Optional.of(value.trim());
             }
         }
         return Optional.empty();
     }
+
+    private static boolean startsWithIdField(byte[] bytes, int start) {
+        return bytes.length - start >= ID_FIELD.length
+                && Arrays.equals(bytes, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+    }
+
+    private static int lineEnd(byte[] bytes, int start) {
+        int end = start;
+        while (end < bytes.length && bytes[end] != '\n') {
+            end++;
+        }
+        return end;
+    }
 }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/AttemptListener.java
@@ -14,6 +14,9 @@
     /** Receives bytes of the stream. */
     void onStreamData(byte[] bytes);
 
+    /** Called after the bytes of the stream that had arrived were received. */
+    void onReadComplete();
+
     /**
      * Called when the stream has ended.
      *
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -61,6 +61,9 @@
          */
         boolean onEvent(CallAttempt attempt, EventScanner.Event event);
 
+        /** Called after the events that had arrived were received. */
+        void onReadComplete();
+
         /**
          * Called when the stream has ended after a whole event.
          *
@@ -294,6 +297,11 @@
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        owner.onReadComplete();
+    }
+
     /** Counts only whole events as progress, because a failing target may keep sending single bytes. */
     private void onEvent(EventScanner.Event event) {
         if (ended) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempts.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempts.java
@@ -64,6 +64,9 @@
      * @return whether any other attempt was excluded
      */
     boolean select(CallAttempt winner) {
+        if (attempts.size() == 1) {
+            return false;
+        }
         List<CallAttempt> others =
                 waiting().filter(attempt -> attempt != winner).toList();
         others.forEach(CallAttempt::supersede);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -19,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.sesamehead.coordination.catalog.CallLimits;
 import io.sesamehead.coordination.catalog.IdlePeriod;
+import io.sesamehead.entry.transport.ChunkedBody;
 import io.sesamehead.entry.transport.RequestHeadSize;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -49,6 +50,8 @@
     private final CallerServer server;
     private final ArrayDeque<CallRequest> pendingRequests = new ArrayDeque<>();
     private Channel channel;
+    private ChannelHandlerContext codec;
+
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
@@ -90,6 +93,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        codec = context.pipeline().context(HttpServerCodec.class);
         lastActivityMillis = server.nowMillis();
         idlePeriod = new IdlePeriod(lastActivityMillis, server.limits().idleTimeoutMillis());
         server.add(this);
@@ -384,6 +388,7 @@
         private boolean ended;
         /** Limit for the idle period after the response, in milliseconds. */
         private long idleMillis;
+        private final ChunkedBody body = new ChunkedBody(codec);
 
         Response(boolean keepAlive) {
             this.keepAlive = keepAlive;
@@ -429,23 +434,30 @@
             begun = true;
             setConnectionHeader(headers);
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            channel.writeAndFlush(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+            channel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
         }
 
         @Override
         public boolean write(byte[] bytes) {
             if (!ended) {
-                channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+                body.write(bytes);
             }
             return channel.isWritable();
         }
 
+        @Override
+        public void flush() {
+            body.writeChunk();
+            channel.flush();
+        }
+
         @Override
         public void end() {
             if (ended) {
                 return;
             }
             ended = true;
+            body.writeChunk();
             writeLast(new DefaultLastHttpContent());
         }
 
@@ -456,6 +468,7 @@
             }
             ended = true;
             closing = true;
+            flush();
             endInput();
             onResponseEnded(false);
             closeReason = CloseReason.ABORTED;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -427,6 +427,11 @@
         return event.id().isPresent();
     }
 
+    @Override
+    public void onReadComplete() {
+        responseWriter.flush();
+    }
+
     @Override
     public void onStreamEnd(CallAttempt attempt, boolean framed) {
         if (finished) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/GuardedExchange.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/GuardedExchange.java
@@ -55,6 +55,11 @@
         tasks.run(TASK, () -> listener.onContent(data), onFailure);
     }
 
+    @Override
+    public void onReadComplete() {
+        tasks.run(TASK, listener::onReadComplete, onFailure);
+    }
+
     @Override
     public void onEnd() {
         tasks.run(TASK, listener::onEnd, onFailure);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseReader.java
@@ -97,6 +97,13 @@
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        if (streaming) {
+            listener.onReadComplete();
+        }
+    }
+
     @Override
     public void onEnd() {
         if (streaming) {
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ResponseWriter.java
@@ -18,12 +18,18 @@
         action.run();
     }
 
-    /** Begins a response whose body follows in chunks. */
+    /** Begins a response whose body follows in chunks. It is sent with the next {@link #flush}. */
     void begin(HttpResponseStatus status, HttpHeaders headers);
 
-    /** Writes a chunk of the body. Returns false if the caller reads too slowly and the sender should pause. */
+    /**
+     * Writes a part of the body, which is sent with the next {@link #flush}. Returns false if the caller reads too slowly
+     * and the sender should pause.
+     */
     boolean write(byte[] bytes);
 
+    /** Sends what was written. Called at the end of each read from an upstream, so that nothing is held back. */
+    void flush();
+
     /** Ends the body, which completes the response. */
     void end();
 
--- a/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ClientConnection.java
@@ -34,6 +34,9 @@
     private final Consumer<ClientConnection> onClosed;
     private Channel channel;
     private ExchangeListener listener;
+    /** Receives the end of the present read, even if its exchange ends within the read. */
+    private ExchangeListener readListener;
+
     private final ArrayDeque<String> requestIds = new ArrayDeque<>();
     private long requestsSent;
     private boolean accepted;
@@ -150,6 +153,7 @@
             return;
         }
         accepted = true;
+        readListener = listener;
         keepAlive = keepAlive && HttpUtil.isKeepAlive(head);
         keepAliveMillis = KeepAliveHeader.timeoutMillis(head.headers());
         listener.onHead(head);
@@ -182,6 +186,7 @@
             return;
         }
         ByteBuf data = content.content();
+        readListener = listener;
         if (data.isReadable()) {
             listener.onContent(data);
         }
@@ -209,14 +214,26 @@
         done.onEnd();
     }
 
-    /** Closes an idle connection on which a part of a response has arrived: it would be joined to the next response. */
+    /**
+     * Tells the end of the read. Closes an idle connection on which a part of a response has arrived: it would be joined
+     * to the next response.
+     */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        endRead();
         if (listener == null && decoder.hasUndecodedBytes()) {
             close();
         }
     }
 
+    private void endRead() {
+        ExchangeListener reader = readListener;
+        readListener = null;
+        if (reader != null) {
+            reader.onReadComplete();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onClosed.accept(this);
@@ -238,6 +255,7 @@
     }
 
     private void failAsFaulty(String reason) {
+        endRead();
         ExchangeListener open = listener;
         close();
         if (open != null) {
@@ -247,6 +265,7 @@
 
     /** Reports a failure at most once. The decoder may still emit an end of the response, which must be ignored. */
     private void fail(String reason) {
+        endRead();
         ExchangeListener open = listener;
         close();
         if (open != null) {
--- a/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ExchangeListener.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 
-/** Receives the events of one request on a client connection. No event follows an end or a failure. */
+/** Receives the events of one request on a client connection. No event but the end of a read follows an end or a failure. */
 public interface ExchangeListener {
     /**
      * Returns the id of the request, by which it tells its own response from others on the same connection. A request
@@ -37,6 +37,12 @@
      */
     void onContent(ByteBuf data);
 
+    /**
+     * Called after the head or body bytes of one read of the connection were received, also if the exchange has ended
+     * with them.
+     */
+    default void onReadComplete() {}
+
     /** Called at the end of a complete response. */
     void onEnd();
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ForwardedCallFailureTest.java
@@ -283,6 +283,9 @@
             return true;
         }
 
+        @Override
+        public void flush() {}
+
         @Override
         public void end() {}
 
--- a/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/runtime/ResponseReaderTest.java
@@ -261,6 +261,11 @@
             events.add("data " + new String(bytes, StandardCharsets.UTF_8));
         }
 
+        @Override
+        public void onReadComplete() {
+            events.add("read");
+        }
+
         @Override
         public void onStreamEnd(boolean framed) {
             events.add(framed ? "ended" : "ended with its connection");
