--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -388,6 +388,7 @@
         private boolean ended;
         /** Limit for the idle period after the response, in milliseconds. */
         private long idleMillis;
+
         private final ChunkedBody body = new ChunkedBody(codec);
 
         Response(boolean keepAlive) {
