Frame a chunk without intermediate strings, and check less often what need not follow each tick

The periodic checks for lost paths, expired connections, cold upstreams, rate limits and load origins run each 100 ms with the controller instead of each 50 ms; all of their limits are half a second or more. The frame of a chunk is written into its buffer directly.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/EntryDaemon.java
@@ -50,7 +50,10 @@
 public final class EntryDaemon {
     /** Interval of the periodic checks, such as for stalled targets, in milliseconds. */
     private static final long TICK_INTERVAL_MILLIS = 50;
-    /** Interval of the controller's steps, in milliseconds: a step takes a few milliseconds with 1,000 upstreams. */
+    /**
+     * Interval of the controller's steps and of the checks that need not follow each tick, in milliseconds: a step takes a
+     * few milliseconds with 1,000 upstreams.
+     */
     private static final long CONTROL_INTERVAL_MILLIS = 100;
     /** Delay of a tick above which the process counts as paused, in milliseconds. */
     private static final long PAUSE_THRESHOLD_MILLIS = 150;
@@ -392,16 +395,16 @@
             onFleetChange();
         }
         silenceWatch.check();
-        environment.peerForwarding().probeLostPaths();
-        clients.closeExpired();
-        coldUpstreamRecorder.update();
-        rateLimitRecorder.expire(registry::isListed, 1 + peerReporter.listedDaemons());
-        originReports.expire();
         crashEvidence.refuteCrashes();
         crashRecorder.writeIfChanged();
         environment.endRefusedCalls();
         if (now - lastControlAtMillis >= CONTROL_INTERVAL_MILLIS) {
             lastControlAtMillis = now;
+            environment.peerForwarding().probeLostPaths();
+            clients.closeExpired();
+            coldUpstreamRecorder.update();
+            rateLimitRecorder.expire(registry::isListed, 1 + peerReporter.listedDaemons());
+            originReports.expire();
             environment.slotAdmission().refresh(now);
             runController();
         }
--- a/entry/src/main/java/io/sesamehead/entry/transport/ChunkedBody.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ChunkedBody.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -10,7 +9,11 @@
  * the codec would make three buffers of each write. Confined to the event loop.
  */
 public final class ChunkedBody {
-    private static final String LINE_END = "\r\n";
+    private static final int HEXADECIMAL = 16;
+    /** Carriage return and line feed. */
+    private static final int LINE_END = 0x0D0A;
+
+    private static final int LINE_END_BYTES = 2;
     /** Maximum size of the head of a chunk: an {@code int} in hexadecimal and the end of the line. */
     private static final int MAX_HEAD_BYTES = 10;
 
@@ -39,7 +42,7 @@
         }
         if (chunk.isEmpty()) {
             chunk = Optional.of(codec.alloc()
-                    .ioBuffer(MAX_HEAD_BYTES + bytes.length + LINE_END.length())
+                    .ioBuffer(MAX_HEAD_BYTES + bytes.length + LINE_END_BYTES)
                     .setIndex(MAX_HEAD_BYTES, MAX_HEAD_BYTES));
         }
         chunk.get().writeBytes(bytes);
@@ -52,11 +55,15 @@
     }
 
     private static ByteBuf frame(ByteBuf bytes) {
-        byte[] head = (Integer.toHexString(bytes.readableBytes()) + LINE_END).getBytes(StandardCharsets.US_ASCII);
-        int start = bytes.readerIndex() - head.length;
-        bytes.setBytes(start, head);
+        int start = bytes.readerIndex() - LINE_END_BYTES;
+        bytes.setShort(start, LINE_END);
+        int size = bytes.readableBytes();
+        while (size > 0) {
+            start--;
+            bytes.setByte(start, Character.forDigit(size % HEXADECIMAL, HEXADECIMAL));
+            size /= HEXADECIMAL;
+        }
         bytes.readerIndex(start);
-        bytes.writeCharSequence(LINE_END, StandardCharsets.US_ASCII);
-        return bytes;
+        return bytes.writeShort(LINE_END);
     }
 }
