--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetTable.java
@@ -1,9 +1,11 @@
 package io.sesamehead.coordination.dispatch;
 
+import com.google.common.collect.Sets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -93,10 +95,7 @@
      * @param nowMillis current monotonic time, in milliseconds
      */
     public void recordResumed(TargetKey key, long nowMillis) {
-        LocalCalls state = local.get(key);
-        if (state != null) {
-            state.recordResumed(nowMillis);
-        }
+        Optional.ofNullable(local.get(key)).ifPresent(state -> state.recordResumed(nowMillis));
     }
 
     /**
@@ -105,10 +104,7 @@
      * @param key the target
      */
     public void recordEnded(TargetKey key) {
-        LocalCalls state = local.get(key);
-        if (state != null) {
-            state.recordEnded();
-        }
+        Optional.ofNullable(local.get(key)).ifPresent(LocalCalls::recordEnded);
     }
 
     /**
@@ -151,10 +147,7 @@
     /** Ends this daemon's suspicion because a peer has seen progress. */
     private void endSuspicion(TargetKey key) {
         lostUntil.remove(key);
-        LocalCalls state = local.get(key);
-        if (state != null) {
-            state.endSuspicion();
-        }
+        Optional.ofNullable(local.get(key)).ifPresent(LocalCalls::endSuspicion);
     }
 
     /**
@@ -313,11 +306,9 @@
     /** Updates since when calls have been in flight, and remembers which targets are lost. */
     private void recordInFlight(long nowMillis) {
         inFlightSince.keySet().removeIf(key -> waiting(key) == 0);
-        for (Set<TargetKey> keys : List.of(local.keySet(), peerInFlight.keySet())) {
-            for (TargetKey key : keys) {
-                if (waiting(key) > 0) {
-                    inFlightSince.putIfAbsent(key, nowMillis);
-                }
+        for (TargetKey key : Sets.union(local.keySet(), peerInFlight.keySet())) {
+            if (waiting(key) > 0) {
+                inFlightSince.putIfAbsent(key, nowMillis);
             }
         }
         lostUntil.values().removeIf(end -> nowMillis >= end);
@@ -329,17 +320,13 @@
     }
 
     private Set<EvidenceReaction> reactionsToSilence(TargetKey key, long nowMillis) {
-        // Nearly all targets have just made progress, and their limits need not be known then.
-        return maxSilentMillis(key, nowMillis) <= SilenceLimits.STALL_MILLIS
-                ? Set.of()
-                : EvidencePolicy.reactions(silence(key, nowMillis));
-    }
-
-    /** Returns an upper bound of both times of {@link #silence}: the time since the last progress. */
-    private long maxSilentMillis(TargetKey key, long nowMillis) {
         LocalCalls state = local.get(key);
         boolean own = state != null && state.waiting() > 0;
-        return nowMillis - (own ? state.lastProgressMillis() : lastProgressMillis(key));
+        long progressMillis = own ? state.lastProgressMillis() : lastProgressMillis(key);
+        // Nearly all targets have just made progress, after which neither time of a silence can exceed its limit.
+        return nowMillis - progressMillis <= SilenceLimits.STALL_MILLIS
+                ? Set.of()
+                : EvidencePolicy.reactions(silence(key, nowMillis));
     }
 
     /**
@@ -437,11 +424,10 @@
      * @return the number, without this daemon
      */
     public int daemonCount(Predicate<String> selected) {
-        int count = 0;
-        for (Map.Entry<String, PeerReport> peer : peerReports.entrySet()) {
-            count += selected.test(peer.getKey()) ? peer.getValue().daemons() : 0;
-        }
-        return count;
+        return peerReports.entrySet().stream()
+                .filter(peer -> selected.test(peer.getKey()))
+                .mapToInt(peer -> peer.getValue().daemons())
+                .sum();
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -51,7 +51,6 @@
     private final ArrayDeque<CallRequest> pendingRequests = new ArrayDeque<>();
     private Channel channel;
     private ChannelHandlerContext codec;
-
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private long headArrivedAtMillis;
@@ -78,14 +77,6 @@
     private Optional<ForwardedCall> call = Optional.empty();
     private CloseReason closeReason = CloseReason.OTHER;
 
-    /** Why a connection was closed. */
-    enum CloseReason {
-        IDLE,
-        ABORTED,
-        /** By the caller, after the last response, or after an error. */
-        OTHER
-    }
-
     CallerConnection(CallerServer server) {
         this.server = server;
     }
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerServer.java
@@ -222,8 +222,8 @@
      * @param unanswered number of complete requests that had not been started
      * @param partial whether a request was incomplete
      */
-    void onConnectionClosed(CallerConnection.CloseReason reason, int unanswered, boolean partial) {
-        if (reason == CallerConnection.CloseReason.OTHER && unanswered == 0) {
+    void onConnectionClosed(CloseReason reason, int unanswered, boolean partial) {
+        if (reason == CloseReason.OTHER && unanswered == 0) {
             return;
         }
         environment.metrics().count("connections_closed{reason=\"" + reason + "\"}");
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -57,7 +57,6 @@
 
     private Future<?> deadlineTimer;
     private boolean responseBegun;
-
     private boolean finished;
     private Optional<String> lastEventId;
     private OptionalLong lastEventNumber = OptionalLong.empty();
@@ -187,8 +186,7 @@
     }
 
     private DispatchRequest dispatchRequest() {
-        boolean first = attempts.size() == 0 && !passedOn;
-        return slots.nextRequest(service, deadlineMillis, crashes.suspect(), first);
+        return slots.nextRequest(service, deadlineMillis, crashes.suspect(), attempts.size() == 0 && !passedOn);
     }
 
     /** Returns the targets that have not been tried and at which the call can end before a stopping daemon exits. */
