Revert "Share the room of contended pools among the daemons"

An equal share for each daemon refuses calls at daemons that have more callers than others while slots are free.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/Dispatcher.java
@@ -29,8 +29,6 @@
     private static final double OBJECTIVE_FRACTION = 0.9;
     /** Queue length, as a fraction of the slots, up to which a call retried by its caller may queue and be late. */
     private static final double LATE_QUEUE_FRACTION = 0.15;
-    /** Load per slot that the shares of all daemons together aim at. */
-    private static final double SHARED_LOAD = 1;
     /** Load per slot, as reports show it, up to which an admitted call is sent: calls have ended since. */
     private static final double MAX_ADMITTED_LOAD = 1.25;
     /** Maximum relative jitter of the retry time, so that refused callers do not return at the same time. */
@@ -48,7 +46,6 @@
     private final ServiceTimeEstimator serviceTimes;
     private final RandomGenerator random;
     private final DomainChoice domains;
-    private final RoomShares shares;
 
     /**
      * Creates a dispatcher that chooses targets by their load alone.
@@ -91,7 +88,6 @@
         this.serviceTimes = serviceTimes;
         this.random = random;
         this.domains = domains;
-        this.shares = new RoomShares(random);
     }
 
     /**
@@ -123,17 +119,10 @@
      * @return the decision
      */
     public DispatchDecision decide(DispatchRequest request, List<Target> targets, long nowMillis) {
-        if (request.suspectedPart().isEmpty() && request.slotRule() == SlotRule.SHARED_ROOM && table.peerCount() > 0) {
-            List<Target> usable = usable(targets, nowMillis);
-            if (RoomShares.isContended(usable, table) && isLateInQueues(request, usable)) {
-                return decideByShare(request, usable, nowMillis);
-            }
-        }
         Optional<Target> best = request.suspectedPart()
                 .flatMap(part -> isolated(part, targets, nowMillis))
                 .or(() -> request.slotRule() == SlotRule.ADMITTED
-                        ? byRoom(inChosenDomain(targets, nowMillis), TargetRoom.TARGET_LOAD, nowMillis)
-                                .or(() -> byRoom(targets, TargetRoom.TARGET_LOAD, nowMillis))
+                        ? byRoom(inChosenDomain(targets, nowMillis), nowMillis).or(() -> byRoom(targets, nowMillis))
                         : leastLoadedInChosenDomain(targets, nowMillis))
                 .or(() -> leastLoaded(targets, nowMillis));
         if (best.isEmpty()) {
@@ -161,42 +150,6 @@
                 DispatchDecision.Reason.NO_PLACE, retryMillis(serviceTimes.waitMillis(target, load), request));
     }
 
-    /** Returns whether a call would be late at each target if it had to wait for a slot there. */
-    private boolean isLateInQueues(DispatchRequest request, List<Target> targets) {
-        return targets.stream()
-                .noneMatch(target -> isOnTime(
-                        request, serviceTimes.firstEventMillis(target, target.slots(), request.promptTokens())));
-    }
-
-    /** Sends a call if this daemon's share of the pool allows it, or refuses it. */
-    private DispatchDecision decideByShare(DispatchRequest request, List<Target> usable, long nowMillis) {
-        double room = 0;
-        long waitMillis = Long.MAX_VALUE;
-        for (Target target : usable) {
-            int load = table.inFlight(target.key());
-            room += Math.max(0, room(target, SHARED_LOAD, nowMillis));
-            waitMillis = Math.min(waitMillis, serviceTimes.waitMillis(target, Math.max(load, target.slots())));
-        }
-        int pool = TargetPool.of(usable.get(0)).hash();
-        boolean allowed = shares.tryTake(pool, room / (1 + table.peerCount()), nowMillis);
-        Optional<Target> target = byRoom(inChosenDomain(usable, nowMillis), SHARED_LOAD, nowMillis)
-                .or(() -> byRoom(usable, SHARED_LOAD, nowMillis));
-        if (!allowed || target.isEmpty()) {
-            return new DispatchDecision.Refuse(DispatchDecision.Reason.NO_PLACE, retryMillis(waitMillis, request));
-        }
-        int load = table.inFlight(target.get().key());
-        return new DispatchDecision.Send(
-                target.get(), serviceTimes.firstEventMillis(target.get(), load, request.promptTokens()));
-    }
-
-    /** Returns the calls per millisecond that a target can take to reach a load per slot, 0 or less if none. */
-    private double room(Target target, double load, long nowMillis) {
-        int slots = table.isUsable(target.key(), nowMillis) ? availableSlots(target, nowMillis) : 0;
-        return slots <= 0
-                ? 0
-                : TargetRoom.perMilli(slots, table.inFlight(target.key()), serviceTimes.meanRunMillis(target), load);
-    }
-
     /**
      * Chooses a target for a call that may be repeated while every target is suspected. A silent target usually goes on
      * before a refused caller would return. One that is lost gets no call.
@@ -252,21 +205,11 @@
         if (expectedMillis > request.remainingMillis()) {
             return false;
         }
-        boolean onTime = isOnTime(request, expectedMillis);
-        boolean mayBeLate =
-                request.slotRule() == SlotRule.RETRIED_MAY_QUEUE || request.slotRule() == SlotRule.SHARED_ROOM;
-        boolean retried = mayBeLate && request.elapsedMillis() > 0;
+        boolean onTime = request.elapsedMillis() + expectedMillis <= request.objectiveMillis() * OBJECTIVE_FRACTION;
+        boolean retried = request.slotRule() == SlotRule.RETRIED_MAY_QUEUE && request.elapsedMillis() > 0;
         return onTime || (retried && load < target.slots() * (1 + LATE_QUEUE_FRACTION));
     }
 
-    private static boolean isOnTime(DispatchRequest request, long expectedMillis) {
-        return request.elapsedMillis() + expectedMillis <= request.objectiveMillis() * OBJECTIVE_FRACTION;
-    }
-
-    private List<Target> usable(List<Target> targets, long nowMillis) {
-        return targets.stream().filter(target -> isUsable(target, nowMillis)).toList();
-    }
-
     /** Finds a target with a free slot in the failure domain that is chosen for the call, if any is. */
     private Optional<Target> leastLoadedInChosenDomain(List<Target> targets, long nowMillis) {
         return leastLoaded(inChosenDomain(targets, nowMillis), nowMillis)
@@ -291,7 +234,8 @@
      * @return the target, or empty if none is usable
      */
     public Optional<Target> leastLoaded(List<Target> targets, long nowMillis) {
-        List<Target> usable = usable(targets, nowMillis);
+        List<Target> usable =
+                targets.stream().filter(target -> isUsable(target, nowMillis)).toList();
         Optional<Target> sampled = table.hasAggregates() ? lowestScore(sample(usable), nowMillis) : Optional.empty();
         boolean hasFreeSlot =
                 sampled.isPresent() && table.inFlight(sampled.get().key()) < availableSlots(sampled.get(), nowMillis);
@@ -302,12 +246,15 @@
      * Chooses a target at random in proportion to the calls that each can take. Daemons with the same reports then send
      * each target about what it can take, instead of all choosing the one that has the most free slots.
      */
-    private Optional<Target> byRoom(List<Target> targets, double load, long nowMillis) {
+    private Optional<Target> byRoom(List<Target> targets, long nowMillis) {
         List<Target> usable = new ArrayList<>(targets.size());
         double[] sums = new double[targets.size()];
         double sum = 0;
         for (Target target : targets) {
-            double room = room(target, load, nowMillis);
+            int slots = table.isUsable(target.key(), nowMillis) ? availableSlots(target, nowMillis) : 0;
+            double room = slots <= 0
+                    ? 0
+                    : TargetRoom.perMilli(slots, table.inFlight(target.key()), serviceTimes.meanRunMillis(target));
             if (room > 0) {
                 sum += room;
                 sums[usable.size()] = sum;
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/SlotRule.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/SlotRule.java
@@ -4,11 +4,6 @@
 public enum SlotRule {
     /** A free slot, or a place in a queue if the call is on time. A call retried by its caller may queue and be late. */
     RETRIED_MAY_QUEUE,
-    /**
-     * As {@link #RETRIED_MAY_QUEUE}, but while the pool is contended a call that would be late in a queue is sent only within
-     * this daemon's share of the pool's room. For first attempts: a call that was sent before has had its share.
-     */
-    SHARED_ROOM,
     /**
      * A free slot, or a place in a queue if the call is on time. Where slots are divided among calls, retried ones would
      * otherwise get more of them than first tries.
--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetRoom.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetRoom.java
@@ -6,7 +6,7 @@
  */
 public final class TargetRoom {
     /** Load per slot that is aimed at. The rest absorbs calls that arrive at the same moment. */
-    static final double TARGET_LOAD = 0.9;
+    private static final double TARGET_LOAD = 0.9;
     /** Time in which a lower load is made up, in milliseconds: twice the age of the reports. */
     private static final double FILL_MILLIS = 600;
     /** Time in which a higher load is reduced, in milliseconds. All calls are late until then. */
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/PartitionSimulation.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/PartitionSimulation.java
@@ -158,8 +158,7 @@
     }
 
     private void tryCall(Daemon daemon, List<TargetKey> tried, long arrivedAtMillis) {
-        SlotRule rule = tried.isEmpty() ? SlotRule.SHARED_ROOM : SlotRule.RETRIED_MAY_QUEUE;
-        DispatchRequest request = new DispatchRequest(0, 400, 3_000, 0, Optional.empty(), rule);
+        DispatchRequest request = new DispatchRequest(0, 400, 3_000, 0, Optional.empty());
         List<Target> untried =
                 targets.stream().filter(target -> !tried.contains(target.key())).toList();
         if (tried.size() < MAX_TRIES
--- a/core/src/test/java/io/sesamehead/coordination/dispatch/RateLimitSimulation.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/RateLimitSimulation.java
@@ -199,7 +199,7 @@
         }
         daemon.calls++;
         daemon.shares.recordArrival(SERVICE, now);
-        DispatchRequest request = new DispatchRequest(0, 400, 3_000, 0, Optional.empty(), SlotRule.SHARED_ROOM);
+        DispatchRequest request = new DispatchRequest(0, 400, 3_000, 0, Optional.empty());
         if (daemon.dispatcher.decide(request, targets, now) instanceof DispatchDecision.Send send) {
             Target target = send.target();
             daemon.sent++;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallSlots.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallSlots.java
@@ -84,17 +84,12 @@
         };
     }
 
-    /**
-     * Returns the request for the next attempt. Only the first one was admitted in place of another call.
-     *
-     * @param first whether no daemon has sent the call before
-     */
-    DispatchRequest nextRequest(
-            ServiceName service, long deadlineMillis, Optional<CrashSubject> suspect, boolean first) {
+    /** Returns the request for the next attempt. Only the first one was admitted in place of another call. */
+    DispatchRequest nextRequest(ServiceName service, long deadlineMillis, Optional<CrashSubject> suspect) {
         long now = environment.clocks().steadyMillis();
-        boolean begins = first && facts.lastEventId().isEmpty();
-        SlotRule undivided = begins ? SlotRule.SHARED_ROOM : SlotRule.RETRIED_MAY_QUEUE;
-        SlotRule otherRule = environment.slotAdmission().isDivided(service) ? SlotRule.ON_TIME_MAY_QUEUE : undivided;
+        SlotRule otherRule = environment.slotAdmission().isDivided(service)
+                ? SlotRule.ON_TIME_MAY_QUEUE
+                : SlotRule.RETRIED_MAY_QUEUE;
         SlotRule rule = firstRule.orElse(otherRule);
         firstRule = Optional.empty();
         return new DispatchRequest(
--- a/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/ForwardedCall.java
@@ -186,7 +186,7 @@
     }
 
     private DispatchRequest dispatchRequest() {
-        return slots.nextRequest(service, deadlineMillis, crashes.suspect(), attempts.size() == 0 && !passedOn);
+        return slots.nextRequest(service, deadlineMillis, crashes.suspect());
     }
 
     /** Returns the targets that have not been tried and at which the call can end before a stopping daemon exits. */
