Revert "Correct the estimate of first events by what is measured"

The wait is overestimated, since calls have ended that the reports still show, and the error of calls that found a free slot must not be added to it.

--- a/core/src/main/java/io/sesamehead/coordination/dispatch/ServiceTimeEstimator.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/ServiceTimeEstimator.java
@@ -11,33 +11,11 @@
     /** Weight of the newest run time in the moving average. */
     private static final double RUN_WEIGHT = 0.05;
 
-    /** Change of a correction by its first sample, in milliseconds. The change shrinks with the number of samples. */
-    private static final double FIRST_CORRECTION_MILLIS = 64;
-    /** Least change of a correction by one sample, in milliseconds. */
-    private static final double MIN_CORRECTION_MILLIS = 3;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Map<String, Double> runMillis = new HashMap<>();
     /** Run times without waiting for a slot, as far as they can be told apart. */
     private final Map<String, Double> unqueuedMillis = new HashMap<>();
-    /** Corrections of the time until the first event. */
-    private final Map<String, Correction> corrections = new HashMap<>();
-
-    /**
-     * Median difference between the measured and the estimated time until the first event. A stalled target makes a few
-     * samples very large, and would make a mean useless.
-     */
-    private static final class Correction {
-        private double millis;
-        private int samples;
-
-        private void add(long errorMillis) {
-            samples++;
-            double change = Math.max(MIN_CORRECTION_MILLIS, FIRST_CORRECTION_MILLIS / samples);
-            millis += Math.max(-change, Math.min(change, errorMillis));
-        }
-    }
 
     /**
      * Records the run time of a call.
@@ -63,17 +41,6 @@
         }
     }
 
-    /**
-     * Records how far the estimate of a first event was off. The profile of an engine does not state all that the first
-     * event of a call takes, and the network and this daemon add to it.
-     *
-     * @param target where the call was sent while a slot was free
-     * @param errorMillis measured time minus the time that {@link #firstEventMillis} returned, in milliseconds
-     */
-    public void recordFirstEvent(Target target, long errorMillis) {
-        corrections.computeIfAbsent(averageKey(target), key -> new Correction()).add(errorMillis);
-    }
-
     /**
      * Returns the mean time that a call of a target's pool occupies a slot.
      *
@@ -101,8 +68,7 @@
     }
 
     /**
-     * Estimates the time until the first event of a call, or until the answer of a plain call. The estimate for an engine
-     * follows from its profile and from how far earlier estimates were off.
+     * Estimates the time until the first event of a call, or until the answer of a plain call.
      *
      * @param target where the call would be sent
      * @param load number of calls in flight at the target
@@ -119,9 +85,7 @@
         double stepMillis = profile.stepMillis() + profile.perSequenceMillis() * Math.min(load, target.slots());
         // The running batch finishes its pass before the prefill, and another pass produces the first event.
         double passMillis = 2 * profile.stepsPerEvent() * stepMillis;
-        Correction correction = corrections.get(averageKey(target));
-        double correctionMillis = correction == null ? 0 : correction.millis;
-        return wait + (long) Math.max(0, (prefillMillis + passMillis) * target.timeFactor() + correctionMillis);
+        return wait + (long) ((prefillMillis + passMillis) * target.timeFactor());
     }
 
     /**
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallAttempt.java
@@ -26,8 +26,6 @@
     private final Target target;
     private final long sentAtMillis;
     private final long expectedMillis;
-    /** Whether all slots of the target were taken when the attempt was sent. */
-    private final boolean queued;
     /** Whether the attempt continues a stream that the caller has already begun to receive. */
     private final boolean resumed;
 
@@ -101,7 +99,6 @@
         this.target = target;
         this.sentAtMillis = now();
         this.expectedMillis = expectedMillis;
-        this.queued = environment.targetTable().inFlight(target.key()) >= target.slots();
         this.resumed = resumed;
         this.buffer = environment.responseBuffers().open(target.key().name(), this::onBufferEvicted);
     }
@@ -327,9 +324,6 @@
         long tookMillis = now() - sentAtMillis;
         environment.metrics().time("first_event_ms", tookMillis);
         environment.metrics().time("first_event_late_ms", tookMillis - expectedMillis);
-        if (!viaPeer() && !queued && !resumed) {
-            environment.serviceTimes().recordFirstEvent(target, tookMillis - expectedMillis);
-        }
     }
 
     @Override
