--- a/core/src/test/java/io/sesamehead/coordination/dispatch/NewGroupCallsTest.java
+++ b/core/src/test/java/io/sesamehead/coordination/dispatch/NewGroupCallsTest.java
@@ -77,8 +77,7 @@
         for (double now = 0; now < FULL_MILLIS + REPORT_AGE_MILLIS; now += 1_000 / CALLS_PER_SECOND) {
             int daemon = random.nextInt(daemons);
             boolean formed = now >= FULL_MILLIS;
-            DispatchRequest call =
-                    new DispatchRequest(714, OBJECTIVE_MILLIS, 6_000, 0, Optional.empty());
+            DispatchRequest call = new DispatchRequest(714, OBJECTIVE_MILLIS, 6_000, 0, Optional.empty());
             DispatchDecision decision = dispatchers
                     .get(daemon)
                     .decide(call, formed ? targets : targets.subList(1, targets.size()), (long) now);
