--- a/core/src/main/java/io/sesamehead/coordination/dispatch/TargetKey.java
+++ b/core/src/main/java/io/sesamehead/coordination/dispatch/TargetKey.java
@@ -63,7 +63,7 @@
         return new ReplicaKey(name, generation);
     }
 
-    // Compared for each event of a stream; the methods that a record generates take several times as long.
+    // Called for each event of a stream; the methods that a record generates go through method handles.
     @Override
     public boolean equals(Object other) {
         return other instanceof TargetKey key && generation == key.generation && name.equals(key.name);
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -380,7 +380,7 @@
         /** Limit for the idle period after the response, in milliseconds. */
         private long idleMillis;
 
-        private final ChunkedBody body = new ChunkedBody(codec);
+        private final ChunkedBody chunkedBody = new ChunkedBody(codec);
 
         Response(boolean keepAlive) {
             this.keepAlive = keepAlive;
@@ -432,14 +432,14 @@
         @Override
         public boolean write(byte[] bytes) {
             if (!ended) {
-                body.write(bytes);
+                chunkedBody.write(bytes);
             }
             return channel.isWritable();
         }
 
         @Override
         public void flush() {
-            body.writeChunk();
+            chunkedBody.writeChunk();
             channel.flush();
         }
 
@@ -449,7 +449,7 @@
                 return;
             }
             ended = true;
-            body.writeChunk();
+            chunkedBody.writeChunk();
             writeLast(new DefaultLastHttpContent());
         }
 
