Keep a chunk for each event, in one buffer for those of a read

The tests are right that the framing should not depend on how the events arrive, so the chunks are as before, and only their buffer and the flush are shared.

--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallerConnection.java
@@ -439,7 +439,7 @@
 
         @Override
         public void flush() {
-            chunkedBody.writeChunk();
+            chunkedBody.writeChunks();
             channel.flush();
         }
 
@@ -449,7 +449,7 @@
                 return;
             }
             ended = true;
-            chunkedBody.writeChunk();
+            chunkedBody.writeChunks();
             writeLast(new DefaultLastHttpContent());
         }
 
--- a/entry/src/main/java/io/sesamehead/entry/transport/ChunkedBody.java
+++ b/entry/src/main/java/io/sesamehead/entry/transport/ChunkedBody.java
@@ -2,24 +2,22 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
- * Body of a response that is sent in chunks. What is written between two flushes becomes one chunk in one buffer, whereas
- * the codec would make three buffers of each write. Confined to the event loop.
+ * Body of a response that is sent in chunks. The chunks that are written between two flushes share one buffer, whereas the
+ * codec would make three buffers of each chunk. Confined to the event loop.
  */
 public final class ChunkedBody {
-    private static final int HEXADECIMAL = 16;
     /** Carriage return and line feed. */
     private static final int LINE_END = 0x0D0A;
-
-    private static final int LINE_END_BYTES = 2;
-    /** Maximum size of the head of a chunk: an {@code int} in hexadecimal and the end of the line. */
-    private static final int MAX_HEAD_BYTES = 10;
+    /** Maximum number of bytes around the body of a chunk: an {@code int} in hexadecimal and two ends of lines. */
+    private static final int MAX_FRAME_BYTES = 12;
 
     private final ChannelHandlerContext codec;
-    /** Bytes written since the last flush, after space for the head of their chunk. */
-    private Optional<ByteBuf> chunk = Optional.empty();
+    /** Chunks written since the last flush. */
+    private Optional<ByteBuf> chunks = Optional.empty();
 
     /**
      * Creates a body without bytes.
@@ -31,39 +29,26 @@
     }
 
     /**
-     * Appends bytes to the present chunk.
+     * Appends a chunk to the present buffer.
      *
-     * @param bytes the bytes
+     * @param bytes body of the chunk
      */
     public void write(byte[] bytes) {
         if (bytes.length == 0) {
             // A chunk without bytes would end the response.
             return;
         }
-        if (chunk.isEmpty()) {
-            chunk = Optional.of(codec.alloc()
-                    .ioBuffer(MAX_HEAD_BYTES + bytes.length + LINE_END_BYTES)
-                    .setIndex(MAX_HEAD_BYTES, MAX_HEAD_BYTES));
+        if (chunks.isEmpty()) {
+            chunks = Optional.of(codec.alloc().ioBuffer(MAX_FRAME_BYTES + bytes.length));
         }
-        chunk.get().writeBytes(bytes);
-    }
-
-    /** Writes the present chunk, if there is one, to the channel, and does not flush the channel. */
-    public void writeChunk() {
-        chunk.ifPresent(bytes -> codec.write(frame(bytes)));
-        chunk = Optional.empty();
+        ByteBuf buffer = chunks.get();
+        buffer.writeCharSequence(Integer.toHexString(bytes.length), StandardCharsets.US_ASCII);
+        buffer.writeShort(LINE_END).writeBytes(bytes).writeShort(LINE_END);
     }
 
-    private static ByteBuf frame(ByteBuf bytes) {
-        int start = bytes.readerIndex() - LINE_END_BYTES;
-        bytes.setShort(start, LINE_END);
-        int size = bytes.readableBytes();
-        while (size > 0) {
-            start--;
-            bytes.setByte(start, Character.forDigit(size % HEXADECIMAL, HEXADECIMAL));
-            size /= HEXADECIMAL;
-        }
-        bytes.readerIndex(start);
-        return bytes.writeShort(LINE_END);
+    /** Writes the present buffer, if there is one, to the channel, and does not flush the channel. */
+    public void writeChunks() {
+        chunks.ifPresent(codec::write);
+        chunks = Optional.empty();
     }
 }
