State the time until an answer begins as that of its own attempt

The field upstream_ms of `ended` was negative when a later attempt had resumed the answer, and a large negative number for a stream without events. It is now the time from the send of the attempt that began the answer, or -1. EventScannerTest has the id in a later line, which the scan of bytes must find as the split of lines did.

--- a/entry/src/main/java/io/sesamehead/entry/protocol/EventScanner.java
+++ b/entry/src/main/java/io/sesamehead/entry/protocol/EventScanner.java
@@ -9,7 +9,7 @@
 /** Splits the body of an event stream into whole events and buffers the bytes of an incomplete one. */
 public final class EventScanner {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
-    /** Number of digits that any number fits a long with. */
+    /** Any number of this many digits fits a long. */
     private static final int MAX_NUMBER_DIGITS = 18;
 
     private static final int INITIAL_BYTES = 1_024;
--- a/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
+++ b/entry/src/main/java/io/sesamehead/entry/runtime/CallLog.java
@@ -8,6 +8,7 @@
 import io.sesamehead.entry.port.CallMetadata;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Writes the log lines and counts the metrics of one call. */
 final class CallLog {
@@ -15,11 +16,10 @@
     private final CallMetadata facts;
     private final Route route;
     private final long arrivedAtMillis;
-    /** When the first attempt was sent, and when the first event or answer came, or -1. */
-    private long firstSentAtMillis = -1;
-
-    private long lastSentAtMillis = -1;
-    private long firstEventAtMillis = -1;
+    private OptionalLong firstSentAtMillis = OptionalLong.empty();
+    private OptionalLong lastSentAtMillis = OptionalLong.empty();
+    /** Time from the send of the attempt that began the answer until then, in milliseconds. */
+    private OptionalLong answerBegunAfterMillis = OptionalLong.empty();
 
     CallLog(CallEnvironment environment, CallMetadata facts, Route route, long arrivedAtMillis) {
         this.environment = environment;
@@ -57,16 +57,17 @@
     }
 
     private void recordSent() {
-        lastSentAtMillis = environment.clocks().steadyMillis();
-        if (firstSentAtMillis < 0) {
+        lastSentAtMillis = OptionalLong.of(environment.clocks().steadyMillis());
+        if (firstSentAtMillis.isEmpty()) {
             firstSentAtMillis = lastSentAtMillis;
         }
     }
 
     /** Records that the first event of a stream, or a complete answer, has come from an upstream. */
     void answerBegun() {
-        if (firstEventAtMillis < 0) {
-            firstEventAtMillis = environment.clocks().steadyMillis();
+        if (answerBegunAfterMillis.isEmpty() && lastSentAtMillis.isPresent()) {
+            answerBegunAfterMillis =
+                    OptionalLong.of(environment.clocks().steadyMillis() - lastSentAtMillis.getAsLong());
         }
     }
 
@@ -123,11 +124,11 @@
                 "took_ms",
                 tookMillis(),
                 "send_ms",
-                firstSentAtMillis - arrivedAtMillis,
+                firstSentAtMillis.orElse(arrivedAtMillis) - arrivedAtMillis,
                 "again_ms",
-                lastSentAtMillis - firstSentAtMillis,
+                lastSentAtMillis.orElse(0) - firstSentAtMillis.orElse(0),
                 "upstream_ms",
-                firstEventAtMillis - lastSentAtMillis,
+                answerBegunAfterMillis.orElse(-1),
                 "attempts",
                 attempts);
     }
--- a/entry/src/test/java/io/sesamehead/entry/protocol/EventScannerTest.java
+++ b/entry/src/test/java/io/sesamehead/entry/protocol/EventScannerTest.java
@@ -43,6 +43,13 @@
         assertThat(scanner.hasPartialEvent()).isTrue();
     }
 
+    @Test
+    void findsIdInLaterLineOnly() {
+        feed("data: id: 3\nid:4\r\n\n");
+
+        assertThat(events.get(0).numericId()).hasValue(4);
+    }
+
     @Test
     void keepsNonNumericId() {
         feed("id: x-7\ndata: a\n\n");
